--- /dev/null
+++ b/cmd/crocushinged/main.go
@@ -0,0 +1,79 @@
+// Command crocushinged runs one host of the fleet.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/crocushinge/crocushinge/daemon"
+	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/sample"
+)
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitSettings = 2
+	exitForced   = 3
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "crocushinged",
+		Usage: "run one host of the proxy fleet",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` in YAML", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+			&cli.BoolFlag{Name: "sample", Usage: "run the sample targets in this process too"},
+		},
+		Action: run,
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailure)
+	}
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	settings, err := daemon.ReadSettings(cmd.String("settings"))
+	if err != nil {
+		return cli.Exit(err, exitSettings)
+	}
+	if cmd.Bool("check") {
+		return nil
+	}
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	store := memory.New()
+	d, err := daemon.New(settings, daemon.Platform{Table: store, Objects: store, HostList: store}, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	context.AfterFunc(ctx, exitOnSecondSignal)
+	if cmd.Bool("sample") {
+		for _, address := range sample.Addresses {
+			go func() {
+				if err := sample.Serve(ctx, address); err != nil {
+					log.Error().Err(err).Msg("sample target ended")
+				}
+			}()
+		}
+	}
+	return d.Run(ctx)
+}
+
+// exitOnSecondSignal ends the process at once when another signal arrives
+// during the graceful shutdown.
+func exitOnSecondSignal() {
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, os.Interrupt, syscall.SIGTERM)
+	<-again
+	os.Exit(exitForced)
+}
--- /dev/null
+++ b/daemon/control.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"context"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"github.com/crocushinge/crocushinge/host"
+	"github.com/crocushinge/crocushinge/link"
+	"github.com/crocushinge/crocushinge/timeline"
+)
+
+// Capacities of the queues into the control thread.
+const (
+	eventQueue       = 1024
+	observationQueue = 8192
+	observationBatch = 512
+)
+
+// control is the control thread: the one goroutine, on an OS thread of its
+// own, that owns all control state of the process.
+type control struct {
+	core     *host.Core
+	snapshot atomic.Pointer[host.Snapshot]
+	ring     *timeline.Ring
+	events   chan host.Event
+	calls    chan func(*host.Core)
+	observed chan link.Observation
+	dropped  atomic.Int64
+	effects  effector
+}
+
+// effector carries out the effects that need I/O. Its methods return at once
+// and send the answer back as an event.
+type effector interface {
+	readConfiguration(host.ReadConfiguration)
+	fetchChanges(host.FetchChanges)
+	sendHeartbeat(host.SendHeartbeat)
+	readHostList()
+	recorded(timeline.Event)
+}
+
+func newControl(core *host.Core, ring *timeline.Ring) *control {
+	return &control{
+		core:     core,
+		ring:     ring,
+		events:   make(chan host.Event, eventQueue),
+		calls:    make(chan func(*host.Core)),
+		observed: make(chan link.Observation, observationQueue),
+	}
+}
+
+// observe hands an observation over without blocking. When the control thread
+// is behind, the observation is dropped and counted.
+func (c *control) observe(o link.Observation) {
+	select {
+	case c.observed <- o:
+	default:
+		c.dropped.Add(1)
+	}
+}
+
+// send hands an event over. It gives up when the control thread has stopped.
+func (c *control) send(ctx context.Context, ev host.Event) {
+	select {
+	case c.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// call runs f on the control thread and waits for its end.
+func (c *control) call(ctx context.Context, f func(*host.Core)) error {
+	done := make(chan struct{})
+	select {
+	case c.calls <- func(core *host.Core) { f(core); close(done) }:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// run is the control thread.
+func (c *control) run(ctx context.Context) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	ticker := time.NewTicker(host.TickInterval)
+	defer ticker.Stop()
+	c.handle(host.Tick{})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.handle(host.Tick{})
+		case ev := <-c.events:
+			c.handle(ev)
+		case f := <-c.calls:
+			f(c.core)
+		case o := <-c.observed:
+			c.handle(host.Observed{Observations: c.batch(o)})
+		}
+	}
+}
+
+// batch gathers the observations that already wait behind the first.
+func (c *control) batch(first link.Observation) []link.Observation {
+	list := []link.Observation{first}
+	for len(list) < observationBatch {
+		select {
+		case o := <-c.observed:
+			list = append(list, o)
+		default:
+			return list
+		}
+	}
+	return list
+}
+
+func (c *control) handle(ev host.Event) {
+	for _, e := range c.core.Handle(time.Now(), ev) {
+		switch e := e.(type) {
+		case host.Publish:
+			c.snapshot.Store(e.Snapshot)
+		case host.ReadConfiguration:
+			c.effects.readConfiguration(e)
+		case host.FetchChanges:
+			c.effects.fetchChanges(e)
+		case host.SendHeartbeat:
+			c.effects.sendHeartbeat(e)
+		case host.ReadHostList:
+			c.effects.readHostList()
+		case host.Record:
+			c.ring.Add(e.Event)
+			c.effects.recorded(e.Event)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,203 @@
+// Package daemon runs one host as a process: the control thread, the listeners
+// for callers, operators and peers, and the I/O that the control core asks for.
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/host"
+	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/publish"
+	"github.com/crocushinge/crocushinge/timeline"
+	"github.com/crocushinge/crocushinge/traffic"
+	"github.com/crocushinge/crocushinge/wire/gen/crocushinge/fleet/v1/fleetv1connect"
+)
+
+// ringCapacity is how many events a process keeps for the time line.
+const ringCapacity = 4096
+
+// Timeouts of the listeners.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	// drainTime limits the work in flight at a graceful shutdown.
+	drainTime = 30 * time.Second
+)
+
+// Platform is the adapters to the platform that a daemon uses.
+type Platform struct {
+	Table    platform.Table
+	Objects  platform.Objects
+	HostList platform.HostList
+}
+
+// Daemon is one host as a process.
+type Daemon struct {
+	settings   Settings
+	self       host.Identity
+	log        zerolog.Logger
+	control    *control
+	ring       *timeline.Ring
+	store      *publish.Store
+	hostList   platform.HostList
+	peers      *fleetClient
+	ledger     *caller.Ledger
+	handler    *traffic.Handler
+	metrics    *metrics
+	servers    []*server
+	background sync.WaitGroup
+	// ctx ends when the process has finished its work in flight.
+	ctx context.Context
+}
+
+// New builds a daemon from checked settings and opens its listeners. A port of
+// 0 in the settings takes a free one.
+func New(s Settings, p Platform, log zerolog.Logger) (*Daemon, error) {
+	servers, err := listen(s.Address, s.APIAddress, s.FleetAddress)
+	if err != nil {
+		return nil, err
+	}
+	self := host.Identity{
+		ID:           host.ID(s.Host),
+		Incarnation:  uint64(time.Now().UnixMilli()),
+		Address:      servers[callerServer].address(),
+		APIAddress:   servers[apiServer].address(),
+		FleetAddress: servers[fleetAPIServer].address(),
+		Zone:         s.zoneID(),
+	}
+	if self.ID == "" {
+		self.ID = host.ID(self.FleetAddress)
+	}
+	core := host.New(host.Config{
+		Self:   self,
+		Zones:  s.zoneMap(),
+		Seeds:  s.Seeds,
+		Timing: host.DefaultTiming(),
+		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	d := &Daemon{
+		settings: s,
+		self:     self,
+		servers:  servers,
+		log:      log.With().Str("host", string(self.ID)).Logger(),
+		ring:     timeline.NewRing(ringCapacity),
+		store:    &publish.Store{Table: p.Table, Now: time.Now},
+		hostList: p.HostList,
+		peers:    newFleetClient(s.FleetToken),
+		ledger:   caller.NewLedger(),
+	}
+	d.control = newControl(core, d.ring)
+	d.control.effects = d
+	d.handler = traffic.NewHandler(traffic.Config{
+		Snapshot:  d.control.snapshot.Load,
+		Accounts:  caller.NewAccounts(s.accounts()),
+		Ledger:    d.ledger,
+		Observe:   d.control.observe,
+		Transport: traffic.NewTransport(),
+	})
+	if d.metrics, err = newMetrics(d); err != nil {
+		return nil, err
+	}
+	api, err := d.api()
+	if err != nil {
+		return nil, err
+	}
+	servers[callerServer].http.Handler = d.handler
+	servers[apiServer].http.Handler = api
+	servers[fleetAPIServer].http.Handler = d.fleetHandler()
+	return d, nil
+}
+
+// Self returns the identity of this host, with the addresses it listens on.
+func (d *Daemon) Self() host.Identity { return d.self }
+
+// Run serves until ctx ends, then leaves the fleet, finishes the work in
+// flight and returns.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	d.ctx = background
+	d.background.Go(func() { d.control.run(background) })
+	group, failed := errgroup.WithContext(ctx)
+	for _, s := range d.servers {
+		group.Go(s.serve)
+	}
+	<-failed.Done()
+	d.control.send(background, host.ShutdownRequested{})
+	err := shutdown(d.servers)
+	if serveErr := group.Wait(); err == nil {
+		err = serveErr
+	}
+	stop()
+	d.background.Wait()
+	return err
+}
+
+// server is a listener with the HTTP server on it.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func (s *server) serve() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve %s", s.listener.Addr())
+	}
+	return nil
+}
+
+func (s *server) address() string { return s.listener.Addr().String() }
+
+// The servers of a daemon, in the order in which they shut down.
+const (
+	callerServer = iota
+	apiServer
+	fleetAPIServer
+)
+
+// listen opens a listener on each address.
+func listen(addresses ...string) ([]*server, error) {
+	var servers []*server
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, errors.Wrap(err, "listen")
+		}
+		servers = append(servers, &server{
+			listener: listener,
+			http:     &http.Server{ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout},
+		})
+	}
+	return servers, nil
+}
+
+func (d *Daemon) fleetHandler() http.Handler {
+	path, handler := fleetv1connect.NewFleetServiceHandler(&fleetServer{control: d.control, ring: d.ring})
+	mux := http.NewServeMux()
+	mux.Handle(path, requireToken(d.settings.FleetToken, handler))
+	return mux
+}
+
+// shutdown ends the servers one after the other, waiting for the requests in
+// flight.
+func shutdown(servers []*server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
+	defer cancel()
+	var first error
+	for _, s := range servers {
+		if err := s.http.Shutdown(ctx); err != nil && first == nil {
+			first = errors.Wrapf(err, "shut down %s", s.listener.Addr())
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,121 @@
+package daemon
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/publish"
+	"github.com/crocushinge/crocushinge/traffic"
+)
+
+const testKey = "bookshop-key"
+
+func testSettings(name string, seeds ...string) Settings {
+	sum := sha256.Sum256([]byte(testKey))
+	return Settings{
+		Host: name, Zone: "lima-a",
+		Address: "127.0.0.1:0", APIAddress: "127.0.0.1:0", FleetAddress: "127.0.0.1:0",
+		Seeds: seeds, FleetToken: "fleet", OperatorToken: "operator",
+		Zones:    []ZoneSettings{{ID: "lima-a", Region: "lima"}},
+		Accounts: []AccountSettings{{Name: "bookshop", KeySHA256: hex.EncodeToString(sum[:])}},
+	}
+}
+
+// startDaemon runs a daemon until the test ends.
+func startDaemon(t *testing.T, s Settings, store *memory.Platform) *Daemon {
+	t.Helper()
+	d, err := New(s, Platform{Table: store, Objects: store, HostList: store}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return d
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("not seen within 10 s: %s", what)
+}
+
+func testContract(address string) []byte {
+	return fmt.Appendf(nil, `
+service: catalogue
+targets: [{name: one, address: "%s", zone: lima-a, slots: 4}]
+routes: [{path: /catalogue, idempotent: true, deadline: 2s}]
+floor: 50%%
+accounts: [bookshop]
+`, address)
+}
+
+func get(t *testing.T, address, key string) (int, string, string) {
+	t.Helper()
+	req, _ := http.NewRequest(http.MethodGet, "http://"+address+"/catalogue/1", nil)
+	req.Header.Set(traffic.HeaderKey, key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Header.Get(traffic.HeaderResult), string(body)
+}
+
+func TestRequestThroughTwoHosts(t *testing.T) {
+	is := is.New(t)
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "sheet for "+r.URL.Path)
+	}))
+	defer target.Close()
+	store := memory.New()
+	first := startDaemon(t, testSettings("one"), store)
+	second := startDaemon(t, testSettings("two", first.Self().FleetAddress), store)
+
+	result, err := first.store.Propose(context.Background(), publish.Proposal{
+		ID: "p1", Operator: "ana", Service: "catalogue",
+		Document: testContract(strings.TrimPrefix(target.URL, "http://")),
+	})
+	is.NoErr(err)
+	is.Equal(result.Status, publish.Accepted)
+
+	for _, d := range []*Daemon{first, second} {
+		eventually(t, "revision 1 in force", func() bool { return d.control.snapshot.Load().Revision == 1 })
+		status, outcome, body := get(t, d.Self().Address, testKey)
+		is.Equal(status, http.StatusOK)
+		is.Equal(outcome, "completed")
+		is.Equal(body, "sheet for /catalogue/1")
+		status, outcome, _ = get(t, d.Self().Address, "wrong")
+		is.Equal(status, http.StatusUnauthorized)
+		is.Equal(outcome, "not-run")
+	}
+	eventually(t, "both hosts in the directory", func() bool {
+		return len(first.control.snapshot.Load().Directory) == 2 && len(second.control.snapshot.Load().Directory) == 2
+	})
+}
--- /dev/null
+++ b/traffic/message.go
@@ -0,0 +1,76 @@
+package traffic
+
+import (
+	"context"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+
+	"github.com/crocushinge/crocushinge/caller"
+)
+
+// nonceBase is the number base of the nonce of an id.
+const nonceBase = 36
+
+func formatNonce(n uint64) string { return strconv.FormatUint(n, nonceBase) }
+
+// refusal is an answer of the system's own.
+type refusal struct {
+	status  int
+	result  caller.Result
+	message string
+}
+
+// refuse is an answer to a request that was certainly not run.
+func refuse(status int, message string) *refusal { return answer(status, caller.NotRun, message) }
+
+func answer(status int, result caller.Result, message string) *refusal {
+	return &refusal{status: status, result: result, message: message}
+}
+
+func refuseError(err error) *refusal {
+	return refuse(http.StatusServiceUnavailable, err.Error())
+}
+
+func (f *refusal) write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set(HeaderResult, f.result.String())
+	w.WriteHeader(f.status)
+	_, _ = w.Write([]byte(f.message + "\n"))
+}
+
+// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = [...]string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// copyHeaders copies end-to-end headers.
+func copyHeaders(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = append([]string(nil), values...)
+	}
+	for _, list := range src["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			dst.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		dst.Del(name)
+	}
+}
+
+// outbound builds the request to a target.
+func outbound(ctx context.Context, req *request, address string) *http.Request {
+	out := req.in.Clone(ctx)
+	out.URL.Scheme = "http"
+	out.URL.Host = address
+	out.RequestURI = ""
+	out.Close = false
+	out.Header = make(http.Header, len(req.in.Header)+1)
+	copyHeaders(out.Header, req.in.Header)
+	out.Header.Del(HeaderKey)
+	out.Header.Set(HeaderRequestID, req.id)
+	return out
+}
