Make a 'not run' outcome final for its request id

Cause: a caller may send a second copy of a request while the first is still on its way. When the second copy was refused as 'not run' and the first arrived afterwards, Ledger.Begin let the first run: the caller had been told 'not run' of a request that then ran. Found while writing the request model. Ruled out: answering 'unknown' to every refusal, which would forbid callers a safe repeat. Change: Begin refuses an id that ended as NotRun; a repeat takes a new id. Before: TestNotRunIsFinal fails. After: it passes.

--- a/caller/ledger.go
+++ b/caller/ledger.go
@@ -48,12 +48,15 @@
 func NewLedger() *Ledger { return &Ledger{entries: make(map[entryKey]Entry)} }
 
 // Begin claims a request for dispatch. It returns false, with the entry that
-// is there, when the request was claimed before.
+// is there, when the request was claimed before, also when it ended as NotRun:
+// an earlier copy of the request may still be on its way, and were it to run
+// after the caller was told "not run", that answer would have been false. A
+// caller that wants to try again takes a new id.
 func (l *Ledger) Begin(account, id string, expires time.Duration) (Entry, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := entryKey{account, id}
-	if e, ok := l.entries[key]; ok && e.Result != NotRun {
+	if e, ok := l.entries[key]; ok {
 		return e, false
 	}
 	e := Entry{Result: Pending, Expires: expires}
