--- a/contract/contract.go
+++ b/contract/contract.go
@@ -145,13 +145,18 @@
 type Change struct {
 	// Revision is the fleet-wide revision that the change created.
 	Revision uint64
-	// Service is the service whose contract changed.
+	// Service is the subject of the change: the service whose contract
+	// changed, or AccountsSubject of an accounts document.
 	Service string
-	// Version counts the changes of this service's contract.
+	// Version counts the changes of this subject.
 	Version uint64
 	// Contract is the new contract, or nil when the service was removed.
 	Contract *Contract
-	// Document is the contract as the operator published it.
+	// Accounts is the new accounts document; nil for a service, and when the
+	// document was removed.
+	Accounts *Accounts
+	// Document is the contract or accounts document as the operator published
+	// it; empty when it was removed.
 	Document []byte
 	// Proposal is the idempotency key of the publication.
 	Proposal string
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -79,11 +79,12 @@
 		self.ID = host.ID(self.FleetAddress)
 	}
 	core := host.New(host.Config{
-		Self:   self,
-		Zones:  s.zoneMap(),
-		Seeds:  s.Seeds,
-		Timing: host.DefaultTiming(),
-		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Self:     self,
+		Zones:    s.zoneMap(),
+		Seeds:    s.Seeds,
+		Accounts: s.accounts(),
+		Timing:   host.DefaultTiming(),
+		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d := &Daemon{
 		settings: s,
@@ -100,7 +101,6 @@
 	d.control.effects = d
 	d.handler = traffic.NewHandler(traffic.Config{
 		Snapshot:  d.control.snapshot.Load,
-		Accounts:  caller.NewAccounts(s.accounts()),
 		Ledger:    d.ledger,
 		Observe:   d.control.observe,
 		Transport: traffic.NewTransport(),
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/route"
 	"github.com/crocushinge/crocushinge/service"
@@ -26,11 +27,17 @@
 	if ev.Revision <= c.revision {
 		return
 	}
+	accounts := false
 	for _, ch := range ev.Changes {
 		if ch.Revision > c.revision {
 			c.putInForce(now, ch)
+			_, isAccounts := contract.AccountsName(ch.Service)
+			accounts = accounts || isAccounts
 		}
 	}
+	if accounts {
+		c.rebuildAccounts()
+	}
 	c.revision = ev.Revision
 	c.rebuildRoutes()
 	c.dirty = true
@@ -56,6 +63,9 @@
 	sort.Slice(c.changes, func(i, j int) bool {
 		return c.changes[i].Revision < c.changes[j].Revision
 	})
+	if _, ok := contract.AccountsName(ch.Service); ok {
+		return
+	}
 	if ch.Contract == nil {
 		delete(c.services, ch.Service)
 		return
@@ -86,3 +96,18 @@
 	}
 	c.routes = route.NewTable(contracts)
 }
+
+// rebuildAccounts gathers the accounts of all documents in force with those of
+// the settings.
+func (c *Core) rebuildAccounts() {
+	list := append([]caller.Account(nil), c.cfg.Accounts...)
+	for _, ch := range c.changes {
+		if ch.Accounts == nil {
+			continue
+		}
+		for _, a := range ch.Accounts.Accounts {
+			list = append(list, caller.Account{Name: a.Name, KeyHash: a.KeyHash})
+		}
+	}
+	c.accounts = caller.NewAccounts(list)
+}
--- a/host/core.go
+++ b/host/core.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/route"
@@ -22,8 +23,10 @@
 	Self  Identity
 	Zones *zone.Map
 	// Seeds are fleet addresses of hosts to contact first.
-	Seeds  []string
-	Timing Timing
+	Seeds []string
+	// Accounts are client accounts known without any published document.
+	Accounts []caller.Account
+	Timing   Timing
 	// Rand is the source of all jitter; seed it to replay a run.
 	Rand *rand.Rand
 }
@@ -41,6 +44,7 @@
 	services map[string]*service.Service
 	changes  []contract.Change
 	routes   *route.Table
+	accounts *caller.Accounts
 
 	peers map[ID]*Peer
 
@@ -61,6 +65,7 @@
 		services: make(map[string]*service.Service),
 		peers:    make(map[ID]*Peer),
 		routes:   route.NewTable(nil),
+		accounts: caller.NewAccounts(cfg.Accounts),
 		dirty:    true,
 	}
 }
@@ -188,6 +193,7 @@
 		Self:      c.self,
 		Revision:  c.revision,
 		Routes:    c.routes,
+		Accounts:  c.accounts,
 		Services:  make(map[string]*service.Routing, len(c.services)),
 		Directory: c.directory(),
 		Peers:     make(map[ID]Identity, len(c.peers)),
--- a/host/snapshot.go
+++ b/host/snapshot.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/route"
 	"github.com/crocushinge/crocushinge/service"
 )
@@ -10,6 +11,8 @@
 	Self     Identity
 	Revision uint64
 	Routes   *route.Table
+	// Accounts are the client accounts in force.
+	Accounts *caller.Accounts
 	Services map[string]*service.Routing
 	// Directory lists the hosts that callers may use, this host included.
 	Directory []Identity
--- a/traffic/handler.go
+++ b/traffic/handler.go
@@ -38,7 +38,6 @@
 type Config struct {
 	// Snapshot returns the newest routing snapshot.
 	Snapshot func() *host.Snapshot
-	Accounts *caller.Accounts
 	Ledger   *caller.Ledger
 	// Observe hands an observation to the control thread without blocking.
 	Observe func(link.Observation)
@@ -100,7 +99,7 @@
 	if snap == nil || !snap.Ready {
 		return nil, refuse(http.StatusServiceUnavailable, "this host has no configuration yet")
 	}
-	account, ok := h.cfg.Accounts.Authenticate(r.Header.Get(HeaderKey))
+	account, ok := snap.Accounts.Authenticate(r.Header.Get(HeaderKey))
 	if !ok {
 		return nil, refuse(http.StatusUnauthorized, "missing or unknown account key in header "+HeaderKey)
 	}
