--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -74,8 +74,8 @@
 
 func (d *Daemon) readHostList() {
 	d.start(func(ctx context.Context) {
-		hosts, err := d.hostList.Hosts(ctx)
-		d.control.send(d.ctx, host.HostListRead{Hosts: hosts, Err: err})
+		listing, err := d.hostList.Hosts(ctx)
+		d.control.send(d.ctx, host.HostListRead{Hosts: listing.Hosts, Err: err})
 	})
 }
 
