--- a/zone/zone.go
+++ b/zone/zone.go
@@ -2,7 +2,10 @@
 // them. It does no I/O.
 package zone
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 // ID names an availability zone, for example "lima-a".
 type ID string
@@ -83,3 +86,13 @@
 	}
 	return otherRegionDistance
 }
+
+// Zones returns the zones of the deployment, sorted by id.
+func (m *Map) Zones() []Zone {
+	out := make([]Zone, 0, len(m.zones))
+	for _, z := range m.zones {
+		out = append(out, z)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
