Divide a target's slots over the hosts of the entry set

48 hosts that each admit up to 4 requests to a target of 4 slots put 192 on it. The members of a service's entry set now deal its slots out one by one: shares differ by one slot and add up to all slots while the members agree on the set (property test). A host outside the set keeps one slot a target for when it reaches no host of the set.

--- a/host/configuration.go
+++ b/host/configuration.go
@@ -40,6 +40,7 @@
 	}
 	c.revision = ev.Revision
 	c.rebuildRoutes()
+	c.rebuildEntrySets()
 	c.dirty = true
 	c.record(now, timeline.Event{Kind: timeline.ConfigurationInForce, Revision: c.revision})
 }
--- a/host/core.go
+++ b/host/core.go
@@ -2,7 +2,7 @@
 
 import (
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/crocushinge/crocushinge/caller"
@@ -48,6 +48,10 @@
 
 	peers map[ID]*Peer
 
+	entrySets     map[string]EntrySet
+	hostsChanged  bool
+	nextEntrySets time.Time
+
 	// dirty is set when the snapshot must be published again.
 	dirty bool
 
@@ -60,13 +64,14 @@
 // New returns a core that knows nothing but its settings.
 func New(cfg Config) *Core {
 	return &Core{
-		cfg:      cfg,
-		self:     cfg.Self,
-		services: make(map[string]*service.Service),
-		peers:    make(map[ID]*Peer),
-		routes:   route.NewTable(nil),
-		accounts: caller.NewAccounts(cfg.Accounts),
-		dirty:    true,
+		cfg:       cfg,
+		self:      cfg.Self,
+		services:  make(map[string]*service.Service),
+		peers:     make(map[ID]*Peer),
+		entrySets: make(map[string]EntrySet),
+		routes:    route.NewTable(nil),
+		accounts:  caller.NewAccounts(cfg.Accounts),
+		dirty:     true,
 	}
 }
 
@@ -124,6 +129,7 @@
 		c.applyTransitions(now, s.Tick(now))
 	}
 	c.agePeers(now)
+	c.refreshEntrySets(now)
 	if !now.Before(c.nextHeartbeat) {
 		c.nextHeartbeat = now.Add(c.jitter(c.cfg.Timing.Heartbeat))
 		c.sendHeartbeats(now)
@@ -198,6 +204,12 @@
 		Directory: c.directory(),
 		Peers:     make(map[ID]Identity, len(c.peers)),
 		Ready:     c.ready,
+		EntrySets: c.entrySets,
+		Zones:     c.cfg.Zones,
+		usable:    make(map[ID]bool),
+	}
+	for _, id := range snap.Directory {
+		snap.usable[id.ID] = id.ID != c.self.ID
 	}
 	for name, s := range c.services {
 		snap.Services[name] = s.Routing()
@@ -221,7 +233,7 @@
 			out = append(out, p.Identity)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	slices.SortFunc(out, byID)
 	return out
 }
 
--- /dev/null
+++ b/host/fronting.go
@@ -0,0 +1,63 @@
+package host
+
+import (
+	"slices"
+	"time"
+)
+
+// entrySetInterval is the least time between two computations of all entry
+// sets. A shorter one follows the hosts faster; a longer one costs less when
+// many hosts come or go at once. One computation costs services x hosts.
+const entrySetInterval = 500 * time.Millisecond
+
+// refreshEntrySets computes the entry sets again when hosts came or went.
+func (c *Core) refreshEntrySets(now time.Time) {
+	if !c.hostsChanged || now.Before(c.nextEntrySets) {
+		return
+	}
+	c.nextEntrySets = now.Add(entrySetInterval)
+	c.rebuildEntrySets()
+}
+
+// rebuildEntrySets computes the entry set of every service from this host's
+// own view of the fleet. The views of two hosts may differ: no safety rests on
+// their agreement, because a host serves also what it does not front.
+func (c *Core) rebuildEntrySets() {
+	c.hostsChanged = false
+	c.dirty = true
+	hosts := newCandidates(c.frontingHosts())
+	sets := make(map[string]EntrySet, len(c.services))
+	for name, s := range c.services {
+		set := newEntrySet(s.Contract, hosts, c.cfg.Zones)
+		sets[name] = set
+		s.SetShare(len(set.Members), set.Rank(c.self.ID))
+	}
+	c.entrySets = sets
+}
+
+// frontingHosts returns the hosts that may front services, sorted by id: all
+// that are neither gone nor leaving. Suspected hosts stay, so that a suspicion
+// that is refuted moves nothing.
+func (c *Core) frontingHosts() []Identity {
+	var out []Identity
+	if !c.self.Leaving {
+		out = append(out, c.self)
+	}
+	for _, p := range c.peers {
+		if p.State != PeerGone && !p.Identity.Leaving {
+			out = append(out, p.Identity)
+		}
+	}
+	slices.SortFunc(out, byID)
+	return out
+}
+
+func byID(a, b Identity) int {
+	switch {
+	case a.ID < b.ID:
+		return -1
+	case a.ID > b.ID:
+		return 1
+	}
+	return 0
+}
--- a/host/membership.go
+++ b/host/membership.go
@@ -38,11 +38,11 @@
 	if !known || id.Incarnation > p.Identity.Incarnation {
 		p = &Peer{Identity: id, Heard: now}
 		c.peers[id.ID] = p
-		c.dirty = true
+		c.hostsMoved()
 		c.record(now, timeline.Event{Kind: timeline.HostJoined, Target: string(id.ID)})
 	}
 	if p.State != PeerAlive || p.Identity.Leaving != id.Leaving {
-		c.dirty = true
+		c.hostsMoved()
 	}
 	p.State = PeerAlive
 	p.Identity = id
@@ -63,7 +63,7 @@
 			continue
 		}
 		p.State = state
-		c.dirty = true
+		c.hostsMoved()
 		if state == PeerGone {
 			c.record(now, timeline.Event{Kind: timeline.HostLost, Target: string(p.Identity.ID)})
 		}
@@ -121,3 +121,10 @@
 		}
 	}
 }
+
+// hostsMoved notes that the hosts of the fleet, or what is believed of them,
+// have changed.
+func (c *Core) hostsMoved() {
+	c.dirty = true
+	c.hostsChanged = true
+}
