Pool evidence over hosts, cut links and probe targets in the service core

Cause: a Service judged a target by its own host's outcomes alone.

Change: - target.Pool runs one CUSUM per suspicion (failing, slow) over the evidence of all hosts of the entry set, with each host's part kept apart. A verdict needs evidence from other hosts, and from other zones, while these carry traffic to the target. - service.Report, Reports, ObserveReport and ForgetPeer exchange running totals, so that loss, repetition and reordering do no harm. - A host that alone sees a fault cuts its link (link.Path); one that sees most targets at fault against its peers' word doubts itself (SelfDoubt). - DueProbes and ObserveProbe; probes are weak evidence. - Latencies are judged against the service's own present distribution; open requests count before their deadline. - Signs of leaving are kept by source and can be withdrawn. - A failed attempt counts as a slow one in the link's latency.

Conclusion: tests of three hosts show a gray target ejected by all, a cut link, a doubting host and a service-wide failure without an ejection.

--- a/host/configuration.go
+++ b/host/configuration.go
@@ -72,10 +72,11 @@
 		return
 	}
 	if s, ok := c.services[ch.Service]; ok {
-		s.Apply(ch.Contract, now)
+		c.applyTransitions(now, s.Apply(ch.Contract, now))
 		return
 	}
-	c.services[ch.Service] = service.New(ch.Contract, now)
+	place := service.Place{Zone: c.self.Zone, Zones: c.cfg.Zones}
+	c.services[ch.Service] = service.New(ch.Contract, place, now)
 }
 
 func withoutService(changes []contract.Change, name string) []contract.Change {
--- a/host/core.go
+++ b/host/core.go
@@ -105,6 +105,8 @@
 		c.heartbeatHeard(now, ev)
 	case HostListRead:
 		c.hostListRead(now, ev)
+	case ProbeAnswered:
+		c.probeAnswered(now, ev)
 	case OperatorDrain:
 		c.drain(now, ev.Target)
 	case ShutdownRequested:
@@ -127,6 +129,7 @@
 func (c *Core) tick(now time.Time) {
 	for _, s := range c.services {
 		c.applyTransitions(now, s.Tick(now))
+		c.sendProbes(now, s)
 	}
 	c.agePeers(now)
 	c.refreshEntrySets(now)
@@ -158,11 +161,19 @@
 	}
 }
 
+// transitionKinds maps the changes of a service to the time line's events.
+var transitionKinds = [...]timeline.Kind{
+	service.StateChanged:     timeline.TargetStateChanged,
+	service.EjectionWithheld: timeline.EjectionWithheld,
+	service.LinkCut:          timeline.LinkCut,
+	service.LinkRestored:     timeline.LinkRestored,
+}
+
 func (c *Core) applyTransitions(now time.Time, list []service.Transition) {
 	for _, tr := range list {
 		c.dirty = true
 		c.record(now, timeline.Event{
-			Kind:    timeline.TargetStateChanged,
+			Kind:    transitionKinds[tr.Change],
 			Service: tr.Target.Service,
 			Target:  tr.Target.Name,
 			From:    tr.From.String(),
@@ -175,7 +186,7 @@
 
 func (c *Core) drain(now time.Time, key target.Key) {
 	if s, ok := c.services[key.Service]; ok {
-		c.applyTransitions(now, s.Drain(key.Name, "operator", now))
+		c.applyTransitions(now, s.Drain(key.Name, target.SignOperator, now))
 	}
 }
 
--- a/host/membership.go
+++ b/host/membership.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/crocushinge/crocushinge/target"
 	"github.com/crocushinge/crocushinge/timeline"
 )
 
@@ -116,7 +117,9 @@
 	for _, s := range c.services {
 		for _, spec := range s.Contract.Targets {
 			if leaving[spec.Address] {
-				c.applyTransitions(now, s.Drain(spec.Name, "host list", now))
+				c.applyTransitions(now, s.Drain(spec.Name, target.SignHostList, now))
+			} else {
+				c.applyTransitions(now, s.Withdraw(spec.Name, target.SignHostList, now))
 			}
 		}
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -5,7 +5,6 @@
 package link
 
 import (
-	"math"
 	"sync/atomic"
 	"time"
 
@@ -42,14 +41,14 @@
 	Outcome Outcome
 	// Latency is the time to the first byte of the answer, or to the failure.
 	Latency time.Duration
+	// Started is the time that was passed to Acquire. It joins the observation
+	// with what was seen of the request while it was open.
+	Started time.Time
 	At      time.Time
 	// Leaving is set when the answer carried the target's drain sign.
 	Leaving bool
 }
 
-// latencyDecay is the weight of a new latency in the moving average.
-const latencyDecay = 0.2
-
 // noSlot is returned by Acquire when every slot is in use.
 const noSlot = -1
 
@@ -58,8 +57,10 @@
 	Target  target.Key
 	Address string
 
+	// distance is the one-way network latency to the target.
+	distance time.Duration
 	// starts holds, for each slot, when its request began in Unix
-	// nanoseconds, or 0 for a free slot.
+	// nanoseconds, negated once the answer has begun, or 0 for a free slot.
 	starts []atomic.Int64
 	// limit is how many of the slots this host may use now.
 	limit    atomic.Int32
@@ -68,13 +69,22 @@
 	latency atomic.Uint64
 }
 
-// New returns a link with the given number of slots, all free.
-func New(key target.Key, address string, slots int) *Link {
-	l := &Link{Target: key, Address: address, starts: make([]atomic.Int64, slots)}
+// New returns a link with the given number of slots, all free, to a target at
+// the given one-way distance.
+func New(key target.Key, address string, slots int, distance time.Duration) *Link {
+	l := &Link{
+		Target:   key,
+		Address:  address,
+		distance: distance,
+		starts:   make([]atomic.Int64, slots),
+	}
 	l.limit.Store(int32(slots))
 	return l
 }
 
+// RoundTrip returns the network's part of a request's latency.
+func (l *Link) RoundTrip() time.Duration { return 2 * l.distance }
+
 // Slots returns the number of slots of the target.
 func (l *Link) Slots() int { return len(l.starts) }
 
@@ -109,32 +119,19 @@
 	l.inFlight.Add(-1)
 }
 
-// OpenSince calls f with the start of every request in flight.
-func (l *Link) OpenSince(f func(start time.Time)) {
-	for i := range l.starts {
-		if ns := l.starts[i].Load(); ns != 0 {
-			f(time.Unix(0, ns))
-		}
+// Answered notes that the answer to the request in a slot has begun.
+func (l *Link) Answered(slot int) {
+	if ns := l.starts[slot].Load(); ns > 0 {
+		l.starts[slot].CompareAndSwap(ns, -ns)
 	}
 }
 
-// ObserveLatency adds a latency to the moving average.
-func (l *Link) ObserveLatency(d time.Duration) {
-	for {
-		old := l.latency.Load()
-		average := math.Float64frombits(old)
-		if old == 0 {
-			average = float64(d)
-		}
-		next := average + latencyDecay*(float64(d)-average)
-		if l.latency.CompareAndSwap(old, math.Float64bits(next)) {
-			return
+// OpenSince calls f with the start of every request in flight whose answer has
+// not begun.
+func (l *Link) OpenSince(f func(start time.Time)) {
+	for i := range l.starts {
+		if ns := l.starts[i].Load(); ns > 0 {
+			f(time.Unix(0, ns))
 		}
 	}
 }
-
-// Latency returns the moving average of the latency; 0 before the first
-// observation.
-func (l *Link) Latency() time.Duration {
-	return time.Duration(math.Float64frombits(l.latency.Load()))
-}
--- /dev/null
+++ b/service/doubt.go
@@ -0,0 +1,71 @@
+package service
+
+import (
+	"time"
+
+	"github.com/crocushinge/crocushinge/target"
+)
+
+const (
+	// minDoubted is how many targets a host must see at fault, against the
+	// word of its peers, before it doubts itself.
+	minDoubted = 2
+	// doubtedShare is the share of the targets that it carries traffic to.
+	doubtedShare = 0.5
+)
+
+// doubt is this host's doubt of itself: it alone sees most targets at fault.
+type doubt struct {
+	active  bool
+	until   time.Time
+	damping target.Damping
+}
+
+// SelfDoubt reports whether this host sees most targets of the service at
+// fault while its peers see them healthy. Such a host should leave the caller
+// directory.
+func (s *Service) SelfDoubt() bool { return s.doubt.active }
+
+func (s *Service) updateDoubt(now time.Time) {
+	if s.doubt.active {
+		if !now.Before(s.doubt.until) {
+			s.endDoubt()
+		}
+		return
+	}
+	carried, disputed := 0, 0
+	for _, m := range s.members {
+		switch {
+		case m.path.IsCut() || s.alone(m, now):
+			carried++
+			disputed++
+		case m.target.Pool().Carries(now):
+			carried++
+		}
+	}
+	if disputed < minDoubted || float64(disputed) < doubtedShare*float64(carried) {
+		return
+	}
+	s.doubt.active = true
+	s.doubt.until = now.Add(s.doubt.damping.Strike(now))
+}
+
+// alone reports whether this host has much evidence against a member that its
+// peers deny.
+func (s *Service) alone(m *member, now time.Time) bool {
+	p := m.target.Pool()
+	for k := range target.Suspicions {
+		if p.Own()[k] >= float64(s.threshold.OnProbation()) && p.OthersDeny(k, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// endDoubt gives the host another try.
+func (s *Service) endDoubt() {
+	s.doubt.active = false
+	for _, m := range s.members {
+		m.target.Pool().ResetOwn()
+	}
+}
--- /dev/null
+++ b/service/path.go
@@ -0,0 +1,49 @@
+package service
+
+import (
+	"time"
+
+	"github.com/crocushinge/crocushinge/target"
+)
+
+// linkThreshold returns the evidence of this host alone at which it blames its
+// link, in nats.
+func (s *Service) linkThreshold(m *member, now time.Time) target.Threshold {
+	if m.path.OnTrial(now) {
+		return s.threshold.OnProbation()
+	}
+	return s.threshold
+}
+
+// cutLink takes this host's link to a member out of use. The target keeps its
+// state. The links that stay must still carry the floor; a host that would cut
+// more has to doubt itself.
+func (s *Service) cutLink(m *member, k target.Suspicion, now time.Time) {
+	if m.path.IsCut() {
+		return
+	}
+	if s.reachableSlots()-m.target.Spec.Slots < s.FloorSlots() {
+		s.withhold(m, HeldByFloor)
+		return
+	}
+	m.path.Cut(now)
+	m.target.Pool().ResetOwn()
+	s.note(m, LinkCut, k.String()+" on this host's link only")
+}
+
+func (s *Service) restoreLink(m *member, now time.Time) {
+	m.path.Restore(now)
+	m.target.Pool().ResetOwn()
+	s.note(m, LinkRestored, "time over")
+}
+
+// reachableSlots returns the healthy slots behind links that are not cut.
+func (s *Service) reachableSlots() int {
+	total := 0
+	for _, m := range s.members {
+		if m.target.CountsAsHealthy() && !m.path.IsCut() {
+			total += m.target.Spec.Slots
+		}
+	}
+	return total
+}
--- a/service/routing.go
+++ b/service/routing.go
@@ -1,56 +1,86 @@
 package service
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/link"
+	"github.com/crocushinge/crocushinge/target"
 )
 
 // Routing is the immutable view of one service in a routing snapshot. Traffic
 // goroutines share it; only the gauges inside the links change.
 type Routing struct {
 	Contract *contract.Contract
-	Links    []*link.Link
-	// Panic is set when too little capacity is left to be choosy.
+	// Links lead to the targets that take work.
+	Links []*link.Link
+	// Panic is set while the healthy capacity is below the floor: then every
+	// target that does not leave takes work.
 	Panic bool
+
+	// ramps belong to the links of the same index.
+	ramps []ramp
+}
+
+// ramp is the growing weight of a target that is warming or on probation. Its
+// zero value is the full weight.
+type ramp struct {
+	since  time.Time
+	length time.Duration
 }
 
-// Pick takes a slot on the better of two random links. It returns false when
-// neither they nor any other link has a free slot.
-func (r *Routing) Pick(rng *rand.Rand, now time.Time, tried map[*link.Link]bool) (*link.Link, int, bool) {
-	n := len(r.Links)
-	if n == 0 {
-		return nil, 0, false
+// firstWeight is the weight with which a ramp begins.
+const firstWeight = 0.1
+
+// weight returns the share of a full target's work, from firstWeight to 1.
+func (r ramp) weight(now time.Time) float64 {
+	if r.length == 0 {
+		return 1
 	}
-	first, second := r.Links[rng.IntN(n)], r.Links[rng.IntN(n)]
-	if cost(second) < cost(first) {
-		first, second = second, first
+	passed := float64(now.Sub(r.since)) / float64(r.length)
+	return min(max(firstWeight, passed), 1)
+}
+
+// rampOf returns the ramp of a target in its present state.
+func rampOf(t *target.Target) ramp {
+	switch t.State() {
+	case target.Warming:
+		return ramp{since: t.Since(), length: warmUpTime}
+	case target.Probation:
+		return ramp{since: t.Since(), length: probationTime}
+	default:
+		return ramp{}
 	}
-	for _, l := range [...]*link.Link{first, second} {
-		if slot, ok := acquireUntried(l, now, tried); ok {
-			return l, slot, true
-		}
+}
+
+// Routing returns the immutable view of the service that traffic reads.
+// Leaving targets never take work.
+func (s *Service) Routing() *Routing {
+	r := &Routing{Contract: s.Contract, Panic: s.HealthySlots() < s.FloorSlots()}
+	if r.Panic {
+		r.addAll(s.members)
+		return r
 	}
-	start := rng.IntN(n)
-	for i := range n {
-		l := r.Links[(start+i)%n]
-		if slot, ok := acquireUntried(l, now, tried); ok {
-			return l, slot, true
+	for _, m := range s.members {
+		if m.target.TakesWork() && !m.path.IsCut() {
+			r.add(m)
 		}
 	}
-	return nil, 0, false
+	if len(r.Links) == 0 {
+		r.addAll(s.members)
+	}
+	return r
 }
 
-func acquireUntried(l *link.Link, now time.Time, tried map[*link.Link]bool) (int, bool) {
-	if tried[l] {
-		return 0, false
-	}
-	return l.Acquire(now)
+func (r *Routing) add(m *member) {
+	r.Links = append(r.Links, m.link)
+	r.ramps = append(r.ramps, rampOf(m.target))
 }
 
-// cost is the expected wait on a link: its latency times the requests ahead.
-func cost(l *link.Link) float64 {
-	return float64(l.Latency()+1) * float64(l.InFlight()+1)
+func (r *Routing) addAll(members []*member) {
+	for _, m := range members {
+		if m.target.State() != target.Leaving {
+			r.add(m)
+		}
+	}
 }
--- a/service/service.go
+++ b/service/service.go
@@ -8,160 +8,151 @@
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/target"
+	"github.com/crocushinge/crocushinge/zone"
 )
 
-// Transition is a change of a target's state, with the reason for it.
-type Transition struct {
-	Target target.Key
-	From   target.State
-	To     target.State
-	Reason string
-	// LLR is the evidence at that moment, in nats.
-	LLR float64
+// Place is where in the network the host is that a Service belongs to.
+type Place struct {
+	Zone  zone.ID
+	Zones *zone.Map
+}
+
+func (p Place) distance(to zone.ID) time.Duration {
+	if p.Zones == nil {
+		return 0
+	}
+	return p.Zones.Distance(p.Zone, to)
+}
+
+// member is a declared target with this host's link to it.
+type member struct {
+	target *target.Target
+	link   *link.Link
+	path   link.Path
+	open   openRequests
+	// withheld is the last cause for which an ejection was withheld.
+	withheld Cause
+	report   reportState
+	// nextProbe is when the next probe is due.
+	nextProbe time.Time
+	// cleanProbes counts the probes in a row without a drain sign.
+	cleanProbes int
 }
 
 // Service is one service as this host sees it. The control thread owns it.
 type Service struct {
 	Contract *contract.Contract
 
-	targets map[string]*target.Target
-	links   map[string]*link.Link
-	rates   target.Rates
+	place Place
+	// members are in the order of the contract.
+	members    []*member
+	byName     map[string]*member
+	threshold  target.Threshold
+	rates      target.Rates
+	latencies  *latencies
+	nextRates  time.Time
+	doubt      doubt
+	transition []Transition
 }
 
-// New returns a service for a contract, with every target warming.
-func New(c *contract.Contract, now time.Time) *Service {
+// New returns a service for a contract. Its targets are active at once: it is
+// this host that is new, not they.
+func New(c *contract.Contract, place Place, now time.Time) *Service {
 	s := &Service{
-		targets: make(map[string]*target.Target),
-		links:   make(map[string]*link.Link),
+		place:     place,
+		byName:    make(map[string]*member),
+		rates:     target.RatesAround(0),
+		latencies: newLatencies(now),
 	}
-	s.Apply(c, now)
+	s.declare(c, target.Active, now)
 	return s
 }
 
-// ratesFor translates a contract's weight into the rates of the test.
-func ratesFor(w contract.Weight) target.Rates {
-	r := target.Rates{Healthy: 0.01, Gray: 0.3, FalseEjection: 1e-6}
-	switch w {
-	case contract.WeightDetection:
-		r.FalseEjection = 1e-4
-	case contract.WeightSafety:
-		r.FalseEjection = 1e-9
-	}
-	return r
+// Apply puts a new contract in force. Targets that stay declared keep their
+// state; new and changed ones start warming; targets that are declared no more
+// are forgotten.
+func (s *Service) Apply(c *contract.Contract, now time.Time) []Transition {
+	s.declare(c, target.Warming, now)
+	s.holdFloor(now)
+	return s.take()
 }
 
-// Apply puts a new contract in force. Targets that stay declared keep their
-// state; targets that are declared no more are forgotten.
-func (s *Service) Apply(c *contract.Contract, now time.Time) {
+// declare brings the members in line with a contract. New ones begin in the
+// given state.
+func (s *Service) declare(c *contract.Contract, state target.State, now time.Time) {
 	s.Contract = c
-	s.rates = ratesFor(c.Weight)
-	declared := make(map[string]bool, len(c.Targets))
+	s.threshold = target.ThresholdFor(c.Weight)
+	known := s.byName
+	s.members = nil
+	s.byName = make(map[string]*member, len(c.Targets))
 	for _, spec := range c.Targets {
-		declared[spec.Name] = true
-		t, known := s.targets[spec.Name]
-		if known && t.Spec.Address == spec.Address && t.Spec.Slots == spec.Slots {
-			t.Spec = spec
-			continue
-		}
-		t = target.New(c.Service, spec, now)
-		s.targets[spec.Name] = t
-		s.links[spec.Name] = link.New(t.Key, spec.Address, spec.Slots)
-	}
-	for name := range s.targets {
-		if !declared[name] {
-			delete(s.targets, name)
-			delete(s.links, name)
+		m := known[spec.Name]
+		if m == nil || !sameInstance(m.target.Spec, spec) {
+			m = s.newMember(spec, state, now)
 		}
+		m.target.Spec = spec
+		s.members = append(s.members, m)
+		s.byName[spec.Name] = m
 	}
 }
 
-// HealthySlots returns the slots of the targets that count as healthy.
-func (s *Service) HealthySlots() int {
-	total := 0
-	for _, t := range s.targets {
-		if t.CountsAsHealthy() {
-			total += t.Spec.Slots
-		}
-	}
-	return total
+// sameInstance reports whether two declarations mean the same instance.
+func sameInstance(a, b contract.Target) bool {
+	return a.Address == b.Address && a.Slots == b.Slots && a.Zone == b.Zone
 }
 
-// Observe counts an observation and returns the transitions it causes.
-func (s *Service) Observe(o link.Observation) []Transition {
-	t, ok := s.targets[o.Target.Name]
-	if !ok {
-		return nil
-	}
-	if o.Leaving && t.State() != target.Leaving {
-		return []Transition{s.move(t, target.Leaving, "drain sign on an answer", o.At)}
+func (s *Service) newMember(spec contract.Target, state target.State, now time.Time) *member {
+	t := target.New(s.Contract.Service, spec, s.place.Zone, state, now)
+	return &member{
+		target:    t,
+		link:      link.New(t.Key, spec.Address, spec.Slots, s.place.distance(spec.Zone)),
+		nextProbe: now,
 	}
-	switch o.Outcome {
-	case link.Canceled, link.Refused:
-		return nil
-	case link.Succeeded:
-		t.Evidence().Add(false, s.rates)
-	default:
-		t.Evidence().Add(true, s.rates)
-	}
-	if t.State() != target.Active || t.Evidence().LLR() < s.rates.Threshold() {
-		return nil
-	}
-	if !s.Contract.Floor.AllowsEjection(s.Contract.Slots(), s.HealthySlots(), t.Spec.Slots) {
-		return nil
-	}
-	return []Transition{s.move(t, target.Ejected, "evidence above the threshold", o.At)}
 }
 
-// Warm-up and re-admission times of a target.
-const (
-	warmUpTime   = 2 * time.Second
-	ejectionTime = 10 * time.Second
-)
-
-// Tick advances the states that change with time.
-func (s *Service) Tick(now time.Time) []Transition {
-	var out []Transition
-	for _, t := range s.targets {
-		switch {
-		case t.State() == target.Warming && now.Sub(t.Since()) >= warmUpTime:
-			out = append(out, s.move(t, target.Active, "warmed up", now))
-		case t.State() == target.Ejected && now.Sub(t.Since()) >= ejectionTime:
-			t.Evidence().Reset()
-			out = append(out, s.move(t, target.Active, "ejection time over", now))
-		}
+// Link returns this host's link to a target, or nil for an unknown one.
+func (s *Service) Link(name string) *link.Link {
+	if m := s.byName[name]; m != nil {
+		return m.link
 	}
-	return out
+	return nil
 }
 
-func (s *Service) move(t *target.Target, to target.State, reason string, now time.Time) Transition {
-	tr := Transition{Target: t.Key, From: t.State(), To: to, Reason: reason, LLR: t.Evidence().LLR()}
-	t.SetState(to, now)
-	return tr
+// State returns the state of a target; Gone for an unknown one.
+func (s *Service) State(name string) target.State {
+	if m := s.byName[name]; m != nil {
+		return m.target.State()
+	}
+	return target.Gone
 }
 
-// Routing returns the immutable view of the service that traffic reads.
-func (s *Service) Routing() *Routing {
-	r := &Routing{Contract: s.Contract}
-	for _, spec := range s.Contract.Targets {
-		if s.targets[spec.Name].TakesWork() {
-			r.Links = append(r.Links, s.links[spec.Name])
-		}
-	}
-	if len(r.Links) == 0 {
-		r.Panic = true
-		for _, spec := range s.Contract.Targets {
-			r.Links = append(r.Links, s.links[spec.Name])
-		}
+// Tick lets time pass: states advance, open requests become evidence.
+func (s *Service) Tick(now time.Time) []Transition {
+	s.latencies.Refresh(now)
+	s.refreshRates(now)
+	for _, m := range s.members {
+		s.advance(m, now)
+		s.watchOpen(m, now)
+		s.judge(m, now)
 	}
-	return r
+	s.updateDoubt(now)
+	s.holdFloor(now)
+	return s.take()
 }
 
-// Drain marks a target as leaving because of a sign from the given source.
-func (s *Service) Drain(name, source string, now time.Time) []Transition {
-	t, ok := s.targets[name]
-	if !ok || t.State() == target.Leaving {
-		return nil
+// advance moves a member's state along with time.
+func (s *Service) advance(m *member, now time.Time) {
+	t := m.target
+	age := now.Sub(t.Since())
+	switch {
+	case t.State() == target.Warming && age >= warmUpTime:
+		s.move(m, target.Active, "warmed up", now)
+	case t.EjectionOver(now):
+		s.move(m, target.Probation, "ejection time over", now)
+	case t.State() == target.Probation && age >= probationTime && !t.Pool().Hot():
+		s.move(m, target.Active, "passed probation", now)
+	}
+	if m.path.RestoreDue(now) {
+		s.restoreLink(m, now)
 	}
-	return []Transition{s.move(t, target.Leaving, "drain sign from "+source, now)}
 }
--- /dev/null
+++ b/service/service_test.go
@@ -0,0 +1,200 @@
+package service
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/link"
+	"github.com/crocushinge/crocushinge/target"
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// testContract declares n targets of 4 slots in three zones.
+func testContract(n, floorSlots int) *contract.Contract {
+	c := &contract.Contract{
+		Service: "checkout",
+		Weight:  contract.WeightSafety,
+		Floor:   contract.Floor{Slots: floorSlots},
+		Health:  contract.Health{Path: "/health", Interval: time.Second},
+	}
+	for i := range n {
+		c.Targets = append(c.Targets, contract.Target{
+			Name:    fmt.Sprintf("checkout-%d", i),
+			Address: fmt.Sprintf("10.0.0.%d:80", i),
+			Zone:    zone.ID([]string{"a", "b", "c"}[i%3]),
+			Slots:   4,
+		})
+	}
+	return c
+}
+
+// entrySet is a group of hosts that exchange reports at once.
+type entrySet struct {
+	hosts []*Service
+	now   time.Time
+	all   []Transition
+}
+
+func newEntrySet(c *contract.Contract, hosts int) *entrySet {
+	e := &entrySet{now: epoch}
+	for i := range hosts {
+		z := zone.ID([]string{"a", "b", "c"}[i%3])
+		e.hosts = append(e.hosts, New(c, Place{Zone: z}, e.now))
+	}
+	e.exchange()
+	return e
+}
+
+// exchange delivers the reports of every host to all others.
+func (e *entrySet) exchange() {
+	for i, from := range e.hosts {
+		for _, r := range from.Reports(e.now) {
+			for j, to := range e.hosts {
+				if i != j {
+					e.all = append(e.all, to.ObserveReport(fmt.Sprint(i), r, e.now)...)
+				}
+			}
+		}
+	}
+}
+
+// observe lets every host see one request to a target of the given outcome
+// and latency.
+func (e *entrySet) observe(host int, name string, o link.Outcome, latency time.Duration) {
+	key := target.Key{Service: "checkout", Name: name}
+	e.all = append(e.all, e.hosts[host].Observe(link.Observation{
+		Target: key, Outcome: o, Latency: latency, Started: e.now.Add(-latency), At: e.now,
+	})...)
+}
+
+// second runs a second in which each host sends 4 requests to each target;
+// outcome says how they end.
+func (e *entrySet) second(outcome func(host int, name string) link.Outcome) {
+	for range 4 {
+		for i, h := range e.hosts {
+			for _, spec := range h.Contract.Targets {
+				e.observe(i, spec.Name, outcome(i, spec.Name), 10*time.Millisecond)
+			}
+		}
+		e.now = e.now.Add(250 * time.Millisecond)
+		for _, h := range e.hosts {
+			e.all = append(e.all, h.Tick(e.now)...)
+		}
+		e.exchange()
+	}
+}
+
+func (e *entrySet) count(c Change, to target.State) int {
+	n := 0
+	for _, tr := range e.all {
+		if tr.Change == c && tr.To == to {
+			n++
+		}
+	}
+	return n
+}
+
+func healthy(int, string) link.Outcome { return link.Succeeded }
+
+func failing(name string) func(int, string) link.Outcome {
+	return func(_ int, n string) link.Outcome {
+		if n == name {
+			return link.Failed
+		}
+		return link.Succeeded
+	}
+}
+
+func TestTargetThatFailsOnAllHostsIsEjectedByAll(t *testing.T) {
+	is := is.New(t)
+	e := newEntrySet(testContract(6, 12), 3)
+	e.second(healthy)
+	e.second(failing("checkout-2"))
+	e.second(failing("checkout-2"))
+	for _, h := range e.hosts {
+		is.Equal(h.State("checkout-2"), target.Ejected)
+		is.Equal(h.HealthySlots(), 20)
+	}
+	is.Equal(e.count(StateChanged, target.Ejected), 3) // no other target
+}
+
+func TestOneHostAloneCutsItsLinkAndEjectsNothing(t *testing.T) {
+	is := is.New(t)
+	e := newEntrySet(testContract(6, 12), 3)
+	e.second(healthy)
+	for range 4 {
+		e.second(func(host int, name string) link.Outcome {
+			if host == 1 && name == "checkout-2" && !e.hosts[1].byName[name].path.IsCut() {
+				return link.TimedOut
+			}
+			return link.Succeeded
+		})
+	}
+	is.Equal(e.count(StateChanged, target.Ejected), 0)
+	is.Equal(e.count(LinkCut, target.Active), 1)
+	is.True(e.hosts[1].byName["checkout-2"].path.IsCut())
+	is.Equal(len(e.hosts[1].Routing().Links), 5)
+	is.Equal(len(e.hosts[0].Routing().Links), 6)
+}
+
+func TestSickHostDoubtsItself(t *testing.T) {
+	is := is.New(t)
+	e := newEntrySet(testContract(6, 12), 3)
+	e.second(healthy)
+	for range 4 {
+		e.second(func(host int, _ string) link.Outcome {
+			if host == 0 {
+				return link.Failed
+			}
+			return link.Succeeded
+		})
+	}
+	is.Equal(e.count(StateChanged, target.Ejected), 0)
+	is.True(e.hosts[0].SelfDoubt())
+	is.True(!e.hosts[1].SelfDoubt())
+	is.True(!e.hosts[2].SelfDoubt())
+}
+
+func TestServiceWideFailureEjectsNothing(t *testing.T) {
+	is := is.New(t)
+	e := newEntrySet(testContract(6, 4), 3)
+	e.second(healthy)
+	for range 10 {
+		e.second(func(int, string) link.Outcome { return link.Failed })
+	}
+	for range 10 {
+		e.second(healthy)
+	}
+	is.Equal(e.count(StateChanged, target.Ejected), 0)
+	is.True(!e.hosts[0].SelfDoubt())
+}
+
+func TestReportsMayBeLostDoubledAndReordered(t *testing.T) {
+	is := is.New(t)
+	c := testContract(6, 4)
+	s := New(c, Place{Zone: "a"}, epoch)
+	report := func(seq uint64, nats float64) Report {
+		return Report{
+			Target: target.Key{Service: "checkout", Name: "checkout-0"},
+			News:   target.News{Sequence: seq, Zone: "b", Total: target.LLR{nats, 0}, Observations: 10 * seq},
+		}
+	}
+	sum := func() float64 { return s.byName["checkout-0"].target.Pool().Sum()[target.Failing] }
+	s.ObserveReport("b1", report(1, 100), epoch)
+	is.Equal(sum(), 0.0) // the first totals are the base
+	s.ObserveReport("b1", report(4, 103), epoch)
+	is.Equal(sum(), 3.0)
+	s.ObserveReport("b1", report(4, 103), epoch)
+	s.ObserveReport("b1", report(3, 102), epoch)
+	is.Equal(sum(), 3.0)
+	s.ObserveReport("b1", report(9, 105), epoch)
+	is.Equal(sum(), 5.0)
+	s.ForgetPeer("b1", epoch)
+	is.Equal(sum(), 0.0)
+}
--- /dev/null
+++ b/target/threshold.go
@@ -0,0 +1,48 @@
+package target
+
+import (
+	"math"
+
+	"github.com/crocushinge/crocushinge/contract"
+)
+
+// Probabilities with which one request of a healthy target may complete a
+// false ejection (Wald's test with a negligible miss rate).
+const (
+	falseEjectionDetection = 1e-6
+	falseEjectionBalanced  = 1e-8
+	falseEjectionSafety    = 1e-10
+)
+
+// Shares of the threshold.
+const (
+	// otherHostsShare is what the hosts besides the one with the most
+	// evidence must bring.
+	otherHostsShare = 0.5
+	// otherZonesShare is what the hosts outside the zone with the most
+	// evidence must bring.
+	otherZonesShare = 0.3
+	// probationShare is the threshold of a target on probation.
+	probationShare = 0.5
+	// probeShare bounds the evidence of probes.
+	probeShare = 0.5
+)
+
+// Threshold is the evidence at which a target is ejected, in nats.
+type Threshold float64
+
+// ThresholdFor translates a contract's weight between detection time and false
+// ejections.
+func ThresholdFor(w contract.Weight) Threshold {
+	switch w {
+	case contract.WeightDetection:
+		return Threshold(-math.Log(falseEjectionDetection))
+	case contract.WeightSafety:
+		return Threshold(-math.Log(falseEjectionSafety))
+	default:
+		return Threshold(-math.Log(falseEjectionBalanced))
+	}
+}
+
+// OnProbation returns the threshold for a target on probation.
+func (h Threshold) OnProbation() Threshold { return h * probationShare }
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -16,6 +16,8 @@
 	ConfigurationInForce Kind = "configuration-in-force"
 	TargetStateChanged   Kind = "target-state-changed"
 	EjectionWithheld     Kind = "ejection-withheld"
+	LinkCut              Kind = "link-cut"
+	LinkRestored         Kind = "link-restored"
 	OutcomeUnknown       Kind = "outcome-unknown"
 	RequestEnded         Kind = "request-ended"
 	StoreLost            Kind = "store-lost"
--- a/traffic/handler.go
+++ b/traffic/handler.go
@@ -211,6 +211,7 @@
 		return a, errors.Wrapf(err, "target %s", l.Target)
 	}
 	a.response = resp
+	a.link.Answered(a.slot)
 	if resp.StatusCode >= http.StatusInternalServerError {
 		a.outcome = link.Failed
 	}
@@ -236,13 +237,12 @@
 func (a *attempt) finish() {
 	a.link.Release(a.slot)
 	latency := time.Since(a.started)
-	if a.outcome == link.Succeeded {
-		a.link.ObserveLatency(latency)
-	}
+	a.link.ObserveOutcome(a.outcome, latency)
 	a.handler.cfg.Observe(link.Observation{
 		Target:  a.link.Target,
 		Outcome: a.outcome,
 		Latency: latency,
+		Started: a.started,
 		At:      time.Now(),
 	})
 }
