--- a/service/share.go
+++ b/service/share.go
@@ -30,12 +30,12 @@
 // which has rank -1.
 func (s *Service) SetShare(members, rank int) {
 	if rank < 0 {
-		for _, l := range s.links {
-			l.SetLimit(directShare)
+		for _, m := range s.members {
+			m.link.SetLimit(directShare)
 		}
 		return
 	}
 	for i, n := range Share(s.Contract.Targets, members, rank) {
-		s.links[s.Contract.Targets[i].Name].SetLimit(n)
+		s.members[i].link.SetLimit(n)
 	}
 }
