--- a/finding/finding.go
+++ b/finding/finding.go
@@ -19,9 +19,12 @@
 	Message string `json:"message"`
 	// Fix says how to mend it.
 	Fix string `json:"fix,omitempty"`
+	// Warning is set when the input can be used all the same.
+	Warning bool `json:"warning,omitempty"`
 }
 
-// String formats the finding as "file:line:column: message (fix)".
+// String formats the finding as "file:line:column: message (fix)". A warning
+// says so before its message.
 func (f Finding) String() string {
 	var b strings.Builder
 	if f.File != "" {
@@ -33,6 +36,9 @@
 	if b.Len() > 0 {
 		b.WriteByte(' ')
 	}
+	if f.Warning {
+		b.WriteString("warning: ")
+	}
 	b.WriteString(f.Message)
 	if f.Fix != "" {
 		fmt.Fprintf(&b, " (%s)", f.Fix)
@@ -52,12 +58,27 @@
 	return strings.Join(lines, "\n")
 }
 
-// Err returns the list as an error, or nil when it is empty.
+// Err returns the findings that are no warnings as an error, or nil when there
+// are none.
 func (l List) Err() error {
-	if len(l) == 0 {
+	faults := l.split(false)
+	if len(faults) == 0 {
 		return nil
 	}
-	return l
+	return faults
+}
+
+// Warnings returns the findings that are warnings.
+func (l List) Warnings() List { return l.split(true) }
+
+func (l List) split(warning bool) List {
+	var out List
+	for _, f := range l {
+		if f.Warning == warning {
+			out = append(out, f)
+		}
+	}
+	return out
 }
 
 // Sort orders the findings by file, line and column.
