Check contracts and accounts whole, with places, and beside each other

Cause: a contract with a wrong address, zone, method, weight, limit or with a route of another service was accepted. Change: contract.Check holds the checks of one document and contract.CrossCheck those between documents, both without YAML; contractfile gives each its place. Accounts documents (kind: accounts) are read like contracts. Documents from the table are read past unknown fields, so that an older host serves what a newer one accepted.

--- a/cmd/crocushinge/commands.go
+++ b/cmd/crocushinge/commands.go
@@ -42,10 +42,10 @@
 		if err != nil {
 			return err
 		}
-		c, faults := contractfile.Parse(path, data)
+		f, faults := contractfile.Parse(path, data)
 		findings = append(findings, faults...)
-		if c != nil {
-			out = append(out, collected{service: c.Service, document: data})
+		if f != nil {
+			out = append(out, collected{service: f.Document.Subject(), document: data})
 		}
 		return nil
 	})
--- /dev/null
+++ b/contract/contractfile/document.go
@@ -0,0 +1,196 @@
+package contractfile
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/finding"
+	"github.com/crocushinge/crocushinge/finding/yamlfile"
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+// Defaults of the fields that a contract may leave out.
+const (
+	defaultSlots       = 4
+	defaultConnections = 400
+	defaultDeadline    = 5 * time.Second
+	defaultGrace       = 30 * time.Second
+	defaultInterval    = 10 * time.Second
+	defaultQueueLength = 64
+	defaultQueueWait   = 500 * time.Millisecond
+	defaultMaxBody     = 1 << 20
+)
+
+// contractDocument mirrors the YAML file of one contract.
+type contractDocument struct {
+	Service   string        `yaml:"service"`
+	Kind      string        `yaml:"kind"`
+	Protocol  string        `yaml:"protocol"`
+	Targets   []target      `yaml:"targets"`
+	Routes    []route       `yaml:"routes"`
+	Floor     string        `yaml:"floor"`
+	Leaving   leaving       `yaml:"leaving"`
+	Health    health        `yaml:"health"`
+	Weight    string        `yaml:"weight"`
+	Queue     queue         `yaml:"queue"`
+	Load      float64       `yaml:"load"`
+	MaxBody   yamlfile.Size `yaml:"max-body"`
+	Accounts  []string      `yaml:"accounts"`
+	KeyOutage string        `yaml:"key-outage"`
+}
+
+type target struct {
+	Name        string `yaml:"name"`
+	Address     string `yaml:"address"`
+	Zone        string `yaml:"zone"`
+	Slots       int    `yaml:"slots"`
+	Connections int    `yaml:"connections"`
+}
+
+type route struct {
+	Path       string        `yaml:"path"`
+	Authority  string        `yaml:"authority"`
+	Methods    []string      `yaml:"methods"`
+	Idempotent bool          `yaml:"idempotent"`
+	Deadline   time.Duration `yaml:"deadline"`
+}
+
+type leaving struct {
+	Header string        `yaml:"header"`
+	Grace  time.Duration `yaml:"grace"`
+}
+
+type health struct {
+	Path     string        `yaml:"path"`
+	Interval time.Duration `yaml:"interval"`
+}
+
+type queue struct {
+	Length int           `yaml:"length"`
+	Wait   time.Duration `yaml:"wait"`
+}
+
+// SetDefaults implements yamlfile.Defaulter.
+func (d *contractDocument) SetDefaults() {
+	d.Protocol = string(contract.HTTP1)
+	d.Weight = string(contract.WeightBalanced)
+	d.KeyOutage = string(contract.KeyOutageRefuse)
+	d.MaxBody = defaultMaxBody
+}
+
+// SetDefaults implements yamlfile.Defaulter.
+func (t *target) SetDefaults() { t.Slots, t.Connections = defaultSlots, defaultConnections }
+
+// SetDefaults implements yamlfile.Defaulter.
+func (r *route) SetDefaults() { r.Deadline = defaultDeadline }
+
+// SetDefaults implements yamlfile.Defaulter.
+func (l *leaving) SetDefaults() { l.Grace = defaultGrace }
+
+// SetDefaults implements yamlfile.Defaulter.
+func (h *health) SetDefaults() { h.Interval = defaultInterval }
+
+// SetDefaults implements yamlfile.Defaulter.
+func (q *queue) SetDefaults() { q.Length, q.Wait = defaultQueueLength, defaultQueueWait }
+
+func (f *File) readContract(doc *yamlfile.Document, opts yamlfile.Options) (*contract.Contract, finding.List) {
+	var d contractDocument
+	var findings finding.List
+	f.places, findings = doc.Decode(&d, opts)
+	c := &contract.Contract{
+		Service:   d.Service,
+		Protocol:  contract.Protocol(d.Protocol),
+		Leaving:   contract.Leaving(d.Leaving),
+		Health:    contract.Health(d.Health),
+		Weight:    contract.Weight(d.Weight),
+		Queue:     contract.Queue(d.Queue),
+		Load:      d.Load,
+		MaxBody:   int64(d.MaxBody),
+		Accounts:  d.Accounts,
+		KeyOutage: contract.KeyOutage(d.KeyOutage),
+	}
+	for _, t := range d.Targets {
+		c.Targets = append(c.Targets, contract.Target{
+			Name: t.Name, Address: t.Address, Zone: zone.ID(t.Zone), Slots: t.Slots, Connections: t.Connections,
+		})
+	}
+	for _, r := range d.Routes {
+		c.Routes = append(c.Routes, contract.Route{
+			Authority: r.Authority, Path: r.Path, Methods: r.Methods, Idempotent: r.Idempotent, Deadline: r.Deadline,
+		})
+	}
+	if !f.places.Has("floor") {
+		return c, findings
+	}
+	var err error
+	if c.Floor, err = parseFloor(d.Floor); err != nil {
+		findings = append(findings, f.places.Finding("floor", "floor "+err.Error(),
+			"write a number of slots such as 12, or a share such as 60%"))
+	}
+	return c, findings
+}
+
+// maxFloorSlots is above the capacity of any service.
+const maxFloorSlots = 1 << 30
+
+// parseFloor reads "12" (slots) or "60%" (of the declared slots).
+func parseFloor(s string) (contract.Floor, error) {
+	number, percent := strings.CutSuffix(s, "%")
+	n, err := strconv.Atoi(number)
+	if err != nil || n < 0 || n > maxFloorSlots || (percent && n > 100) {
+		return contract.Floor{}, errors.Errorf("%q is neither a number of slots nor a share up to 100%%", s)
+	}
+	if percent {
+		return contract.Floor{Percent: n}, nil
+	}
+	return contract.Floor{Slots: n}, nil
+}
+
+// accountsDocument mirrors the YAML file of one accounts document.
+type accountsDocument struct {
+	Kind     string    `yaml:"kind"`
+	Name     string    `yaml:"name"`
+	Accounts []account `yaml:"accounts"`
+}
+
+type account struct {
+	Name      string `yaml:"name"`
+	KeySHA256 string `yaml:"key-sha256"`
+}
+
+func (f *File) readAccounts(doc *yamlfile.Document, opts yamlfile.Options) (*contract.Accounts, finding.List) {
+	var d accountsDocument
+	var findings finding.List
+	f.places, findings = doc.Decode(&d, opts)
+	list := &contract.Accounts{Name: d.Name}
+	for i, a := range d.Accounts {
+		hash, err := ParseKeyHash(a.KeySHA256)
+		if err != nil {
+			path := "accounts[" + strconv.Itoa(i) + "].key-sha256"
+			findings = append(findings, f.places.Finding(path, "key-sha256 of account "+a.Name+" "+err.Error(),
+				"print one with: printf KEY | sha256sum"))
+		}
+		list.Accounts = append(list.Accounts, contract.Account{Name: a.Name, KeyHash: hash})
+	}
+	return list, findings
+}
+
+// ErrKeyHash is returned for a text that is no SHA-256.
+var ErrKeyHash = errors.New("is not a SHA-256 in hexadecimal")
+
+// ParseKeyHash reads the SHA-256 of a key or token in hexadecimal. It fails
+// with ErrKeyHash.
+func ParseKeyHash(s string) (hash [sha256.Size]byte, err error) {
+	sum, err := hex.DecodeString(s)
+	if err != nil || len(sum) != sha256.Size {
+		return hash, ErrKeyHash
+	}
+	copy(hash[:], sum)
+	return hash, nil
+}
--- a/contract/contractfile/parse.go
+++ b/contract/contractfile/parse.go
@@ -1,177 +1,128 @@
-// Package contractfile reads contracts from YAML files.
+// Package contractfile reads contracts and accounts documents from YAML files
+// and gives each finding its place in the file.
 package contractfile
 
 import (
-	"bytes"
-	"io"
-	"strconv"
-	"strings"
-	"time"
-
-	"github.com/goccy/go-yaml"
-	"github.com/pkg/errors"
-
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/finding"
-	"github.com/crocushinge/crocushinge/zone"
+	"github.com/crocushinge/crocushinge/finding/yamlfile"
 )
 
-// Defaults of the fields that a contract may leave out.
+// Kinds of documents. A file without a kind is a contract.
 const (
-	defaultSlots       = 4
-	defaultConnections = 400
-	defaultDeadline    = 5 * time.Second
-	defaultGrace       = 30 * time.Second
-	defaultInterval    = 10 * time.Second
-	defaultQueueLength = 64
-	defaultQueueWait   = 500 * time.Millisecond
-	defaultMaxBody     = 1 << 20
+	kindContract = "contract"
+	kindAccounts = "accounts"
 )
 
-// document mirrors the YAML file of one contract.
-type document struct {
-	Service   string   `yaml:"service"`
-	Protocol  string   `yaml:"protocol"`
-	Targets   []target `yaml:"targets"`
-	Routes    []route  `yaml:"routes"`
-	Floor     string   `yaml:"floor"`
-	Leaving   leaving  `yaml:"leaving"`
-	Health    health   `yaml:"health"`
-	Weight    string   `yaml:"weight"`
-	Queue     queue    `yaml:"queue"`
-	Load      float64  `yaml:"load"`
-	MaxBody   int64    `yaml:"max-body"`
-	Accounts  []string `yaml:"accounts"`
-	KeyOutage string   `yaml:"key-outage"`
-}
-
-type target struct {
-	Name        string `yaml:"name"`
-	Address     string `yaml:"address"`
-	Zone        string `yaml:"zone"`
-	Slots       int    `yaml:"slots"`
-	Connections int    `yaml:"connections"`
-}
-
-type route struct {
-	Authority  string        `yaml:"authority"`
-	Path       string        `yaml:"path"`
-	Methods    []string      `yaml:"methods"`
-	Idempotent bool          `yaml:"idempotent"`
-	Deadline   time.Duration `yaml:"deadline"`
-}
-
-type leaving struct {
-	Header string        `yaml:"header"`
-	Grace  time.Duration `yaml:"grace"`
+// File is one document with the places of its fields.
+type File struct {
+	// Name is the path of the file as the user gave it.
+	Name string
+	// Data is the text of the file.
+	Data []byte
+	// Document is what the file declares.
+	Document contract.Document
+	places   *yamlfile.Places
 }
 
-type health struct {
-	Path     string        `yaml:"path"`
-	Interval time.Duration `yaml:"interval"`
+// Parse reads one file and checks it alone. All findings are returned
+// together, sorted by place; the file is nil when one of them is no warning.
+func Parse(name string, data []byte) (*File, finding.List) {
+	return parse(name, data, yamlfile.Options{})
 }
 
-type queue struct {
-	Length int           `yaml:"length"`
-	Wait   time.Duration `yaml:"wait"`
+// ParseAccepted reads a document that was accepted before. It passes over
+// fields that this version does not know, so that a host of an older version
+// keeps serving what a newer one accepted.
+func ParseAccepted(name string, data []byte) (contract.Document, finding.List) {
+	f, findings := parse(name, data, yamlfile.Options{AllowUnknown: true})
+	if f == nil {
+		return contract.Document{}, findings
+	}
+	return f.Document, nil
 }
 
-// Parse reads one contract. All findings are returned together; the contract
-// is nil when there are any.
-func Parse(file string, data []byte) (*contract.Contract, finding.List) {
-	var doc document
-	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
-	if err := dec.Decode(&doc); err != nil && !errors.Is(err, io.EOF) {
-		return nil, finding.List{syntaxFinding(file, err)}
+func parse(name string, data []byte, opts yamlfile.Options) (*File, finding.List) {
+	doc, findings := yamlfile.Parse(name, data)
+	if doc == nil {
+		return nil, findings
+	}
+	f := &File{Name: name, Data: data}
+	var faults []contract.Fault
+	switch kind := doc.Text("kind"); kind {
+	case "", kindContract:
+		f.Document.Contract, findings = f.readContract(doc, opts)
+		faults = f.Document.Contract.Check()
+	case kindAccounts:
+		f.Document.Accounts, findings = f.readAccounts(doc, opts)
+		faults = f.Document.Accounts.Check()
+	default:
+		findings = finding.List{{
+			File: name, Line: 1, Column: 1, Message: "kind \"" + kind + "\" is not known",
+			Fix: "write one of " + kindContract + ", " + kindAccounts,
+		}}
 	}
-	c, findings := doc.contract(file)
-	if len(findings) > 0 {
+	findings = f.merge(findings, faults)
+	if findings.Err() != nil {
 		return nil, findings
 	}
-	return c, nil
+	return f, findings
 }
 
-func syntaxFinding(file string, err error) finding.Finding {
-	f := finding.Finding{File: file, Message: err.Error()}
-	var yamlErr yaml.Error
-	if errors.As(err, &yamlErr) {
-		f.Message = yamlErr.GetMessage()
-		if tk := yamlErr.GetToken(); tk != nil {
-			f.Line, f.Column = tk.Position.Line, tk.Position.Column
+// merge adds the faults to the findings of the decoder. A place that the
+// decoder reported already is not reported a second time.
+func (f *File) merge(findings finding.List, faults []contract.Fault) finding.List {
+	type place struct{ line, column int }
+	reported := make(map[place]bool, len(findings))
+	for _, known := range findings {
+		reported[place{known.Line, known.Column}] = true
+	}
+	for _, fault := range faults {
+		found := f.Finding(fault)
+		if f.places.Has(fault.Field) && reported[place{found.Line, found.Column}] {
+			continue
 		}
+		findings = append(findings, found)
 	}
-	return f
+	findings.Sort()
+	return findings
 }
 
-func (d *document) contract(file string) (*contract.Contract, finding.List) {
-	var findings finding.List
-	report := func(message, fix string) {
-		findings = append(findings, finding.Finding{File: file, Message: message, Fix: fix})
-	}
-	if d.Service == "" {
-		report("service is missing", "add a line such as: service: catalogue")
-	}
-	if len(d.Targets) == 0 {
-		report("targets is empty", "declare at least one target")
-	}
-	floor, err := parseFloor(d.Floor)
-	if err != nil {
-		report("floor: "+err.Error(), "write a number of slots such as 12, or a share such as 60%")
-	}
-	c := &contract.Contract{
-		Service:   d.Service,
-		Protocol:  contract.Protocol(orDefault(d.Protocol, string(contract.HTTP1))),
-		Floor:     floor,
-		Leaving:   contract.Leaving{Header: d.Leaving.Header, Grace: orDefault(d.Leaving.Grace, defaultGrace)},
-		Health:    contract.Health{Path: d.Health.Path, Interval: orDefault(d.Health.Interval, defaultInterval)},
-		Weight:    contract.Weight(orDefault(d.Weight, string(contract.WeightBalanced))),
-		Queue:     contract.Queue{Length: orDefault(d.Queue.Length, defaultQueueLength), Wait: orDefault(d.Queue.Wait, defaultQueueWait)},
-		Load:      d.Load,
-		MaxBody:   orDefault(d.MaxBody, defaultMaxBody),
-		Accounts:  d.Accounts,
-		KeyOutage: contract.KeyOutage(orDefault(d.KeyOutage, string(contract.KeyOutageRefuse))),
-	}
-	for _, t := range d.Targets {
-		c.Targets = append(c.Targets, contract.Target{
-			Name:        t.Name,
-			Address:     t.Address,
-			Zone:        zone.ID(t.Zone),
-			Slots:       orDefault(t.Slots, defaultSlots),
-			Connections: orDefault(t.Connections, defaultConnections),
-		})
-	}
-	for _, r := range d.Routes {
-		c.Routes = append(c.Routes, contract.Route{
-			Authority:  r.Authority,
-			Path:       r.Path,
-			Methods:    r.Methods,
-			Idempotent: r.Idempotent,
-			Deadline:   orDefault(r.Deadline, defaultDeadline),
-		})
-	}
-	if floor.MinSlots(c.Slots()) > c.Slots() {
-		report("floor is above the capacity of all targets", "lower the floor or add targets")
-	}
-	return c, findings
+// Finding gives a fault its place in the file.
+func (f *File) Finding(fault contract.Fault) finding.Finding {
+	found := f.places.Finding(fault.Field, fault.Message, fault.Fix)
+	found.Warning = fault.Warning
+	return found
 }
 
-// parseFloor reads "12" (slots) or "60%" (of the declared slots).
-func parseFloor(s string) (contract.Floor, error) {
-	number, percent := strings.CutSuffix(s, "%")
-	n, err := strconv.Atoi(number)
-	if err != nil || n < 0 || (percent && n > 100) {
-		return contract.Floor{}, errors.Errorf("%q is neither a number of slots nor a share", s)
+// CrossCheck checks files beside each other and beside what is in force. A
+// document in force is left out when one of the files replaces it. Known lists
+// accounts that stand in no document.
+func CrossCheck(files []*File, inForce []contract.Document, known []string) finding.List {
+	replaced := make(map[string]bool, len(files))
+	for _, f := range files {
+		replaced[f.Document.Subject()] = true
 	}
-	if percent {
-		return contract.Floor{Percent: n}, nil
+	var documents []contract.Document
+	for _, d := range inForce {
+		if !replaced[d.Subject()] {
+			documents = append(documents, d)
+		}
 	}
-	return contract.Floor{Slots: n}, nil
-}
-
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
+	kept := len(documents)
+	for _, f := range files {
+		documents = append(documents, f.Document)
+	}
+	var out finding.List
+	for _, fault := range contract.CrossCheck(documents, known) {
+		if fault.Index >= kept {
+			out = append(out, files[fault.Index-kept].Finding(fault.Fault))
+			continue
+		}
+		out = append(out, finding.Finding{
+			Message: "in force, " + fault.Subject + ": " + fault.Message, Fix: fault.Fix,
+		})
 	}
-	return value
+	out.Sort()
+	return out
 }
--- a/wire/record.go
+++ b/wire/record.go
@@ -60,10 +60,10 @@
 	if len(ch.Document) == 0 {
 		return ch, nil
 	}
-	c, findings := contractfile.Parse(ch.Service, ch.Document)
+	d, findings := contractfile.ParseAccepted(ch.Service, ch.Document)
 	if err := findings.Err(); err != nil {
-		return ch, errors.Wrapf(err, "contract of %s at revision %d", ch.Service, ch.Revision)
+		return ch, errors.Wrapf(err, "document of %s at revision %d", ch.Service, ch.Revision)
 	}
-	ch.Contract = c
+	ch.Contract, ch.Accounts = d.Contract, d.Accounts
 	return ch, nil
 }
