Reject a proposal when its document has no usable contract

Cause: warnings are findings too, and do not forbid a publication. Change: the proposal is rejected when the parser gives no document.

--- a/publish/store.go
+++ b/publish/store.go
@@ -136,7 +136,7 @@
 // was written and the proposal may simply be repeated.
 func (s *Store) Propose(ctx context.Context, p Proposal) (Result, error) {
 	if len(p.Document) > 0 {
-		if _, findings := contractfile.Parse(p.Service, p.Document); findings.Err() != nil {
+		if f, findings := contractfile.Parse(p.Service, p.Document); f == nil {
 			return Result{Status: Rejected, Proposal: p.ID, Findings: findings}, nil
 		}
 	}
