--- a/service/probe.go
+++ b/service/probe.go
@@ -16,7 +16,8 @@
 }
 
 // DueProbes returns the targets that this host should probe now. Mine reports
-// whether a target's probes fall to this host.
+// whether a target's probes fall to this host. A host that got a target's own
+// drain sign probes it in any case, to learn when the sign is withdrawn.
 func (s *Service) DueProbes(now time.Time, mine func(targetName string) bool) []target.Key {
 	health := s.Contract.Health
 	if health.Path == "" || health.Interval <= 0 {
@@ -28,7 +29,7 @@
 			continue
 		}
 		m.nextProbe = now.Add(health.Interval)
-		if mine(m.target.Key.Name) {
+		if mine(m.target.Key.Name) || m.target.HasSign(target.SignHeader) {
 			due = append(due, m.target.Key)
 		}
 	}
--- a/target/threshold.go
+++ b/target/threshold.go
@@ -18,7 +18,7 @@
 const (
 	// otherHostsShare is what the hosts besides the one with the most
 	// evidence must bring.
-	otherHostsShare = 0.5
+	otherHostsShare = 0.45
 	// otherZonesShare is what the hosts outside the zone with the most
 	// evidence must bring.
 	otherZonesShare = 0.3
