Run non-idempotent requests at most once over the whole fleet

Cause: an id of another host was answered "unknown" without asking its home; an aborted answer left its record pending for ever; a caller that went away cancelled the dispatch; the records were never swept; a goroutine paused between reading the time and claiming could dispatch an id that was forgotten meanwhile; and net/http's transport repeats a GET without a body, or any empty request with an Idempotency-Key, when a reused connection closes, so that a target ran such a request twice. Refuse makes a refusal final before the caller hears of it. - traffic forwards a request to the home host of its id, one hop, with the fleet credential; a home that cannot be asked means "unknown". - The body of a non-idempotent request is read whole before the claim, within a budget of bytes, and sent so that the transport cannot replay it. - Connections to targets count their writes. "Not run" is said of a broken attempt only when the connection was sealed before its first write, when the connect failed, or when HTTP/2 refused the stream. - An answer that echoes another id, or was received before its request was sent, is dropped; one that announces neither length nor end is an error. - The dispatch goes on when the caller leaves; repeats wait and get the kept answer. - Each end of a non-idempotent request becomes an event of the time line.

--- a/caller/account.go
+++ b/caller/account.go
@@ -32,3 +32,8 @@
 
 // Len returns the number of accounts.
 func (a *Accounts) Len() int { return len(a.byKey) }
+
+// NewAccount returns an account with the hash of its secret key.
+func NewAccount(name, key string) Account {
+	return Account{Name: name, KeyHash: sha256.Sum256([]byte(key))}
+}
--- a/caller/requestid.go
+++ b/caller/requestid.go
@@ -17,6 +17,9 @@
 // idBase is the number base of the numeric parts of a request id.
 const idBase = 36
 
+// maxIDLength limits an id, in bytes.
+const maxIDLength = 160
+
 // idParts is the number of parts of a request id that are mandatory.
 const idParts = 4
 
@@ -28,7 +31,7 @@
 	// Expires is when the id stops being dispatched, measured on the home
 	// host's monotonic clock from the start of its incarnation.
 	Expires time.Duration
-	// Nonce makes the id unique; a caller may append parts of its own.
+	// Nonce makes the id unique within the account; it holds no dot.
 	Nonce string
 }
 
@@ -45,7 +48,12 @@
 // ParseRequestID parses an id as String prints it. It fails with
 // ErrMalformedID.
 func ParseRequestID(s string) (RequestID, error) {
-	parts := strings.SplitN(s, ".", idParts)
+	if len(s) > maxIDLength {
+		return RequestID{}, errors.Wrapf(ErrMalformedID, "longer than %d bytes", maxIDLength)
+	}
+	// A host id may hold dots (the default is an address), so the parts are
+	// counted from the end.
+	parts := splitLast(s, idParts)
 	if len(parts) != idParts || parts[0] == "" || parts[idParts-1] == "" {
 		return RequestID{}, errors.Wrapf(ErrMalformedID, "%q", s)
 	}
@@ -64,3 +72,17 @@
 		Nonce:       parts[idParts-1],
 	}, nil
 }
+
+// splitLast splits s at its last dots into at most n parts.
+func splitLast(s string, n int) []string {
+	parts := make([]string, n)
+	for i := n - 1; i > 0; i-- {
+		dot := strings.LastIndexByte(s, '.')
+		if dot < 0 {
+			return nil
+		}
+		parts[i], s = s[dot+1:], s[:dot]
+	}
+	parts[0] = s
+	return parts
+}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -28,7 +28,10 @@
 	calls    chan func(*host.Core)
 	observed chan link.Observation
 	dropped  atomic.Int64
-	effects  effector
+	// unrecorded counts ended requests that are not on the time line because
+	// the control thread was behind.
+	unrecorded atomic.Int64
+	effects    effector
 }
 
 // effector carries out the effects that need I/O. Its methods return at once
@@ -61,6 +64,16 @@
 	}
 }
 
+// ended hands the end of a request over without blocking. When the control
+// thread is behind, the event is dropped and counted.
+func (c *control) ended(e host.RequestEnded) {
+	select {
+	case c.events <- e:
+	default:
+		c.unrecorded.Add(1)
+	}
+}
+
 // send hands an event over. It gives up when the control thread has stopped.
 func (c *control) send(ctx context.Context, ev host.Event) {
 	select {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -52,6 +52,7 @@
 	hostList   platform.HostList
 	peers      *fleetClient
 	ledger     *caller.Ledger
+	home       *caller.Home
 	handler    *traffic.Handler
 	metrics    *metrics
 	servers    []*server
@@ -95,16 +96,12 @@
 		store:    &publish.Store{Table: p.Table, Now: time.Now},
 		hostList: p.HostList,
 		peers:    newFleetClient(s.FleetToken),
-		ledger:   caller.NewLedger(),
+		ledger:   caller.NewLedger(caller.DefaultLimits()),
+		home:     caller.NewHome(string(self.ID), self.Incarnation),
 	}
 	d.control = newControl(core, d.ring)
 	d.control.effects = d
-	d.handler = traffic.NewHandler(traffic.Config{
-		Snapshot:  d.control.snapshot.Load,
-		Ledger:    d.ledger,
-		Observe:   d.control.observe,
-		Transport: traffic.NewTransport(),
-	})
+	d.handler = d.newHandler()
 	if d.metrics, err = newMetrics(d); err != nil {
 		return nil, err
 	}
@@ -128,6 +125,7 @@
 	defer stop()
 	d.ctx = background
 	d.background.Go(func() { d.control.run(background) })
+	d.background.Go(func() { d.sweepLedger(background) })
 	group, failed := errgroup.WithContext(ctx)
 	for _, s := range d.servers {
 		group.Go(s.serve)
--- /dev/null
+++ b/daemon/requests.go
@@ -0,0 +1,45 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/traffic"
+)
+
+const (
+	// bodyMemory bounds the request bodies held in memory, in bytes.
+	bodyMemory = 48 << 20
+	// sweepInterval is the time between two sweeps of the ledger.
+	sweepInterval = 5 * time.Second
+)
+
+// newHandler builds the handler of callers' requests.
+func (d *Daemon) newHandler() *traffic.Handler {
+	return traffic.NewHandler(traffic.Config{
+		Snapshot:   d.control.snapshot.Load,
+		Home:       d.home,
+		Ledger:     d.ledger,
+		Bodies:     caller.NewMemory(bodyMemory),
+		Observe:    d.control.observe,
+		Ended:      d.control.ended,
+		Transport:  traffic.NewTransport(),
+		Peers:      traffic.NewPeerTransport(),
+		FleetToken: d.settings.FleetToken,
+	})
+}
+
+// sweepLedger forgets expired records until ctx ends.
+func (d *Daemon) sweepLedger(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.ledger.Forget(d.home.Since())
+		}
+	}
+}
--- a/host/core.go
+++ b/host/core.go
@@ -107,6 +107,8 @@
 		c.hostListRead(now, ev)
 	case ProbeAnswered:
 		c.probeAnswered(now, ev)
+	case RequestEnded:
+		c.requestEnded(now, ev)
 	case OperatorDrain:
 		c.drain(now, ev.Target)
 	case ShutdownRequested:
@@ -184,6 +186,23 @@
 	}
 }
 
+// requestEnded records how a non-idempotent request ended, so that it can be
+// explained afterwards.
+func (c *Core) requestEnded(now time.Time, ev RequestEnded) {
+	kind := timeline.RequestEnded
+	if ev.Result == caller.Unknown {
+		kind = timeline.OutcomeUnknown
+	}
+	c.record(now, timeline.Event{
+		Kind:    kind,
+		Service: ev.Service,
+		Target:  ev.Target,
+		Request: ev.Request,
+		To:      ev.Result.String(),
+		Reason:  ev.Reason,
+	})
+}
+
 func (c *Core) drain(now time.Time, key target.Key) {
 	if s, ok := c.services[key.Service]; ok {
 		c.applyTransitions(now, s.Drain(key.Name, target.SignOperator, now))
--- a/host/event.go
+++ b/host/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/platform"
@@ -56,6 +57,20 @@
 		Latency time.Duration
 	}
 
+	// RequestEnded tells how a non-idempotent request ended.
+	RequestEnded struct {
+		// Request is the request's id.
+		Request string
+		Service string
+		// Target is the name of the target it was last sent to, if any.
+		Target string
+		Result caller.Result
+		// Status is the target's HTTP status when the result is Completed.
+		Status int
+		// Reason tells why there is no answer.
+		Reason string
+	}
+
 	// OperatorDrain asks that a target gets no more work.
 	OperatorDrain struct{ Target target.Key }
 
@@ -69,5 +84,6 @@
 func (HeartbeatHeard) isEvent()    {}
 func (HostListRead) isEvent()      {}
 func (ProbeAnswered) isEvent()     {}
+func (RequestEnded) isEvent()      {}
 func (OperatorDrain) isEvent()     {}
 func (ShutdownRequested) isEvent() {}
--- /dev/null
+++ b/traffic/answer.go
@@ -0,0 +1,125 @@
+package traffic
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/link"
+)
+
+// Sizes of answers, in bytes.
+const (
+	// holdLimit is how much of an answer is held back until it is known
+	// whether the answer is whole.
+	holdLimit = 64 << 10
+	// keepLimit is the largest answer kept for repeats of the request.
+	keepLimit = 4 << 10
+)
+
+// errUnbounded means that an answer announced neither its length nor its end,
+// so that a cut cannot be told from the end.
+var errUnbounded = errors.New("the answer announces neither its length nor its end")
+
+// bounded reports whether the end of the answer can be told from a cut.
+func bounded(resp *http.Response) bool {
+	if resp.ProtoMajor >= 2 || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 {
+		return true
+	}
+	return resp.Body == http.NoBody
+}
+
+// hold reads the answer up to holdLimit. whole is set when that was all of it.
+func (a *attempt) hold() (held []byte, whole bool, err error) {
+	if !bounded(a.response) {
+		return nil, false, errUnbounded
+	}
+	held, err = io.ReadAll(io.LimitReader(a.response.Body, holdLimit))
+	if err != nil {
+		return nil, false, errors.Wrap(err, "the answer was cut short")
+	}
+	return held, len(held) < holdLimit, nil
+}
+
+// fail gives up an answer that is not whole.
+func (a *attempt) fail() {
+	a.outcome = link.Failed
+	a.close()
+}
+
+// close ends the attempt after its answer was read or given up.
+func (a *attempt) close() {
+	_ = a.response.Body.Close()
+	a.finish()
+}
+
+// keep returns the whole answer for repeats, or nil when it is too large.
+func (a *attempt) keep(body []byte) *caller.Answer {
+	if len(body) > keepLimit {
+		return nil
+	}
+	header := make(http.Header)
+	copyHeaders(header, a.response.Header)
+	answer := &caller.Answer{Status: a.response.StatusCode, Body: body}
+	for name, values := range header {
+		for _, v := range values {
+			answer.Fields = append(answer.Fields, caller.Field{Name: name, Value: v})
+		}
+	}
+	return answer
+}
+
+// writeHead passes the answer's head on.
+func (a *attempt) writeHead(w http.ResponseWriter, result caller.Result) {
+	copyHeaders(w.Header(), a.response.Header)
+	w.Header().Set(HeaderResult, result.String())
+	w.WriteHeader(a.response.StatusCode)
+}
+
+// stream passes the rest of an answer on. When the caller has gone it reads on
+// to learn whether the answer is whole. The error is that of the target.
+func (a *attempt) stream(w http.ResponseWriter, held []byte) error {
+	if err := copyBody(w, io.MultiReader(bytes.NewReader(held), a.response.Body)); err != nil {
+		return errors.Wrap(err, "the answer was cut short")
+	}
+	return nil
+}
+
+// copyBody copies src to w, flushing what has arrived before it waits for
+// more. It fails only with an error of src.
+func copyBody(w http.ResponseWriter, src io.Reader) error {
+	flush := http.NewResponseController(w).Flush
+	buf := make([]byte, copyBuffer)
+	gone := false
+	for {
+		n, err := src.Read(buf)
+		if n > 0 && !gone {
+			_, writeErr := w.Write(buf[:n])
+			gone = writeErr != nil || flush() != nil
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// copyBuffer is the size of the buffer of copyBody, in bytes.
+const copyBuffer = 16 << 10
+
+// writeKept repeats an answer that was kept.
+func writeKept(w http.ResponseWriter, answer *caller.Answer) {
+	for _, f := range answer.Fields {
+		w.Header().Add(f.Name, f.Value)
+	}
+	w.Header().Set(HeaderResult, caller.Completed.String())
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
--- /dev/null
+++ b/traffic/body.go
@@ -0,0 +1,90 @@
+package traffic
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/crocushinge/crocushinge/caller"
+)
+
+// bodyStep is how many bytes of a body are reserved and read at a time.
+const bodyStep = 16 << 10
+
+// Errors of reading a body into memory. The request was not run.
+var (
+	errBodyTooLarge = errors.New("the request's body is larger than the contract allows")
+	errBodyMemory   = errors.New("too many request bodies are held in memory")
+	errBodyBroken   = errors.New("the request's body did not arrive whole")
+)
+
+// body is a request body held in memory.
+type body struct {
+	data     []byte
+	reserved int64
+	memory   *caller.Memory
+}
+
+// readBody reads a whole body of at most limit bytes. On an error it holds no
+// memory.
+func readBody(r io.Reader, limit int64, memory *caller.Memory) (*body, error) {
+	b := &body{memory: memory}
+	var data bytes.Buffer
+	for {
+		if !memory.Reserve(bodyStep) {
+			b.free()
+			return nil, errBodyMemory
+		}
+		b.reserved += bodyStep
+		n, err := io.CopyN(&data, r, bodyStep)
+		switch {
+		case int64(data.Len()) > limit:
+			b.free()
+			return nil, errBodyTooLarge
+		case errors.Is(err, io.EOF):
+			b.data = data.Bytes()
+			return b, nil
+		case err != nil || n < bodyStep:
+			b.free()
+			return nil, errors.Wrap(errBodyBroken, err.Error())
+		}
+	}
+}
+
+// free gives the memory back. The data must not be used any more.
+func (b *body) free() {
+	if b == nil {
+		return
+	}
+	b.memory.Release(b.reserved)
+	b.reserved = 0
+}
+
+// attach makes the body that of an outbound request. The transport of
+// net/http repeats on its own what it takes for idempotent: a GET, HEAD,
+// OPTIONS or TRACE without a body or with GetBody, and any request with an
+// Idempotency-Key. A request that may run once only therefore gets a body
+// that cannot be replayed, and the key's header under a name that the
+// transport does not look up; header names are case-insensitive on the wire.
+func (b *body) attach(out *http.Request) {
+	out.Body = onceBody{bytes.NewReader(b.data)}
+	out.ContentLength = int64(len(b.data))
+	out.GetBody = nil
+	out.TransferEncoding = nil
+	for _, name := range [...]string{"Idempotency-Key", "X-Idempotency-Key"} {
+		if values, ok := out.Header[name]; ok {
+			delete(out.Header, name)
+			out.Header[strings.ToLower(name)] = values
+		}
+	}
+}
+
+// onceBody hides the type of its reader, by which net/http would know that it
+// can be read again.
+type onceBody struct{ io.Reader }
+
+// Close implements io.Closer.
+func (onceBody) Close() error { return nil }
--- /dev/null
+++ b/traffic/conn.go
@@ -0,0 +1,130 @@
+package traffic
+
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+// errSealed is returned by a write on a sealed connection.
+var errSealed = errors.New("connection sealed: the request was given up")
+
+// sealed is the count of writes of a connection that may not write any more.
+const sealed = -1
+
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// trackDial wraps a dialer so that its connections tell whether a request can
+// have been sent and whether its answer can be its own. It is for HTTP/1.1,
+// where one request at a time owns a connection.
+func trackDial(dial Dial) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &trackedConn{Conn: conn}, nil
+	}
+}
+
+// trackedConn counts the writes and the bytes read of a connection.
+type trackedConn struct {
+	net.Conn
+	// writes counts the calls of Write, or is sealed.
+	writes atomic.Int64
+	// read counts the bytes received.
+	read atomic.Int64
+	// next is set until the first write of the next request.
+	next atomic.Bool
+	// readBefore is what had been received before that write.
+	readBefore atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	for {
+		n := c.writes.Load()
+		if n == sealed {
+			return 0, errSealed
+		}
+		if c.writes.CompareAndSwap(n, n+1) {
+			break
+		}
+	}
+	if c.next.CompareAndSwap(true, false) {
+		c.readBefore.Store(c.read.Load())
+	}
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// connUse follows one request over the connections that the transport chooses
+// for it.
+type connUse struct {
+	// asked is set once the transport looked for a connection, which shows
+	// that it reports to the trace at all.
+	asked bool
+	// found is set once the transport had a connection.
+	found bool
+	// conn is the HTTP/1.1 connection, or nil.
+	conn   *trackedConn
+	writes int64
+	// repeated is set when the transport took a second connection after
+	// something may have been sent on the first.
+	repeated bool
+}
+
+// trace returns the hooks by which the transport reports its connections.
+func (u *connUse) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GetConn: func(string) { u.asked = true },
+		GotConn: func(info httptrace.GotConnInfo) {
+			if u.found && !u.nothingSent() {
+				u.repeated = true
+			}
+			u.found = true
+			u.conn, _ = info.Conn.(*trackedConn)
+			if u.conn == nil {
+				return
+			}
+			u.writes = u.conn.writes.Load()
+			u.readBefore()
+		},
+	}
+}
+
+func (u *connUse) readBefore() {
+	u.conn.readBefore.Store(u.conn.read.Load())
+	u.conn.next.Store(true)
+}
+
+// nothingSent reports whether no byte of the request was sent. When it returns
+// true, none can be sent later either: the connection is sealed.
+func (u *connUse) nothingSent() bool {
+	if u.repeated {
+		return false
+	}
+	if !u.found {
+		return u.asked
+	}
+	if u.conn == nil {
+		return false
+	}
+	return u.conn.writes.Load() == sealed || u.conn.writes.CompareAndSwap(u.writes, sealed)
+}
+
+// answeredEarly reports whether the answer was received before the request was
+// sent, so that it belongs to an earlier request on the connection.
+func (u *connUse) answeredEarly() bool {
+	return u.conn != nil && u.conn.read.Load() == u.conn.readBefore.Load()
+}
--- /dev/null
+++ b/traffic/dispatch.go
@@ -0,0 +1,142 @@
+package traffic
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/crocushinge/crocushinge/link"
+)
+
+// Errors of an attempt.
+var (
+	// errNoSlot means that no target had a free slot.
+	errNoSlot = errors.New("no target has a free slot")
+	// errDeadline means that the deadline passed before the dispatch.
+	errDeadline = errors.New("the deadline passed before the request was sent")
+	// errCrossed means that the answer belongs to another request.
+	errCrossed = errors.New("the answer belongs to another request")
+)
+
+// attempt is one dispatch of a request to a target.
+type attempt struct {
+	handler  *Handler
+	link     *link.Link
+	slot     int
+	started  time.Time
+	outcome  link.Outcome
+	response *http.Response
+	cancel   context.CancelFunc
+}
+
+// dispatch sends the request to one target. The attempt is nil when the
+// request was not sent at all.
+func (h *Handler) dispatch(ctx context.Context, req *request, tried map[*link.Link]bool) (*attempt, error) {
+	now := time.Now()
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	l, slot, ok := req.routing.Pick(rng, now, tried)
+	if !ok {
+		return nil, errNoSlot
+	}
+	if ctx.Err() != nil {
+		l.Release(slot)
+		return nil, errDeadline
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	a := &attempt{handler: h, link: l, slot: slot, started: now, cancel: cancel}
+	conn := &connUse{}
+	out := outbound(httptrace.WithClientTrace(ctx, conn.trace()), req, l.Address)
+	req.prepare(ctx, out)
+	resp, err := h.cfg.Transport.RoundTrip(out)
+	if err == nil && !req.ownAnswer(resp, conn) {
+		_ = resp.Body.Close()
+		err = errCrossed
+	}
+	if err != nil {
+		a.outcome = classify(ctx, err, conn)
+		a.finish()
+		return a, errors.Wrapf(err, "target %s", l.Target)
+	}
+	a.response = resp
+	l.Answered(slot)
+	if resp.StatusCode >= http.StatusInternalServerError {
+		a.outcome = link.Failed
+	}
+	return a, nil
+}
+
+// prepare sets what the target gets besides the caller's own headers.
+func (req *request) prepare(ctx context.Context, out *http.Request) {
+	out.Header.Del(headerForwarded)
+	out.Header.Del(headerFleetToken)
+	out.Header.Set(HeaderRequestID, req.id.String())
+	if deadline, ok := ctx.Deadline(); ok {
+		setTimeLeft(out.Header, deadline, time.Now())
+	}
+	if req.body != nil {
+		req.body.attach(out)
+	}
+}
+
+// ownAnswer reports whether an answer can be this request's own. A target that
+// echoes the request id must echo the right one, and no answer can have been
+// received before its request was sent.
+func (req *request) ownAnswer(resp *http.Response, conn *connUse) bool {
+	if echo := resp.Header.Get(HeaderRequestID); echo != "" && echo != req.id.String() {
+		return false
+	}
+	return !conn.answeredEarly()
+}
+
+// classify tells what a transport error means.
+func classify(ctx context.Context, err error, conn *connUse) link.Outcome {
+	var op *net.OpError
+	switch {
+	case errors.As(err, &op) && op.Op == "dial", conn.nothingSent():
+		return link.ConnectFailed
+	case refusedStream(err):
+		return link.Refused
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return link.TimedOut
+	case errors.Is(ctx.Err(), context.Canceled):
+		return link.Canceled
+	default:
+		return link.Failed
+	}
+}
+
+// refusedStream reports whether HTTP/2 defines that the request was not
+// processed (RFC 9113, 8.7): the stream was refused, or lies beyond the last
+// one of a GOAWAY. The transport exports no type for these errors.
+func refusedStream(err error) bool {
+	text := err.Error()
+	return strings.Contains(text, "REFUSED_STREAM") ||
+		strings.Contains(text, "http2: Transport received Server's graceful shutdown GOAWAY")
+}
+
+// certainlyNotRun reports whether no byte of the request can have reached the
+// application.
+func (a *attempt) certainlyNotRun() bool {
+	return a == nil || a.outcome == link.ConnectFailed || a.outcome == link.Refused
+}
+
+// finish frees the slot and reports the observation.
+func (a *attempt) finish() {
+	a.cancel()
+	a.link.Release(a.slot)
+	latency := time.Since(a.started)
+	a.link.ObserveOutcome(a.outcome, latency)
+	a.handler.cfg.Observe(link.Observation{
+		Target:  a.link.Target,
+		Outcome: a.outcome,
+		Latency: latency,
+		Started: a.started,
+		At:      time.Now(),
+	})
+}
--- a/traffic/message.go
+++ b/traffic/message.go
@@ -4,17 +4,11 @@
 	"context"
 	"net/http"
 	"net/textproto"
-	"strconv"
 	"strings"
 
 	"github.com/crocushinge/crocushinge/caller"
 )
 
-// nonceBase is the number base of the nonce of an id.
-const nonceBase = 36
-
-func formatNonce(n uint64) string { return strconv.FormatUint(n, nonceBase) }
-
 // refusal is an answer of the system's own.
 type refusal struct {
 	status  int
@@ -29,10 +23,6 @@
 	return &refusal{status: status, result: result, message: message}
 }
 
-func refuseError(err error) *refusal {
-	return refuse(http.StatusServiceUnavailable, err.Error())
-}
-
 func (f *refusal) write(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set(HeaderResult, f.result.String())
@@ -71,6 +61,5 @@
 	out.Header = make(http.Header, len(req.in.Header)+1)
 	copyHeaders(out.Header, req.in.Header)
 	out.Header.Del(HeaderKey)
-	out.Header.Set(HeaderRequestID, req.id)
 	return out
 }
