Make accepted changes a consistent cut, and proposals decidable

Cause: a full load that met concurrent writes mixed documents of several revisions under the revision at which it began; one unreadable item stopped all others; a proposal's id used again with another document was reported as accepted; after an ambiguous write the operator could be told 'rejected' while the write was still on its way. Change: the full load is completed from the change log, which is taken up to its first gap; unreadable items are reported and counted; a proposal's item holds the digest of its document; Settle abandons a proposal that has not taken effect, so that a late write fails its condition; a proposal is checked beside what is in force at exactly the revision of its write. Conflicts name operator, time, revision and version. History is kept by subject and read by page. Conclusion: TestFullLoadIsAConsistentCut, TestSettledProposalNeverTakesEffect, TestConflictWithItselfIsAccepted and TestCrossCheckHoldsAtTheRevisionOfTheWrite hold the orders of events in question.

--- a/cmd/crocushinge/commands.go
+++ b/cmd/crocushinge/commands.go
@@ -83,7 +83,7 @@
 		if err := call(ctx, cmd, http.MethodPut, "/v1/contracts/"+c.service+"?"+q.Encode(), c.document, &result); err != nil {
 			return err
 		}
-		fmt.Printf("%s: %s, version %d, revision %d %s\n", c.service, result.Status, result.Version, result.Revision, result.Conflict)
+		fmt.Printf("%s: %s, version %d, revision %d %s\n", c.service, result.Status, result.Version, result.Revision, result.Reason)
 	}
 	return nil
 }
--- a/contract/check.go
+++ b/contract/check.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/crocushinge/crocushinge/zone"
 )
 
 // Fault is a fault of a contract at one of its fields.
@@ -133,6 +135,18 @@
 	}
 }
 
+// CheckZones returns a fault for each target in a zone that is not known.
+func (c *Contract) CheckZones(known func(zone.ID) bool) []Fault {
+	var f faults
+	for i, t := range c.Targets {
+		if !known(t.Zone) {
+			f.report("targets["+strconv.Itoa(i)+"].zone", "write one of the zones of the hosts' settings",
+				"zone %s of target %s is not known", t.Zone, t.Name)
+		}
+	}
+	return f
+}
+
 // repeated reports a value that an earlier element of the same list has.
 func (f *faults) repeated(field, what, value string, i int, seen map[string]int) {
 	first, twice := seen[value]
--- a/contract/contractfile/fuzz_test.go
+++ b/contract/contractfile/fuzz_test.go
@@ -21,7 +21,7 @@
 	f.Add([]byte("\ufeffservice: \"\\u0000\"\n\tfloor: .nan\nload: .inf\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		file, findings := Parse("fuzz.yaml", data)
-		if (file == nil) != (findings.Err() != nil) {
+		if (file == nil) != (findings.Failed()) {
 			t.Fatalf("file %v with findings %v", file, findings)
 		}
 		for _, found := range findings {
@@ -32,7 +32,7 @@
 		if file == nil {
 			return
 		}
-		if _, findings := ParseAccepted("table", data); findings.Err() != nil {
+		if _, findings := ParseAccepted("table", data); findings.Failed() {
 			t.Fatalf("accepted, then refused from the table: %v", findings)
 		}
 	})
--- a/contract/contractfile/parse.go
+++ b/contract/contractfile/parse.go
@@ -63,7 +63,7 @@
 		}}
 	}
 	findings = f.merge(findings, faults)
-	if findings.Err() != nil {
+	if findings.Failed() {
 		return nil, findings
 	}
 	return f, findings
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,18 +44,20 @@
 
 // Daemon is one host as a process.
 type Daemon struct {
-	settings   Settings
-	self       host.Identity
-	log        zerolog.Logger
-	control    *control
-	ring       *timeline.Ring
-	store      *publish.Store
-	hostList   platform.HostList
-	peers      *fleetClient
-	ledger     *caller.Ledger
-	home       *caller.Home
-	handler    *traffic.Handler
-	metrics    *metrics
+	settings Settings
+	self     host.Identity
+	log      zerolog.Logger
+	control  *control
+	ring     *timeline.Ring
+	store    *publish.Store
+	hostList platform.HostList
+	peers    *fleetClient
+	ledger   *caller.Ledger
+	home     *caller.Home
+	handler  *traffic.Handler
+	metrics  *metrics
+	// corrupt counts readings of items of the table that were left out.
+	corrupt    atomic.Int64
 	servers    []*server
 	background sync.WaitGroup
 	// ctx ends when the process has finished its work in flight.
@@ -99,6 +102,10 @@
 		ledger:   caller.NewLedger(caller.DefaultLimits()),
 		home:     caller.NewHome(string(self.ID), self.Incarnation),
 	}
+	d.store.InForce = d.inForce
+	d.store.KnownAccounts = s.accountNames()
+	d.store.KnownZone = s.knownZone()
+	d.store.Corrupt = d.corruptItem
 	d.control = newControl(core, d.ring)
 	d.control.effects = d
 	d.handler = d.newHandler()
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -48,5 +48,14 @@
 			o.Observe(d.control.dropped.Load())
 			return nil
 		}))
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	_, err = meter.Int64ObservableCounter("crocushinge.configuration.unreadable",
+		metric.WithDescription("Readings of items of the table that were left out because they cannot be decoded."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(d.corrupt.Load())
+			return nil
+		}))
 	return m, errors.Wrap(err, "metrics")
 }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -108,6 +108,26 @@
 	return zone.NewMap(zones, nil)
 }
 
+// knownZone returns the test for a declared zone, or nil when none is declared.
+func (s *Settings) knownZone() func(zone.ID) bool {
+	if len(s.Zones) == 0 {
+		return nil
+	}
+	zones := s.zoneMap()
+	return func(id zone.ID) bool {
+		_, ok := zones.Zone(id)
+		return ok
+	}
+}
+
+func (s *Settings) accountNames() []string {
+	out := make([]string, len(s.Accounts))
+	for i, a := range s.Accounts {
+		out[i] = a.Name
+	}
+	return out
+}
+
 func (s *Settings) accounts() []caller.Account {
 	out := make([]caller.Account, len(s.Accounts))
 	for i, a := range s.Accounts {
--- a/finding/finding.go
+++ b/finding/finding.go
@@ -68,6 +68,9 @@
 	return faults
 }
 
+// Failed reports whether a finding is no warning.
+func (l List) Failed() bool { return l.Err() != nil }
+
 // Warnings returns the findings that are warnings.
 func (l List) Warnings() List { return l.split(true) }
 
--- /dev/null
+++ b/publish/propose_test.go
@@ -0,0 +1,232 @@
+package publish
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+func TestRepeatedProposalIsAppliedOnce(t *testing.T) {
+	is := is.New(t)
+	s, table := newStore()
+	first := mustAccept(t, s, proposal("p1", "a", 0))
+	mustAccept(t, s, proposal("p2", "a", 1))
+	again := mustAccept(t, s, proposal("p1", "a", 0))
+	is.Equal(again, first) // even though a newer change came since
+	is.Equal(countChanges(t, table), 2)
+}
+
+func TestReusedIDWithAnotherDocumentIsRejected(t *testing.T) {
+	is := is.New(t)
+	s, table := newStore()
+	mustAccept(t, s, proposal("p1", "a", 0))
+	for _, p := range []Proposal{proposal("p1", "b", 0), {ID: "p1", Operator: "ana", Service: "a", Document: document("a", "/x"), Base: 1}} {
+		r := mustPropose(t, s, p)
+		is.Equal(r.Status, Rejected)
+		is.Equal(r.Reason, ReasonReused)
+		is.Equal(r.Conflict.Revision, uint64(1))
+	}
+	is.Equal(countChanges(t, table), 1)
+}
+
+func TestConflictNamesTheOtherChange(t *testing.T) {
+	is := is.New(t)
+	s, _ := newStore()
+	other := proposal("p1", "a", 0)
+	other.Operator = "joris"
+	mustAccept(t, s, other)
+	r := mustPropose(t, s, proposal("p2", "a", 0))
+	is.Equal(r.Status, Rejected)
+	is.Equal(r.Reason, ReasonConflict)
+	is.True(r.Conflict.At.Equal(s.Now()))
+	r.Conflict.At = s.Now()
+	is.Equal(*r.Conflict, Conflict{Service: "a", Version: 1, Revision: 1, Operator: "joris", At: s.Now(), Proposal: "p1"})
+}
+
+func TestIncompleteProposal(t *testing.T) {
+	is := is.New(t)
+	s, _ := newStore()
+	for _, p := range []Proposal{{Operator: "ana", Service: "a"}, {ID: "p", Service: "a"}, {ID: "p", Operator: "ana"}} {
+		_, err := s.Propose(context.Background(), p)
+		is.True(errors.Is(err, ErrProposal))
+	}
+}
+
+func TestDocumentIsCheckedAgainstWhatIsInForce(t *testing.T) {
+	is := is.New(t)
+	s, table := newStore()
+	mustAccept(t, s, proposal("p1", "a", 0))
+	stealing := proposal("p2", "b", 0)
+	stealing.Document = document("b", "/a")
+	r := mustPropose(t, s, stealing)
+	is.Equal(r.Reason, ReasonFindings)
+	is.Equal(r.Findings.Error(), "b:3:17: route any method /a belongs to service a already (take the route out of one of the two)")
+
+	wrongName := proposal("p3", "c", 0)
+	wrongName.Service = "d"
+	is.Equal(mustPropose(t, s, wrongName).Reason, ReasonFindings)
+
+	s.KnownZone = func(id zone.ID) bool { return id == "lima-a" }
+	r = mustPropose(t, s, proposal("p4", "c", 0))
+	is.True(strings.Contains(r.Findings.Error(), "c:2:53: zone z of target one is not known"))
+	is.Equal(countChanges(t, table), 1)
+}
+
+// TestCrossCheckHoldsAtTheRevisionOfTheWrite lets another operator take the
+// route between the check and the write.
+func TestCrossCheckHoldsAtTheRevisionOfTheWrite(t *testing.T) {
+	is := is.New(t)
+	s, table := newStore()
+	other := &Store{Table: table.Platform, Now: s.Now, KnownAccounts: s.KnownAccounts}
+	table.write = func(ctx context.Context, puts []platform.Put) error {
+		table.write = nil
+		mustAccept(t, other, proposal("p1", "a", 0))
+		return table.Platform.Write(ctx, puts...)
+	}
+	p := proposal("p2", "b", 0)
+	p.Document = document("b", "/a")
+	r := mustPropose(t, s, p)
+	is.Equal(r.Reason, ReasonFindings)
+	is.Equal(countChanges(t, table), 1)
+}
+
+func TestAccountInUseCannotBeRemoved(t *testing.T) {
+	is := is.New(t)
+	s, _ := newStore()
+	shops := []byte("kind: accounts\nname: shops\naccounts: [{name: notary, key-sha256: " + strings.Repeat("ab", 32) + "}]\n")
+	mustAccept(t, s, Proposal{ID: "p1", Operator: "ana", Service: "accounts/shops", Document: shops})
+	p := proposal("p2", "a", 0)
+	p.Document = []byte(strings.Replace(string(p.Document), "[bookshop]", "[notary]", 1))
+	mustAccept(t, s, p)
+	removal := Proposal{ID: "p3", Operator: "ana", Service: "accounts/shops", Base: 1}
+	r := mustPropose(t, s, removal)
+	is.Equal(r.Findings.Error(), "a: account notary is not defined anywhere (correct the name, or add the account to an accounts document)")
+	mustAccept(t, s, Proposal{ID: "p4", Operator: "ana", Service: "a", Base: 1})
+	mustAccept(t, s, removal)
+}
+
+func TestAmbiguousWriteIsReadBack(t *testing.T) {
+	tests := []struct {
+		name         string
+		lostAnswers  int
+		lostRequests int
+	}{{"took effect", 1, 0}, {"took no effect", 0, 1}, {"both", 1, 3}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, table := newStore()
+			table.Faults.LoseAnswers(tt.lostAnswers)
+			table.Faults.LoseWrites(tt.lostRequests)
+			r := mustAccept(t, s, proposal("p1", "a", 0))
+			is.Equal(r.Revision, uint64(1))
+			is.Equal(countChanges(t, table), 1)
+		})
+	}
+}
+
+// ambiguousThenAway makes the first write ambiguous, with or without effect,
+// and the table unavailable from then on.
+func ambiguousThenAway(table *hookedTable, effect bool) {
+	table.write = func(ctx context.Context, puts []platform.Put) error {
+		table.write = nil
+		if effect {
+			_ = table.Platform.Write(ctx, puts...)
+		}
+		table.Faults.Down(true)
+		return platform.ErrAmbiguous
+	}
+}
+
+func TestAmbiguousWriteThatCannotBeReadBackIsUndecided(t *testing.T) {
+	for _, effect := range []bool{true, false} {
+		is := is.New(t)
+		s, table := newStore()
+		ambiguousThenAway(table, effect)
+		r := mustPropose(t, s, proposal("p1", "a", 0))
+		is.Equal(r.Status, Undecided)
+		is.Equal(r.Proposal, "p1")
+
+		table.Faults.Down(false)
+		r = mustAccept(t, s, proposal("p1", "a", 0)) // the repeat applies it once
+		is.Equal(r.Revision, uint64(1))
+		is.Equal(countChanges(t, table), 1)
+	}
+}
+
+// TestSettledProposalNeverTakesEffect delivers an ambiguous write after the
+// operator was told that the proposal is abandoned.
+func TestSettledProposalNeverTakesEffect(t *testing.T) {
+	is := is.New(t)
+	s, table := newStore()
+	var late []platform.Put
+	table.write = func(_ context.Context, puts []platform.Put) error {
+		late, table.write = puts, nil
+		table.Faults.Down(true)
+		return platform.ErrAmbiguous
+	}
+	is.Equal(mustPropose(t, s, proposal("p1", "a", 0)).Status, Undecided)
+	table.Faults.Down(false)
+
+	ctx := context.Background()
+	r, err := s.Resolve(ctx, "p1")
+	is.NoErr(err)
+	is.Equal(r.Status, Absent)
+	table.Faults.LoseAnswers(1) // settling is ambiguous too
+	r, err = s.Settle(ctx, "p1", "ana")
+	is.NoErr(err)
+	is.Equal(r.Reason, ReasonAbandoned)
+
+	is.True(errors.Is(table.Platform.Write(ctx, late...), platform.ErrConflict)) // the late write
+	is.Equal(mustPropose(t, s, proposal("p1", "a", 0)).Reason, ReasonAbandoned)
+	is.Equal(countChanges(t, table), 0)
+}
+
+func TestSettleKeepsAnAcceptedProposal(t *testing.T) {
+	is := is.New(t)
+	s, _ := newStore()
+	want := mustAccept(t, s, proposal("p1", "a", 0))
+	r, err := s.Settle(context.Background(), "p1", "ana")
+	is.NoErr(err)
+	is.Equal(r, want)
+}
+
+// TestConflictWithItselfIsAccepted delivers an ambiguous write between the two
+// readings of the next attempt.
+func TestConflictWithItselfIsAccepted(t *testing.T) {
+	is := is.New(t)
+	s, table := newStore()
+	ctx := context.Background()
+	var late []platform.Put
+	table.write = func(_ context.Context, puts []platform.Put) error {
+		late, table.write = puts, nil
+		return platform.ErrAmbiguous
+	}
+	table.afterGet = func(key platform.Key) {
+		if key == proposalKey("p1") && late != nil {
+			puts := late
+			late = nil
+			is.NoErr(table.Platform.Write(ctx, puts...))
+		}
+	}
+	r := mustAccept(t, s, proposal("p1", "a", 0))
+	is.Equal(r.Revision, uint64(1))
+	is.Equal(countChanges(t, table), 1)
+}
+
+func TestTableAway(t *testing.T) {
+	is := is.New(t)
+	s, table := newStore()
+	table.Faults.Down(true)
+	_, err := s.Propose(context.Background(), proposal("p1", "a", 0))
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	_, _, err = s.ChangesAfter(context.Background(), 0)
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	table.Faults.Reset()
+	is.Equal(countChanges(t, table), 0)
+}
--- /dev/null
+++ b/publish/read.go
@@ -0,0 +1,147 @@
+package publish
+
+import (
+	"context"
+	"sort"
+
+	"github.com/pkg/errors"
+
+	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/wire"
+)
+
+// ChangesAfter reads the changes after a revision, in order, and the revision
+// that they lead to. After 0 it reads the newest change of each subject
+// instead, as of the revision that it returns, whatever is written meanwhile.
+// An item that cannot be read is told to Corrupt and left out.
+func (s *Store) ChangesAfter(ctx context.Context, after uint64) ([]contract.Change, uint64, error) {
+	revision, err := s.Revision(ctx)
+	if err != nil || revision <= after {
+		return nil, after, err
+	}
+	if after > 0 {
+		return s.log(ctx, after)
+	}
+	return s.newest(ctx, revision)
+}
+
+// log reads the changes after a revision. The sequence ends before the first
+// gap: a query is no snapshot, and a change that it missed may have been
+// written before one that it found.
+func (s *Store) log(ctx context.Context, after uint64) ([]contract.Change, uint64, error) {
+	var out []contract.Change
+	last, gap := after, false
+	err := s.scan(ctx, partitionChange, revisionText(after), func(item platform.Item) bool {
+		if gap = item.Key != changeKey(last+1); gap {
+			return false
+		}
+		last++
+		ch, err := wire.DecodeChange(item.Value)
+		if err != nil {
+			s.corrupt(item.Key, err)
+			return true
+		}
+		out = append(out, ch)
+		return true
+	})
+	if err != nil {
+		return nil, after, err
+	}
+	return out, last, nil
+}
+
+// newest reads the newest change of each subject. The scan may meet changes
+// that are newer than the revision at which it began, and miss others that
+// are no newer than those; the log from that revision on completes them to one
+// cut.
+func (s *Store) newest(ctx context.Context, began uint64) ([]contract.Change, uint64, error) {
+	found := make(map[string]contract.Change)
+	latest := began
+	err := s.scan(ctx, partitionContract, "", func(item platform.Item) bool {
+		ch, err := wire.DecodeChange(item.Value)
+		if err != nil {
+			s.corrupt(item.Key, err)
+			return true
+		}
+		found[ch.Service] = ch
+		latest = max(latest, ch.Revision)
+		return true
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	revision := began
+	if latest > began {
+		changes, last, err := s.log(ctx, began)
+		if err != nil {
+			return nil, 0, err
+		}
+		if last < latest {
+			return nil, 0, errors.Wrapf(platform.ErrUnavailable, "change log ends at revision %d before %d", last, latest)
+		}
+		for _, ch := range changes {
+			found[ch.Service] = ch
+		}
+		revision = last
+	}
+	return sorted(found), revision, nil
+}
+
+// scan hands the items of a partition over in order, page by page, until f
+// returns false.
+func (s *Store) scan(ctx context.Context, partition, after string, f func(platform.Item) bool) error {
+	for {
+		items, err := s.Table.Query(ctx, partition, after, pageSize)
+		if err != nil {
+			return err
+		}
+		for _, item := range items {
+			if !f(item) {
+				return nil
+			}
+			after = item.Key.Sort
+		}
+		if len(items) < pageSize {
+			return nil
+		}
+	}
+}
+
+func sorted(found map[string]contract.Change) []contract.Change {
+	out := make([]contract.Change, 0, len(found))
+	for _, ch := range found {
+		out = append(out, ch)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Revision < out[j].Revision })
+	return out
+}
+
+// History reads the changes of a subject after a revision, oldest first and
+// without their documents, at most limit of them.
+func (s *Store) History(ctx context.Context, subject string, after uint64, limit int) ([]contract.Change, error) {
+	items, err := s.Table.Query(ctx, partitionHistory+subject, revisionText(after), limit)
+	if err != nil {
+		return nil, err
+	}
+	var out []contract.Change
+	for _, item := range items {
+		sum, err := wire.DecodeSummary(item.Value)
+		if err != nil {
+			s.corrupt(item.Key, err)
+			continue
+		}
+		out = append(out, sum.Change)
+	}
+	return out, nil
+}
+
+// Change reads the change of a revision with its document. It fails with
+// platform.ErrNotFound.
+func (s *Store) Change(ctx context.Context, revision uint64) (contract.Change, error) {
+	item, err := s.Table.Get(ctx, changeKey(revision))
+	if err != nil {
+		return contract.Change{}, err
+	}
+	return wire.DecodeChange(item.Value)
+}
--- /dev/null
+++ b/publish/read_test.go
@@ -0,0 +1,135 @@
+package publish
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/platform"
+)
+
+// versions lists the changes as "service@revision".
+func versions(changes []contract.Change) []string {
+	var out []string
+	for _, ch := range changes {
+		out = append(out, fmt.Sprintf("%s@%d", ch.Service, ch.Revision))
+	}
+	return out
+}
+
+// TestFullLoadIsAConsistentCut changes two documents while the load is on its
+// way: the scan has passed one of them and not the other.
+func TestFullLoadIsAConsistentCut(t *testing.T) {
+	is := is.New(t)
+	s, table := newStore()
+	for i := range pageSize + 1 { // two pages
+		p := proposal(fmt.Sprintf("p%d", i), fmt.Sprintf("s%04d", i), 0)
+		is.NoErr(s.write(context.Background(), contract.Change{
+			Revision: uint64(i) + 1, Service: p.Service, Version: 1, Document: p.Document, Proposal: p.ID,
+		}))
+	}
+	first, last := "s0000", fmt.Sprintf("s%04d", pageSize)
+	queries := 0
+	table.beforeQuery = func(string) {
+		if queries++; queries != 2 {
+			return
+		}
+		other := &Store{Table: table.Platform, Now: s.Now, KnownAccounts: s.KnownAccounts}
+		mustAccept(t, other, proposal("n1", first, 1))
+		mustAccept(t, other, proposal("n2", last, 1))
+		mustAccept(t, other, proposal("n3", first, 2))
+	}
+	changes, revision, err := s.ChangesAfter(context.Background(), 0)
+	is.NoErr(err)
+	is.Equal(revision, uint64(pageSize+4))
+	is.Equal(len(changes), pageSize+1)
+	got := versions(changes)
+	is.Equal(got[len(got)-2:], []string{fmt.Sprintf("%s@%d", last, pageSize+3), fmt.Sprintf("%s@%d", first, pageSize+4)})
+}
+
+// TestLogEndsAtAGap covers a query that misses a change and finds a later one.
+func TestLogEndsAtAGap(t *testing.T) {
+	is := is.New(t)
+	s, table := newStore()
+	for i := range uint64(4) {
+		mustAccept(t, s, proposal(fmt.Sprintf("p%d", i), "a", i))
+	}
+	changes, revision, err := (&Store{Table: gapTable{table, changeKey(3)}}).ChangesAfter(context.Background(), 1)
+	is.NoErr(err)
+	is.Equal(versions(changes), []string{"a@2"})
+	is.Equal(revision, uint64(2))
+}
+
+// gapTable hides one item from queries.
+type gapTable struct {
+	platform.Table
+	hidden platform.Key
+}
+
+func (g gapTable) Query(ctx context.Context, partition, after string, limit int) ([]platform.Item, error) {
+	items, err := g.Table.Query(ctx, partition, after, limit)
+	var out []platform.Item
+	for _, item := range items {
+		if item.Key != g.hidden {
+			out = append(out, item)
+		}
+	}
+	return out, err
+}
+
+func TestCorruptItemDoesNotStopTheOthers(t *testing.T) {
+	is := is.New(t)
+	s, table := newStore()
+	mustAccept(t, s, proposal("p1", "a", 0))
+	mustAccept(t, s, proposal("p2", "b", 0))
+	mustAccept(t, s, proposal("p3", "c", 0))
+	ctx := context.Background()
+	is.NoErr(table.Write(ctx,
+		platform.Put{Key: contractKey("b"), Value: []byte(`{"revision":2,"service":"b","document":"floor: ["}`), IfVersion: 1},
+		platform.Put{Key: changeKey(2), Value: []byte("?"), IfVersion: 1}))
+	var reported []platform.Key
+	s.Corrupt = func(key platform.Key, _ error) { reported = append(reported, key) }
+
+	changes, revision, err := s.ChangesAfter(ctx, 0)
+	is.NoErr(err)
+	is.Equal(revision, uint64(3))
+	is.Equal(versions(changes), []string{"a@1", "c@3"})
+	changes, revision, err = s.ChangesAfter(ctx, 1)
+	is.NoErr(err)
+	is.Equal(revision, uint64(3))
+	is.Equal(versions(changes), []string{"c@3"})
+	is.Equal(reported, []platform.Key{contractKey("b"), changeKey(2)})
+
+	mustAccept(t, s, proposal("p4", "b", 2)) // publishing it again mends it
+	changes, _, err = s.ChangesAfter(ctx, 0)
+	is.NoErr(err)
+	is.Equal(versions(changes), []string{"a@1", "c@3", "b@4"})
+}
+
+func TestHistoryIsPagedAndSurvivesRemoval(t *testing.T) {
+	is := is.New(t)
+	s, _ := newStore()
+	ctx := context.Background()
+	mustAccept(t, s, proposal("p1", "a", 0))
+	mustAccept(t, s, proposal("p2", "b", 0))
+	mustAccept(t, s, Proposal{ID: "p3", Operator: "joris", Service: "a", Base: 1})
+	mustAccept(t, s, proposal("p4", "a", 2))
+
+	page, err := s.History(ctx, "a", 0, 2)
+	is.NoErr(err)
+	is.Equal(versions(page), []string{"a@1", "a@3"})
+	is.Equal(page[1].Operator, "joris")
+	page, err = s.History(ctx, "a", 3, 2)
+	is.NoErr(err)
+	is.Equal(versions(page), []string{"a@4"})
+
+	ch, err := s.Change(ctx, 1)
+	is.NoErr(err)
+	is.Equal(string(ch.Document), string(document("a", "/a")))
+	ch, err = s.Change(ctx, 3)
+	is.NoErr(err)
+	is.Equal(len(ch.Document), 0)
+}
