--- a/daemon/control.go
+++ b/daemon/control.go
@@ -39,7 +39,9 @@
 type effector interface {
 	readConfiguration(host.ReadConfiguration)
 	fetchChanges(host.FetchChanges)
-	sendHeartbeat(host.SendHeartbeat)
+	sendPing(host.SendPing)
+	sendIndirectPing(host.SendIndirectPing)
+	sendSync(host.SendSync)
 	readHostList()
 	recorded(timeline.Event)
 }
@@ -144,8 +146,12 @@
 			c.effects.readConfiguration(e)
 		case host.FetchChanges:
 			c.effects.fetchChanges(e)
-		case host.SendHeartbeat:
-			c.effects.sendHeartbeat(e)
+		case host.SendPing:
+			c.effects.sendPing(e)
+		case host.SendIndirectPing:
+			c.effects.sendIndirectPing(e)
+		case host.SendSync:
+			c.effects.sendSync(e)
 		case host.ReadHostList:
 			c.effects.readHostList()
 		case host.Record:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,8 +66,9 @@
 
 // New builds a daemon from checked settings and opens its listeners. A port of
 // 0 in the settings takes a free one.
-func New(s Settings, p Platform, log zerolog.Logger) (*Daemon, error) {
-	servers, err := listen(s.Address, s.APIAddress, s.FleetAddress)
+func New(s Settings, p Platform, log zerolog.Logger, opts ...Option) (*Daemon, error) {
+	network := newOptions(opts).network
+	servers, err := listen(network, s.Address, s.APIAddress, s.FleetAddress)
 	if err != nil {
 		return nil, err
 	}
@@ -98,7 +99,7 @@
 		ring:     timeline.NewRing(ringCapacity),
 		store:    &publish.Store{Table: p.Table, Now: time.Now},
 		hostList: p.HostList,
-		peers:    newFleetClient(s.FleetToken),
+		peers:    newFleetClient(s.FleetToken, network),
 		ledger:   caller.NewLedger(caller.DefaultLimits()),
 		home:     caller.NewHome(string(self.ID), self.Incarnation),
 	}
@@ -108,7 +109,7 @@
 	d.store.Corrupt = d.corruptItem
 	d.control = newControl(core, d.ring)
 	d.control.effects = d
-	d.handler = d.newHandler()
+	d.handler = d.newHandler(network)
 	if d.metrics, err = newMetrics(d); err != nil {
 		return nil, err
 	}
@@ -171,10 +172,10 @@
 )
 
 // listen opens a listener on each address.
-func listen(addresses ...string) ([]*server, error) {
+func listen(network Network, addresses ...string) ([]*server, error) {
 	var servers []*server
 	for _, address := range addresses {
-		listener, err := net.Listen("tcp", address)
+		listener, err := network.Listen(address)
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
@@ -187,7 +188,7 @@
 }
 
 func (d *Daemon) fleetHandler() http.Handler {
-	path, handler := fleetv1connect.NewFleetServiceHandler(&fleetServer{control: d.control, ring: d.ring})
+	path, handler := fleetv1connect.NewFleetServiceHandler(&fleetServer{control: d.control, peers: d.peers, ring: d.ring})
 	mux := http.NewServeMux()
 	mux.Handle(path, requireToken(d.settings.FleetToken, handler))
 	return mux
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -5,7 +5,6 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/timeline"
 	"github.com/crocushinge/crocushinge/wire"
@@ -42,32 +41,57 @@
 		}
 		ev := host.ConfigurationRead{Revision: resp.Msg.GetRevision()}
 		for _, p := range resp.Msg.GetChanges() {
-			var ch contract.Change
-			if ch, ev.Err = wire.ChangeFromProto(p); ev.Err != nil {
-				break
-			}
+			// A document that this host can't read comes without its contract;
+			// the core records it and keeps it for peers that can.
+			ch, _ := wire.ChangeFromProto(p)
 			ev.Changes = append(ev.Changes, ch)
 		}
 		d.control.send(d.ctx, ev)
 	})
 }
 
-func (d *Daemon) sendHeartbeat(e host.SendHeartbeat) {
+func (d *Daemon) sendPing(e host.SendPing) {
 	d.start(func(ctx context.Context) {
-		req := connect.NewRequest(&fleetv1.HeartbeatRequest{
-			From:     wire.PeerToProto(e.From),
-			Revision: e.Revision,
-			Stamp:    wire.StampToProto(e.Stamp),
+		ctx, cancel := context.WithTimeout(ctx, e.Timeout)
+		defer cancel()
+		answer, err := d.peers.ping(ctx, e.To.FleetAddress, e.Message)
+		if err != nil || answer.From.ID != e.To.ID {
+			d.control.send(d.ctx, host.PingFailed{Subject: e.To.ID})
+			return
+		}
+		d.control.send(d.ctx, host.PingAnswered{Message: answer})
+	})
+}
+
+func (d *Daemon) sendIndirectPing(e host.SendIndirectPing) {
+	d.start(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, e.Timeout)
+		defer cancel()
+		req := connect.NewRequest(&fleetv1.IndirectPingRequest{
+			Subject:       wire.PeerToProto(e.Subject),
+			TimeoutMillis: uint32(e.Timeout.Milliseconds()),
 		})
-		resp, err := d.peers.to(e.FleetAddress).Heartbeat(ctx, req)
+		ev := host.IndirectAnswered{Subject: e.Subject.ID}
+		resp, err := d.peers.to(e.Via.FleetAddress).IndirectPing(ctx, req)
+		if err != nil {
+			ev.Err = err
+		} else {
+			ev.Reached = resp.Msg.GetReached()
+		}
+		d.control.send(d.ctx, ev)
+	})
+}
+
+func (d *Daemon) sendSync(e host.SendSync) {
+	d.start(func(ctx context.Context) {
+		req := connect.NewRequest(&fleetv1.SyncRequest{Message: wire.MessageToProto(e.Message)})
+		resp, err := d.peers.to(e.To).Sync(ctx, req)
 		if err != nil {
 			return
 		}
-		d.control.send(d.ctx, host.HeartbeatHeard{
-			From:     wire.PeerFromProto(resp.Msg.GetFrom()),
-			Revision: resp.Msg.GetRevision(),
-			Stamp:    wire.StampFromProto(resp.Msg.GetStamp()),
-			Peers:    wire.PeersFromProto(resp.Msg.GetPeers()),
+		d.control.send(d.ctx, host.SyncAnswered{
+			Message: wire.MessageFromProto(resp.Msg.GetMessage()),
+			Members: wire.UpdatesFromProto(resp.Msg.GetMembers()),
 		})
 	})
 }
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -23,31 +23,72 @@
 // authorizationHeader carries the fleet's or an operator's token.
 const authorizationHeader = "Authorization"
 
-var errFleetToken = errors.New("missing or wrong fleet token")
+var (
+	errFleetToken = errors.New("missing or wrong fleet token")
+	errNoSender   = errors.New("the message names no sender")
+)
 
 var _ fleetv1connect.FleetServiceHandler = (*fleetServer)(nil)
 
 // fleetServer answers the other hosts.
 type fleetServer struct {
 	control *control
+	peers   *fleetClient
 	ring    *timeline.Ring
 }
 
-// Heartbeat implements fleetv1connect.FleetServiceHandler.
-func (s *fleetServer) Heartbeat(ctx context.Context, req *connect.Request[fleetv1.HeartbeatRequest]) (*connect.Response[fleetv1.HeartbeatResponse], error) {
-	m := req.Msg
-	s.control.send(ctx, host.HeartbeatHeard{
-		From:     wire.PeerFromProto(m.GetFrom()),
-		Revision: m.GetRevision(),
-		Stamp:    wire.StampFromProto(m.GetStamp()),
-	})
-	resp := &fleetv1.HeartbeatResponse{}
-	err := s.control.call(ctx, func(core *host.Core) {
-		resp.From = wire.PeerToProto(core.Self())
-		resp.Revision = core.Revision()
-		resp.Stamp = wire.StampToProto(core.Stamp(time.Now()))
-		resp.Peers = wire.PeersToProto(core.Peers())
-	})
+// Ping implements fleetv1connect.FleetServiceHandler. The control thread
+// answers, so that an answer shows that it works.
+func (s *fleetServer) Ping(ctx context.Context, req *connect.Request[fleetv1.PingRequest]) (*connect.Response[fleetv1.PingResponse], error) {
+	answer, err := s.answer(ctx, wire.MessageFromProto(req.Msg.GetMessage()))
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&fleetv1.PingResponse{Message: wire.MessageToProto(answer)}), nil
+}
+
+// answer takes in a peer's message and returns the one for it.
+func (s *fleetServer) answer(ctx context.Context, m host.Message) (host.Message, error) {
+	if m.From.ID == "" {
+		return host.Message{}, connect.NewError(connect.CodeInvalidArgument, errNoSender)
+	}
+	s.control.send(ctx, host.MessageHeard{Message: m})
+	var answer host.Message
+	err := s.control.call(ctx, func(core *host.Core) { answer = core.Message(time.Now(), m.From.ID) })
+	return answer, err
+}
+
+// IndirectPing implements fleetv1connect.FleetServiceHandler.
+func (s *fleetServer) IndirectPing(ctx context.Context, req *connect.Request[fleetv1.IndirectPingRequest]) (*connect.Response[fleetv1.IndirectPingResponse], error) {
+	subject := wire.PeerFromProto(req.Msg.GetSubject())
+	var m host.Message
+	if err := s.control.call(ctx, func(core *host.Core) { m = core.Message(time.Now(), subject.ID) }); err != nil {
+		return nil, err
+	}
+	// The relay keeps half of the asker's time for its own answer.
+	timeout := time.Duration(req.Msg.GetTimeoutMillis()) * time.Millisecond / 2
+	pingCtx, cancel := context.WithTimeout(ctx, min(timeout, callTimeout))
+	defer cancel()
+	answer, err := s.peers.ping(pingCtx, subject.FleetAddress, m)
+	reached := err == nil && answer.From.ID == subject.ID
+	if reached {
+		s.control.send(ctx, host.PingAnswered{Message: answer})
+	}
+	return connect.NewResponse(&fleetv1.IndirectPingResponse{Reached: reached}), nil
+}
+
+// Sync implements fleetv1connect.FleetServiceHandler.
+func (s *fleetServer) Sync(ctx context.Context, req *connect.Request[fleetv1.SyncRequest]) (*connect.Response[fleetv1.SyncResponse], error) {
+	asked := wire.MessageFromProto(req.Msg.GetMessage())
+	answer, err := s.answer(ctx, asked)
+	if err != nil {
+		return nil, err
+	}
+	resp := &fleetv1.SyncResponse{Message: wire.MessageToProto(answer)}
+	if answer.Digest == asked.Digest {
+		return connect.NewResponse(resp), nil
+	}
+	err = s.control.call(ctx, func(core *host.Core) { resp.Members = wire.UpdatesToProto(core.Members()) })
 	return connect.NewResponse(resp), err
 }
 
@@ -114,13 +155,40 @@
 	return t.next.RoundTrip(r)
 }
 
+// Limits of the connections to other hosts.
+const (
+	// fleetIdleTime is how long an idle connection is kept. At hundreds of
+	// hosts a host pings the same peer every few minutes only; at tens, a
+	// longer time saves the handshakes.
+	fleetIdleTime = 90 * time.Second
+	// fleetIdleConnections bounds the idle connections to all peers together.
+	fleetIdleConnections = 64
+)
+
 // fleetClient calls the other hosts.
 type fleetClient struct{ http *http.Client }
 
-func newFleetClient(token string) *fleetClient {
-	return &fleetClient{http: &http.Client{Transport: tokenTransport{token: token, next: http.DefaultTransport}}}
+func newFleetClient(token string, network Network) *fleetClient {
+	transport := &http.Transport{
+		DialContext:         network.DialContext,
+		MaxIdleConns:        fleetIdleConnections,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     fleetIdleTime,
+		DisableCompression:  true,
+	}
+	return &fleetClient{http: &http.Client{Transport: tokenTransport{token: token, next: transport}}}
 }
 
 func (c *fleetClient) to(fleetAddress string) fleetv1connect.FleetServiceClient {
 	return fleetv1connect.NewFleetServiceClient(c.http, "http://"+fleetAddress)
 }
+
+// ping sends a message to a host and returns its answer.
+func (c *fleetClient) ping(ctx context.Context, fleetAddress string, m host.Message) (host.Message, error) {
+	req := connect.NewRequest(&fleetv1.PingRequest{Message: wire.MessageToProto(m)})
+	resp, err := c.to(fleetAddress).Ping(ctx, req)
+	if err != nil {
+		return host.Message{}, err
+	}
+	return wire.MessageFromProto(resp.Msg.GetMessage()), nil
+}
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -16,7 +16,7 @@
 )
 
 // newHandler builds the handler of callers' requests.
-func (d *Daemon) newHandler() *traffic.Handler {
+func (d *Daemon) newHandler(network Network) *traffic.Handler {
 	return traffic.NewHandler(traffic.Config{
 		Snapshot:   d.control.snapshot.Load,
 		Home:       d.home,
@@ -24,8 +24,8 @@
 		Bodies:     caller.NewMemory(bodyMemory),
 		Observe:    d.control.observe,
 		Ended:      d.control.ended,
-		Transport:  traffic.NewTransport(),
-		Peers:      traffic.NewPeerTransport(),
+		Transport:  traffic.NewTransport(network.DialContext),
+		Peers:      traffic.NewPeerTransport(network.DialContext),
 		FleetToken: d.settings.FleetToken,
 	})
 }
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -16,38 +16,45 @@
 func (c *Core) configurationRead(now time.Time, ev ConfigurationRead) {
 	if ev.FromStore {
 		c.noteStore(now, ev.Err)
+	} else {
+		c.fetchEnded(ev)
 	}
 	if ev.Err != nil {
 		return
 	}
-	if !c.ready {
-		c.ready = true
-		c.dirty = true
+	if ev.FromStore {
+		c.becomeReady()
 	}
-	if ev.Revision <= c.revision {
-		return
+	if ev.Revision > c.revision {
+		c.advance(now, ev)
 	}
-	accounts := false
+	c.fetchNewest(now)
+}
+
+// advance puts changes in force and tells other hosts at once.
+func (c *Core) advance(now time.Time, ev ConfigurationRead) {
 	for _, ch := range ev.Changes {
 		if ch.Revision > c.revision {
 			c.putInForce(now, ch)
-			_, isAccounts := contract.AccountsName(ch.Service)
-			accounts = accounts || isAccounts
 		}
 	}
-	if accounts {
-		c.rebuildAccounts()
-	}
 	c.revision = ev.Revision
 	c.rebuildRoutes()
+	c.rebuildAccounts()
 	c.rebuildEntrySets()
 	c.dirty = true
 	c.record(now, timeline.Event{Kind: timeline.ConfigurationInForce, Revision: c.revision})
+	if c.ready {
+		c.announce(now)
+	}
 }
 
 // noteStore records when the table goes away and when it is back.
 func (c *Core) noteStore(now time.Time, err error) {
 	away := err != nil
+	if !away {
+		c.news.store = now
+	}
 	if away == c.storeAway {
 		return
 	}
@@ -60,6 +67,7 @@
 }
 
 func (c *Core) putInForce(now time.Time, ch contract.Change) {
+	ch = c.keepReadable(now, ch)
 	c.changes = append(withoutService(c.changes, ch.Service), ch)
 	sort.Slice(c.changes, func(i, j int) bool {
 		return c.changes[i].Revision < c.changes[j].Revision
@@ -79,6 +87,24 @@
 	c.services[ch.Service] = service.New(ch.Contract, place, now)
 }
 
+// keepReadable replaces what could not be read in a change by what was in force
+// before. Its document stays, for peers that can read it.
+func (c *Core) keepReadable(now time.Time, ch contract.Change) contract.Change {
+	if len(ch.Document) == 0 || ch.Contract != nil || ch.Accounts != nil {
+		return ch
+	}
+	c.record(now, timeline.Event{
+		Kind: timeline.ConfigurationUnreadable, Service: ch.Service, Revision: ch.Revision,
+		Reason: "the document could not be read; the earlier one stays in force",
+	})
+	for _, previous := range c.changes {
+		if previous.Service == ch.Service {
+			ch.Contract, ch.Accounts = previous.Contract, previous.Accounts
+		}
+	}
+	return ch
+}
+
 func withoutService(changes []contract.Change, name string) []contract.Change {
 	out := changes[:0]
 	for _, ch := range changes {
--- a/host/core.go
+++ b/host/core.go
@@ -55,7 +55,25 @@
 	// dirty is set when the snapshot must be published again.
 	dirty bool
 
-	nextHeartbeat time.Time
+	// rounds are the checks of peers under way.
+	rounds    map[ID]*pingRound
+	pingOrder []ID
+	updates   updateQueue
+	doubts    awareness
+	// listed are addresses from the host list that may be other hosts.
+	listed []string
+	// replaced is set when a later process has this host's id.
+	replaced bool
+
+	// lastAnswer is when a peer last answered this host.
+	lastAnswer time.Time
+	lastTick   time.Time
+	fetch      fetchState
+	news       newsState
+
+	nextPing      time.Time
+	nextSync      time.Time
+	nextRecontact time.Time
 	nextPoll      time.Time
 	nextHostList  time.Time
 	storeAway     bool
@@ -68,6 +86,7 @@
 		self:      cfg.Self,
 		services:  make(map[string]*service.Service),
 		peers:     make(map[ID]*Peer),
+		rounds:    make(map[ID]*pingRound),
 		entrySets: make(map[string]EntrySet),
 		routes:    route.NewTable(nil),
 		accounts:  caller.NewAccounts(cfg.Accounts),
@@ -101,8 +120,16 @@
 		c.observe(now, ev.Observations)
 	case ConfigurationRead:
 		c.configurationRead(now, ev)
-	case HeartbeatHeard:
-		c.heartbeatHeard(now, ev)
+	case MessageHeard:
+		c.messageHeard(now, ev.Message)
+	case PingAnswered:
+		c.pingAnswered(now, ev)
+	case PingFailed:
+		c.pingFailed(now, ev)
+	case IndirectAnswered:
+		c.indirectAnswered(now, ev)
+	case SyncAnswered:
+		c.syncAnswered(now, ev)
 	case HostListRead:
 		c.hostListRead(now, ev)
 	case ProbeAnswered:
@@ -133,22 +160,53 @@
 		c.applyTransitions(now, s.Tick(now))
 		c.sendProbes(now, s)
 	}
-	c.agePeers(now)
+	c.noticePause(now)
+	c.expireRounds(now)
+	c.expireSuspicions(now)
+	c.refreshNews(now)
+	c.refreshSelf(now)
 	c.refreshEntrySets(now)
-	if !now.Before(c.nextHeartbeat) {
-		c.nextHeartbeat = now.Add(c.jitter(c.cfg.Timing.Heartbeat))
-		c.sendHeartbeats(now)
+	c.startPeriodic(now)
+}
+
+// startPeriodic starts what is due of the work that every host does all the
+// time. All periods are jittered.
+func (c *Core) startPeriodic(now time.Time) {
+	timing, hosts := c.cfg.Timing, len(c.peers)+1
+	if c.due(now, &c.nextPing, timing.PingInterval) {
+		c.pingNext(now)
+	}
+	if c.due(now, &c.nextSync, timing.syncPeriod(hosts)) {
+		c.syncPeers(now)
 	}
-	if !now.Before(c.nextPoll) {
-		c.nextPoll = now.Add(c.jitter(c.cfg.Timing.Poll))
+	if c.due(now, &c.nextRecontact, c.recontactPeriod()) {
+		c.recontact(now)
+	}
+	if c.due(now, &c.nextPoll, pollPeriod(timing.Poll, hosts)) {
 		c.emit(ReadConfiguration{After: c.revision})
 	}
-	if !now.Before(c.nextHostList) {
-		c.nextHostList = now.Add(c.jitter(c.cfg.Timing.HostListPoll))
+	if c.due(now, &c.nextHostList, pollPeriod(timing.HostListPoll, hosts)) {
 		c.emit(ReadHostList{})
 	}
 }
 
+// due reports whether a time has come, and sets the next one.
+func (c *Core) due(now time.Time, next *time.Time, period time.Duration) bool {
+	if now.Before(*next) {
+		return false
+	}
+	*next = now.Add(c.jitter(period))
+	return true
+}
+
+// recontactPeriod is short until the host has found another one.
+func (c *Core) recontactPeriod() time.Duration {
+	if len(c.peers) == 0 {
+		return c.cfg.Timing.PingInterval
+	}
+	return c.cfg.Timing.RecontactInterval
+}
+
 // jitter spreads a period over 75% to 125% of it, so that the hosts of the
 // fleet do not act in step.
 func (c *Core) jitter(d time.Duration) time.Duration {
@@ -214,9 +272,8 @@
 		return
 	}
 	c.self.Leaving = true
-	c.dirty = true
 	c.record(now, timeline.Event{Kind: timeline.HostLeaving})
-	c.sendHeartbeats(now)
+	c.tellOfSelf(now)
 }
 
 // publish emits a new snapshot when something that traffic reads has changed.
@@ -238,28 +295,40 @@
 		Zones:     c.cfg.Zones,
 		usable:    make(map[ID]bool),
 	}
-	for _, id := range snap.Directory {
-		snap.usable[id.ID] = id.ID != c.self.ID
-	}
 	for name, s := range c.services {
 		snap.Services[name] = s.Routing()
 	}
 	for id, p := range c.peers {
 		if p.State != PeerGone {
 			snap.Peers[id] = p.Identity
+			snap.usable[id] = p.Usable() && !p.Unreachable
 		}
 	}
 	c.emit(Publish{Snapshot: snap})
 }
 
-// directory lists the hosts that callers may use, sorted by id.
+// directory lists the hosts that callers may use, sorted by id. When fewer
+// than minEntryHosts are well, it lists the sick and suspected ones too: a
+// caller is better off with a doubtful choice than with none. A host that does
+// not know the configuration yet lists none.
 func (c *Core) directory() []Identity {
+	if !c.ready {
+		return nil
+	}
+	out := c.hostsFor(func(p *Peer) bool { return p.Usable() }, !c.self.Sick)
+	if len(out) < minEntryHosts {
+		out = c.hostsFor(func(p *Peer) bool { return p.State != PeerGone && !p.Identity.Leaving }, !c.news.stale)
+	}
+	return out
+}
+
+func (c *Core) hostsFor(include func(*Peer) bool, self bool) []Identity {
 	var out []Identity
-	if !c.self.Leaving && c.ready {
+	if self && !c.self.Leaving && !c.replaced {
 		out = append(out, c.self)
 	}
 	for _, p := range c.peers {
-		if p.State == PeerAlive && !p.Identity.Leaving {
+		if include(p) {
 			out = append(out, p.Identity)
 		}
 	}
--- a/host/effect.go
+++ b/host/effect.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"time"
+
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/target"
 	"github.com/crocushinge/crocushinge/timeline"
@@ -22,12 +24,25 @@
 		After uint64
 	}
 
-	// SendHeartbeat sends a heartbeat to an address.
-	SendHeartbeat struct {
-		FleetAddress string
-		From         Identity
-		Revision     uint64
-		Stamp        timeline.Stamp
+	// SendPing sends a message to a peer and asks for an answer.
+	SendPing struct {
+		To      Identity
+		Message Message
+		Timeout time.Duration
+	}
+
+	// SendIndirectPing asks a peer to ping another one.
+	SendIndirectPing struct {
+		Via     Identity
+		Subject Identity
+		Timeout time.Duration
+	}
+
+	// SendSync asks a host for its list of hosts.
+	SendSync struct {
+		// To is a fleet address.
+		To      string
+		Message Message
 	}
 
 	// ReadHostList asks for the platform's host list.
@@ -50,7 +65,9 @@
 func (Publish) isEffect()           {}
 func (ReadConfiguration) isEffect() {}
 func (FetchChanges) isEffect()      {}
-func (SendHeartbeat) isEffect()     {}
+func (SendPing) isEffect()          {}
+func (SendIndirectPing) isEffect()  {}
+func (SendSync) isEffect()          {}
 func (ReadHostList) isEffect()      {}
 func (SendProbe) isEffect()         {}
 func (Record) isEffect()            {}
--- a/host/entryset.go
+++ b/host/entryset.go
@@ -75,7 +75,7 @@
 func newCandidates(hosts []Identity) []candidate {
 	out := make([]candidate, len(hosts))
 	for i, h := range hosts {
-		out[i] = candidate{identity: h, hash: xxhash.Sum64String(string(h.ID))}
+		out[i] = candidate{identity: h, hash: hashID(h.ID)}
 	}
 	return out
 }
@@ -200,10 +200,12 @@
 	var best ranked
 	seed := xxhash.Sum64String(target)
 	for _, m := range e.Members {
-		r := ranked{identity: m, score: mix(seed ^ xxhash.Sum64String(string(m.ID)))}
+		r := ranked{identity: m, score: mix(seed ^ hashID(m.ID))}
 		if best.identity.ID == "" || compareRanked(r, best) < 0 {
 			best = r
 		}
 	}
 	return best.identity.ID == id
 }
+
+func hashID(id ID) uint64 { return xxhash.Sum64String(string(id)) }
--- a/host/event.go
+++ b/host/event.go
@@ -8,7 +8,6 @@
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/platform"
 	"github.com/crocushinge/crocushinge/target"
-	"github.com/crocushinge/crocushinge/timeline"
 )
 
 // Event is something that happened to the host.
@@ -23,7 +22,8 @@
 
 	// ConfigurationRead is the answer to ReadConfiguration or FetchChanges.
 	ConfigurationRead struct {
-		// Changes are the changes after the revision asked for, in order.
+		// Changes are the changes after the revision asked for, in order. The
+		// document of one without a contract could not be read.
 		Changes []contract.Change
 		// Revision is the one that the changes lead to.
 		Revision uint64
@@ -32,13 +32,30 @@
 		Err       error
 	}
 
-	// HeartbeatHeard is a heartbeat, or the answer to one, from a peer.
-	HeartbeatHeard struct {
-		From     Identity
-		Revision uint64
-		Stamp    timeline.Stamp
-		// Peers are the hosts that the peer knows to be alive.
-		Peers []Identity
+	// MessageHeard is a message from a peer that asks for an answer.
+	MessageHeard struct{ Message Message }
+
+	// PingAnswered is the answer to SendPing.
+	PingAnswered struct{ Message Message }
+
+	// PingFailed tells that SendPing got no answer.
+	PingFailed struct{ Subject ID }
+
+	// IndirectAnswered is the answer to SendIndirectPing.
+	IndirectAnswered struct {
+		Subject ID
+		// Reached is set when the relay got an answer of the subject.
+		Reached bool
+		// Err is set when the relay did not answer.
+		Err error
+	}
+
+	// SyncAnswered is the answer to SendSync.
+	SyncAnswered struct {
+		Message Message
+		// Members are the hosts that the peer does not take to be gone; empty
+		// when its digest equals this host's.
+		Members []Update
 	}
 
 	// HostListRead is the answer to ReadHostList.
@@ -81,7 +98,11 @@
 func (Tick) isEvent()              {}
 func (Observed) isEvent()          {}
 func (ConfigurationRead) isEvent() {}
-func (HeartbeatHeard) isEvent()    {}
+func (MessageHeard) isEvent()      {}
+func (PingAnswered) isEvent()      {}
+func (PingFailed) isEvent()        {}
+func (IndirectAnswered) isEvent()  {}
+func (SyncAnswered) isEvent()      {}
 func (HostListRead) isEvent()      {}
 func (ProbeAnswered) isEvent()     {}
 func (RequestEnded) isEvent()      {}
--- a/host/host.go
+++ b/host/host.go
@@ -12,9 +12,14 @@
 // Identity is what one incarnation of a host tells of itself.
 type Identity struct {
 	ID ID
-	// Incarnation is greater for each start of the host.
+	// Incarnation is greater for each start of the host. Request ids name it.
+	// A pause does not change it, because the memory that keeps a request from
+	// running twice outlives the pause.
 	Incarnation uint64
-	Zone        zone.ID
+	// Sequence counts what this incarnation has told of itself. The host
+	// raises it to refute that it is suspected or gone.
+	Sequence uint32
+	Zone     zone.ID
 	// Address serves callers, "ip:port".
 	Address string
 	// FleetAddress serves the other hosts, "ip:port".
@@ -23,55 +28,60 @@
 	APIAddress string
 	// Leaving is set while the host shuts down.
 	Leaving bool
+	// Sick is set while the host doubts itself or does not know the
+	// configuration yet; callers are not sent to it.
+	Sick bool
+}
+
+// newerThan reports whether id tells something later than other does.
+func (id Identity) newerThan(other Identity) bool {
+	if id.Incarnation != other.Incarnation {
+		return id.Incarnation > other.Incarnation
+	}
+	return id.Sequence > other.Sequence
 }
 
 // PeerState is what this host believes of another.
 type PeerState int
 
-// The states of a peer.
+// The states of a peer, in the order in which one overrides another that was
+// told of the same sequence.
 const (
-	// PeerAlive peers were heard of lately.
+	// PeerAlive peers answered this host or another one lately.
 	PeerAlive PeerState = iota
-	// PeerSuspect peers missed heartbeats.
+	// PeerSuspect peers answered neither directly nor through others.
 	PeerSuspect
-	// PeerGone peers are taken to be dead.
+	// PeerGone peers did not refute the suspicion in time.
 	PeerGone
 )
 
+var peerStateNames = [...]string{"alive", "suspect", "gone"}
+
+// String returns the state's lower-case name.
+func (s PeerState) String() string { return peerStateNames[s] }
+
 // Peer is another host of the fleet as this host sees it.
 type Peer struct {
 	Identity Identity
 	State    PeerState
-	Revision uint64
-	// Heard is when a message of the peer was last received.
-	Heard time.Time
+	// Unreachable is set while the peer answers others but not this host: the
+	// path from here to there is broken, not the peer.
+	Unreachable bool
+
+	// since is when the state began.
+	since time.Time
+	// goneAt is when a suspected peer is taken to be gone.
+	goneAt time.Time
+	hash   uint64
 }
 
-// Timing holds the periods and timeouts of a host.
-type Timing struct {
-	// Heartbeat is the time between two heartbeats to one peer.
-	Heartbeat time.Duration
-	// SuspectAfter is the silence after which a peer is suspected.
-	SuspectAfter time.Duration
-	// GoneAfter is the silence after which a peer is taken to be dead.
-	GoneAfter time.Duration
-	// Poll is the mean time between two reads of the table's revision.
-	Poll time.Duration
-	// StaleAfter is the time without news from store and peers after which
-	// the host leaves the directory.
-	StaleAfter time.Duration
-	// HostListPoll is the time between two reads of the host list.
-	HostListPoll time.Duration
+// Usable reports whether callers and other hosts may be sent to the peer.
+func (p *Peer) Usable() bool {
+	return p.State == PeerAlive && !p.Identity.Leaving && !p.Identity.Sick
 }
 
-// DefaultTiming returns the timing for a fleet of tens of hosts.
-func DefaultTiming() Timing {
-	return Timing{
-		Heartbeat:    time.Second,
-		SuspectAfter: 3 * time.Second,
-		GoneAfter:    10 * time.Second,
-		Poll:         2 * time.Second,
-		StaleAfter:   30 * time.Second,
-		HostListPoll: 5 * time.Second,
-	}
+// Update is what one host tells another of a third.
+type Update struct {
+	Identity Identity
+	State    PeerState
 }
--- a/host/membership.go
+++ b/host/membership.go
@@ -3,126 +3,186 @@
 import (
 	"time"
 
-	"github.com/crocushinge/crocushinge/target"
 	"github.com/crocushinge/crocushinge/timeline"
 )
 
-// heartbeatHeard learns from a peer's message.
-func (c *Core) heartbeatHeard(now time.Time, ev HeartbeatHeard) {
-	c.clock.Observe(now, ev.Stamp)
-	if ev.From.ID == c.self.ID {
+// messageHeard learns from a message that a peer sent, or that answers one of
+// this host.
+func (c *Core) messageHeard(now time.Time, m Message) {
+	c.clock.Observe(now, m.Stamp)
+	if m.From.ID == c.self.ID {
+		c.aboutSelf(now, Update{Identity: m.From, State: PeerAlive})
 		return
 	}
-	p := c.hear(now, ev.From)
-	if p == nil {
-		return
-	}
-	p.Heard = now
-	p.Revision = ev.Revision
-	for _, id := range ev.Peers {
-		if id.ID != c.self.ID && c.peers[id.ID] == nil {
-			c.hear(now, id)
-		}
-	}
-	if ev.Revision > c.revision {
-		c.emit(FetchChanges{Peer: ev.From, After: c.revision})
+	c.heardFrom(now, m.From)
+	for _, u := range m.Updates {
+		c.learn(now, u)
 	}
+	c.revisionHeard(now, m)
 }
 
-// hear takes in a peer's identity. It returns nil for an incarnation that was
-// already replaced.
-func (c *Core) hear(now time.Time, id Identity) *Peer {
-	p, known := c.peers[id.ID]
-	if known && id.Incarnation < p.Identity.Incarnation {
-		return nil
+// heardFrom takes in what a peer tells of itself. Hearing a peer directly
+// clears a suspicion at once; one that was taken to be gone must refute, so
+// that the others hear of it too.
+func (c *Core) heardFrom(now time.Time, id Identity) {
+	c.learn(now, Update{Identity: id, State: PeerAlive})
+	p := c.peers[id.ID]
+	if p != nil && p.State == PeerSuspect && p.Identity == id {
+		c.setPeerState(now, p, PeerAlive)
 	}
-	if !known || id.Incarnation > p.Identity.Incarnation {
-		p = &Peer{Identity: id, Heard: now}
-		c.peers[id.ID] = p
-		c.hostsMoved()
-		c.record(now, timeline.Event{Kind: timeline.HostJoined, Target: string(id.ID)})
+}
+
+// learn takes in an update, and passes it on when it is news.
+func (c *Core) learn(now time.Time, u Update) {
+	if u.Identity.ID == c.self.ID {
+		c.aboutSelf(now, u)
+		return
 	}
-	if p.State != PeerAlive || p.Identity.Leaving != id.Leaving {
-		c.hostsMoved()
+	p := c.peers[u.Identity.ID]
+	switch {
+	case p == nil:
+		c.addPeer(now, u)
+	case u.Identity.newerThan(p.Identity):
+		c.replacePeer(now, p, u)
+	case p.Identity.newerThan(u.Identity) || u.State <= p.State:
+		return
+	default:
+		c.setPeerState(now, p, u.State)
 	}
-	p.State = PeerAlive
-	p.Identity = id
-	return p
+	c.updates.add(u)
 }
 
-// agePeers suspects and gives up peers that have been silent.
-func (c *Core) agePeers(now time.Time) {
-	for _, p := range c.peers {
-		state := PeerAlive
-		switch silent := now.Sub(p.Heard); {
-		case silent >= c.cfg.Timing.GoneAfter:
-			state = PeerGone
-		case silent >= c.cfg.Timing.SuspectAfter:
-			state = PeerSuspect
-		}
-		if state == p.State {
-			continue
-		}
-		p.State = state
-		c.hostsMoved()
-		if state == PeerGone {
-			c.record(now, timeline.Event{Kind: timeline.HostLost, Target: string(p.Identity.ID)})
-		}
+func (c *Core) addPeer(now time.Time, u Update) {
+	p := &Peer{Identity: u.Identity, State: u.State, since: now, hash: hashID(u.Identity.ID)}
+	c.peers[u.Identity.ID] = p
+	if u.State == PeerGone {
+		return
 	}
+	p.goneAt = now.Add(c.cfg.Timing.suspicionTime(len(c.peers) + 1))
+	c.pingOrder = append(c.pingOrder, u.Identity.ID)
+	c.hostsMoved()
+	c.recordPeer(now, timeline.HostJoined, p, "")
 }
 
-// sendHeartbeats addresses every live peer, and the seeds while none is known.
-func (c *Core) sendHeartbeats(now time.Time) {
-	stamp := c.clock.Now(now)
-	sent := make(map[string]bool)
-	send := func(address string) {
-		if address == "" || address == c.self.FleetAddress || sent[address] {
-			return
-		}
-		sent[address] = true
-		c.emit(SendHeartbeat{FleetAddress: address, From: c.self, Revision: c.revision, Stamp: stamp})
+// replacePeer takes in a later identity of a known peer.
+func (c *Core) replacePeer(now time.Time, p *Peer, u Update) {
+	if u.Identity.Incarnation != p.Identity.Incarnation {
+		delete(c.peers, p.Identity.ID)
+		c.addPeer(now, u)
+		return
 	}
-	for _, p := range c.peers {
-		if p.State != PeerGone {
-			send(p.Identity.FleetAddress)
-		}
+	p.Identity = u.Identity
+	c.hostsMoved()
+	if p.State != u.State {
+		c.setPeerState(now, p, u.State)
 	}
-	for _, address := range c.cfg.Seeds {
-		send(address)
+}
+
+// setPeerState enters a state. A suspicion has a deadline.
+func (c *Core) setPeerState(now time.Time, p *Peer, state PeerState) {
+	previous := p.State
+	p.State, p.since = state, now
+	c.hostsMoved()
+	switch {
+	case state == PeerSuspect:
+		p.goneAt = now.Add(c.doubts.scale(c.cfg.Timing.suspicionTime(len(c.peers) + 1)))
+	case state == PeerGone:
+		c.recordPeer(now, timeline.HostLost, p, "did not refute the suspicion")
+	case previous == PeerGone:
+		c.recordPeer(now, timeline.HostJoined, p, "refuted that it was gone")
 	}
 }
 
-// Peers returns the identities of the live peers.
-func (c *Core) Peers() []Identity {
-	var out []Identity
-	for _, p := range c.peers {
-		if p.State == PeerAlive {
-			out = append(out, p.Identity)
-		}
+func (c *Core) recordPeer(now time.Time, kind timeline.Kind, p *Peer, reason string) {
+	c.record(now, timeline.Event{Kind: kind, Target: string(p.Identity.ID), Reason: reason})
+}
+
+// aboutSelf refutes that this host is suspect or gone, and learns when another
+// process has taken its id.
+func (c *Core) aboutSelf(now time.Time, u Update) {
+	switch {
+	case u.Identity.Incarnation > c.self.Incarnation:
+		c.replacedBy(now, u.Identity)
+	case u.State == PeerAlive || c.self.newerThan(u.Identity):
+		return
+	default:
+		c.doubts.worsen(1)
+		c.self.Sequence = u.Identity.Sequence
+		c.tellOfSelf(now)
 	}
-	return out
 }
 
-// hostListRead marks targets as leaving that the platform lists as leaving.
-func (c *Core) hostListRead(now time.Time, ev HostListRead) {
-	if ev.Err != nil {
+// replacedBy makes a process whose id was given to a later one leave.
+func (c *Core) replacedBy(now time.Time, id Identity) {
+	if c.replaced {
+		return
+	}
+	c.replaced = true
+	c.dirty = true
+	c.record(now, timeline.Event{Kind: timeline.HostLost, Target: string(id.ID), Reason: "a later process has the id of this one"})
+}
+
+// tellOfSelf gives this host's identity a new sequence and spreads it.
+func (c *Core) tellOfSelf(now time.Time) {
+	c.self.Sequence++
+	c.hostsMoved()
+	c.updates.add(Update{Identity: c.self, State: PeerAlive})
+	c.announce(now)
+}
+
+// refreshSelf spreads it when this host begins or ceases to doubt itself.
+func (c *Core) refreshSelf(now time.Time) {
+	sick := !c.ready || c.doubts.sick || c.stale(now)
+	if sick == c.self.Sick {
 		return
 	}
-	leaving := make(map[string]bool)
-	for _, h := range ev.Hosts {
-		if h.Leaving {
-			leaving[h.Address] = true
+	c.self.Sick = sick
+	c.tellOfSelf(now)
+}
+
+// expireSuspicions takes suspected peers to be gone that did not refute, and
+// forgets those that have been gone for long. A host that reaches nobody
+// declares nobody gone: the fault may be its own.
+func (c *Core) expireSuspicions(now time.Time) {
+	isolated := c.isolated(now)
+	grace := now.Add(c.cfg.Timing.suspicionTime(len(c.peers) + 1))
+	for _, id := range c.sortedPeerIDs() {
+		p := c.peers[id]
+		switch {
+		case p.State == PeerGone && now.Sub(p.since) >= c.cfg.Timing.ForgetAfter:
+			delete(c.peers, id)
+		case p.State == PeerSuspect && isolated && p.goneAt.Before(grace):
+			p.goneAt = grace
+		case p.State == PeerSuspect && !now.Before(p.goneAt):
+			c.setPeerState(now, p, PeerGone)
+			c.updates.add(Update{Identity: p.Identity, State: PeerGone})
 		}
 	}
-	for _, s := range c.services {
-		for _, spec := range s.Contract.Targets {
-			if leaving[spec.Address] {
-				c.applyTransitions(now, s.Drain(spec.Name, target.SignHostList, now))
-			} else {
-				c.applyTransitions(now, s.Withdraw(spec.Name, target.SignHostList, now))
-			}
+}
+
+// isolatedAfter is how many ping intervals without any answer make a host
+// believe that it is cut off.
+const isolatedAfter = 3
+
+// isolated reports whether no peer has answered lately. Among so few hosts
+// that there may be no relay to ask, an answer of the store counts too;
+// otherwise the last survivor would wait for its peers for ever.
+func (c *Core) isolated(now time.Time) bool {
+	last := c.lastAnswer
+	if c.peersNotGone() < relays && c.news.store.After(last) {
+		last = c.news.store
+	}
+	return now.Sub(last) > isolatedAfter*c.cfg.Timing.PingInterval
+}
+
+func (c *Core) peersNotGone() int {
+	n := 0
+	for _, p := range c.peers {
+		if p.State != PeerGone {
+			n++
 		}
 	}
+	return n
 }
 
 // hostsMoved notes that the hosts of the fleet, or what is believed of them,
--- a/host/probe.go
+++ b/host/probe.go
@@ -20,8 +20,11 @@
 	}
 }
 
-// probes reports whether a target's probes fall to this host.
-func (c *Core) probes(_, _ string) bool { return true }
+// probes reports whether a target's probes fall to this host: each target is
+// probed by one host of the entry set.
+func (c *Core) probes(serviceName, targetName string) bool {
+	return c.entrySets[serviceName].probes(c.self.ID, targetName)
+}
 
 // probeAnswered hands a probe's answer to its service.
 func (c *Core) probeAnswered(now time.Time, ev ProbeAnswered) {
--- a/host/snapshot.go
+++ b/host/snapshot.go
@@ -28,7 +28,7 @@
 	// Ready is set once the host knows the configuration.
 	Ready bool
 
-	// usable holds the peers in Directory.
+	// usable holds the peers that are well and that this host reaches.
 	usable map[ID]bool
 }
 
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -14,14 +14,17 @@
 	HostLost             Kind = "host-lost"
 	HostLeaving          Kind = "host-leaving"
 	ConfigurationInForce Kind = "configuration-in-force"
-	TargetStateChanged   Kind = "target-state-changed"
-	EjectionWithheld     Kind = "ejection-withheld"
-	LinkCut              Kind = "link-cut"
-	LinkRestored         Kind = "link-restored"
-	OutcomeUnknown       Kind = "outcome-unknown"
-	RequestEnded         Kind = "request-ended"
-	StoreLost            Kind = "store-lost"
-	StoreBack            Kind = "store-back"
+	// ConfigurationUnreadable events name a contract that this host cannot
+	// read.
+	ConfigurationUnreadable Kind = "configuration-unreadable"
+	TargetStateChanged      Kind = "target-state-changed"
+	EjectionWithheld        Kind = "ejection-withheld"
+	LinkCut                 Kind = "link-cut"
+	LinkRestored            Kind = "link-restored"
+	OutcomeUnknown          Kind = "outcome-unknown"
+	RequestEnded            Kind = "request-ended"
+	StoreLost               Kind = "store-lost"
+	StoreBack               Kind = "store-back"
 )
 
 // Event is one change of state on one host.
--- a/traffic/harness_test.go
+++ b/traffic/harness_test.go
@@ -54,8 +54,8 @@
 		Bodies:     caller.NewMemory(1 << 20),
 		Observe:    func(link.Observation) {},
 		Ended:      h.record,
-		Transport:  NewTransport(),
-		Peers:      NewPeerTransport(),
+		Transport:  NewTransport(DialTCP),
+		Peers:      NewPeerTransport(DialTCP),
 		FleetToken: testToken,
 	})
 	h.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/wire/fleet.go
+++ b/wire/fleet.go
@@ -20,6 +20,8 @@
 		FleetAddress: id.FleetAddress,
 		ApiAddress:   id.APIAddress,
 		Leaving:      id.Leaving,
+		Sequence:     id.Sequence,
+		Sick:         id.Sick,
 	}
 }
 
@@ -33,27 +35,71 @@
 		FleetAddress: p.GetFleetAddress(),
 		APIAddress:   p.GetApiAddress(),
 		Leaving:      p.GetLeaving(),
+		Sequence:     p.GetSequence(),
+		Sick:         p.GetSick(),
 	}
 }
 
-// PeersToProto encodes identities.
-func PeersToProto(ids []host.Identity) []*fleetv1.Peer {
-	out := make([]*fleetv1.Peer, len(ids))
-	for i, id := range ids {
-		out[i] = PeerToProto(id)
+// peerStates translates the states of a peer.
+var peerStates = map[host.PeerState]fleetv1.PeerState{
+	host.PeerAlive:   fleetv1.PeerState_PEER_STATE_ALIVE,
+	host.PeerSuspect: fleetv1.PeerState_PEER_STATE_SUSPECT,
+	host.PeerGone:    fleetv1.PeerState_PEER_STATE_GONE,
+}
+
+// peerStateFromProto decodes a state; an unknown one of a later version counts
+// as alive, so that this host's own checks decide.
+func peerStateFromProto(state fleetv1.PeerState) host.PeerState {
+	for s, p := range peerStates {
+		if p == state {
+			return s
+		}
+	}
+	return host.PeerAlive
+}
+
+// UpdatesToProto encodes news of hosts.
+func UpdatesToProto(updates []host.Update) []*fleetv1.Update {
+	out := make([]*fleetv1.Update, len(updates))
+	for i, u := range updates {
+		out[i] = &fleetv1.Update{Peer: PeerToProto(u.Identity), State: peerStates[u.State]}
 	}
 	return out
 }
 
-// PeersFromProto decodes identities.
-func PeersFromProto(peers []*fleetv1.Peer) []host.Identity {
-	out := make([]host.Identity, len(peers))
-	for i, p := range peers {
-		out[i] = PeerFromProto(p)
+// UpdatesFromProto decodes news of hosts.
+func UpdatesFromProto(updates []*fleetv1.Update) []host.Update {
+	out := make([]host.Update, len(updates))
+	for i, u := range updates {
+		out[i] = host.Update{Identity: PeerFromProto(u.GetPeer()), State: peerStateFromProto(u.GetState())}
 	}
 	return out
 }
 
+// MessageToProto encodes a message.
+func MessageToProto(m host.Message) *fleetv1.Message {
+	return &fleetv1.Message{
+		From:     PeerToProto(m.From),
+		Revision: m.Revision,
+		Ready:    m.Ready,
+		Stamp:    StampToProto(m.Stamp),
+		Updates:  UpdatesToProto(m.Updates),
+		Digest:   m.Digest,
+	}
+}
+
+// MessageFromProto decodes a message.
+func MessageFromProto(m *fleetv1.Message) host.Message {
+	return host.Message{
+		From:     PeerFromProto(m.GetFrom()),
+		Revision: m.GetRevision(),
+		Ready:    m.GetReady(),
+		Stamp:    StampFromProto(m.GetStamp()),
+		Updates:  UpdatesFromProto(m.GetUpdates()),
+		Digest:   m.GetDigest(),
+	}
+}
+
 // StampToProto encodes a clock reading.
 func StampToProto(s timeline.Stamp) *fleetv1.Stamp {
 	return &fleetv1.Stamp{Wall: s.Wall, Logical: s.Logical}
--- a/wire/gen/crocushinge/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/wire/gen/crocushinge/fleet/v1/fleetv1connect/fleet.connect.go
@@ -33,8 +33,13 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// FleetServiceHeartbeatProcedure is the fully-qualified name of the FleetService's Heartbeat RPC.
-	FleetServiceHeartbeatProcedure = "/crocushinge.fleet.v1.FleetService/Heartbeat"
+	// FleetServicePingProcedure is the fully-qualified name of the FleetService's Ping RPC.
+	FleetServicePingProcedure = "/crocushinge.fleet.v1.FleetService/Ping"
+	// FleetServiceIndirectPingProcedure is the fully-qualified name of the FleetService's IndirectPing
+	// RPC.
+	FleetServiceIndirectPingProcedure = "/crocushinge.fleet.v1.FleetService/IndirectPing"
+	// FleetServiceSyncProcedure is the fully-qualified name of the FleetService's Sync RPC.
+	FleetServiceSyncProcedure = "/crocushinge.fleet.v1.FleetService/Sync"
 	// FleetServiceChangesProcedure is the fully-qualified name of the FleetService's Changes RPC.
 	FleetServiceChangesProcedure = "/crocushinge.fleet.v1.FleetService/Changes"
 	// FleetServiceTimelineProcedure is the fully-qualified name of the FleetService's Timeline RPC.
@@ -43,9 +48,12 @@
 
 // FleetServiceClient is a client for the crocushinge.fleet.v1.FleetService service.
 type FleetServiceClient interface {
-	// Heartbeat tells a peer that the sender lives and which configuration
-	// revision it has in force.
-	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
+	// Ping exchanges messages with a peer and shows that it lives.
+	Ping(context.Context, *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingResponse], error)
+	// IndirectPing pings a third host for the sender.
+	IndirectPing(context.Context, *connect.Request[v1.IndirectPingRequest]) (*connect.Response[v1.IndirectPingResponse], error)
+	// Sync compares the lists of hosts.
+	Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error)
 	// Changes returns the configuration changes after a revision.
 	Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error)
 	// Timeline streams the events kept by the host.
@@ -63,10 +71,22 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	fleetServiceMethods := v1.File_crocushinge_fleet_v1_fleet_proto.Services().ByName("FleetService").Methods()
 	return &fleetServiceClient{
-		heartbeat: connect.NewClient[v1.HeartbeatRequest, v1.HeartbeatResponse](
+		ping: connect.NewClient[v1.PingRequest, v1.PingResponse](
 			httpClient,
-			baseURL+FleetServiceHeartbeatProcedure,
-			connect.WithSchema(fleetServiceMethods.ByName("Heartbeat")),
+			baseURL+FleetServicePingProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Ping")),
+			connect.WithClientOptions(opts...),
+		),
+		indirectPing: connect.NewClient[v1.IndirectPingRequest, v1.IndirectPingResponse](
+			httpClient,
+			baseURL+FleetServiceIndirectPingProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("IndirectPing")),
+			connect.WithClientOptions(opts...),
+		),
+		sync: connect.NewClient[v1.SyncRequest, v1.SyncResponse](
+			httpClient,
+			baseURL+FleetServiceSyncProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Sync")),
 			connect.WithClientOptions(opts...),
 		),
 		changes: connect.NewClient[v1.ChangesRequest, v1.ChangesResponse](
@@ -86,14 +106,26 @@
 
 // fleetServiceClient implements FleetServiceClient.
 type fleetServiceClient struct {
-	heartbeat *connect.Client[v1.HeartbeatRequest, v1.HeartbeatResponse]
-	changes   *connect.Client[v1.ChangesRequest, v1.ChangesResponse]
-	timeline  *connect.Client[v1.TimelineRequest, v1.TimelineResponse]
+	ping         *connect.Client[v1.PingRequest, v1.PingResponse]
+	indirectPing *connect.Client[v1.IndirectPingRequest, v1.IndirectPingResponse]
+	sync         *connect.Client[v1.SyncRequest, v1.SyncResponse]
+	changes      *connect.Client[v1.ChangesRequest, v1.ChangesResponse]
+	timeline     *connect.Client[v1.TimelineRequest, v1.TimelineResponse]
+}
+
+// Ping calls crocushinge.fleet.v1.FleetService.Ping.
+func (c *fleetServiceClient) Ping(ctx context.Context, req *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingResponse], error) {
+	return c.ping.CallUnary(ctx, req)
+}
+
+// IndirectPing calls crocushinge.fleet.v1.FleetService.IndirectPing.
+func (c *fleetServiceClient) IndirectPing(ctx context.Context, req *connect.Request[v1.IndirectPingRequest]) (*connect.Response[v1.IndirectPingResponse], error) {
+	return c.indirectPing.CallUnary(ctx, req)
 }
 
-// Heartbeat calls crocushinge.fleet.v1.FleetService.Heartbeat.
-func (c *fleetServiceClient) Heartbeat(ctx context.Context, req *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error) {
-	return c.heartbeat.CallUnary(ctx, req)
+// Sync calls crocushinge.fleet.v1.FleetService.Sync.
+func (c *fleetServiceClient) Sync(ctx context.Context, req *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error) {
+	return c.sync.CallUnary(ctx, req)
 }
 
 // Changes calls crocushinge.fleet.v1.FleetService.Changes.
@@ -108,9 +140,12 @@
 
 // FleetServiceHandler is an implementation of the crocushinge.fleet.v1.FleetService service.
 type FleetServiceHandler interface {
-	// Heartbeat tells a peer that the sender lives and which configuration
-	// revision it has in force.
-	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
+	// Ping exchanges messages with a peer and shows that it lives.
+	Ping(context.Context, *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingResponse], error)
+	// IndirectPing pings a third host for the sender.
+	IndirectPing(context.Context, *connect.Request[v1.IndirectPingRequest]) (*connect.Response[v1.IndirectPingResponse], error)
+	// Sync compares the lists of hosts.
+	Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error)
 	// Changes returns the configuration changes after a revision.
 	Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error)
 	// Timeline streams the events kept by the host.
@@ -124,10 +159,22 @@
 // and JSON codecs. They also support gzip compression.
 func NewFleetServiceHandler(svc FleetServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	fleetServiceMethods := v1.File_crocushinge_fleet_v1_fleet_proto.Services().ByName("FleetService").Methods()
-	fleetServiceHeartbeatHandler := connect.NewUnaryHandler(
-		FleetServiceHeartbeatProcedure,
-		svc.Heartbeat,
-		connect.WithSchema(fleetServiceMethods.ByName("Heartbeat")),
+	fleetServicePingHandler := connect.NewUnaryHandler(
+		FleetServicePingProcedure,
+		svc.Ping,
+		connect.WithSchema(fleetServiceMethods.ByName("Ping")),
+		connect.WithHandlerOptions(opts...),
+	)
+	fleetServiceIndirectPingHandler := connect.NewUnaryHandler(
+		FleetServiceIndirectPingProcedure,
+		svc.IndirectPing,
+		connect.WithSchema(fleetServiceMethods.ByName("IndirectPing")),
+		connect.WithHandlerOptions(opts...),
+	)
+	fleetServiceSyncHandler := connect.NewUnaryHandler(
+		FleetServiceSyncProcedure,
+		svc.Sync,
+		connect.WithSchema(fleetServiceMethods.ByName("Sync")),
 		connect.WithHandlerOptions(opts...),
 	)
 	fleetServiceChangesHandler := connect.NewUnaryHandler(
@@ -144,8 +191,12 @@
 	)
 	return "/crocushinge.fleet.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case FleetServiceHeartbeatProcedure:
-			fleetServiceHeartbeatHandler.ServeHTTP(w, r)
+		case FleetServicePingProcedure:
+			fleetServicePingHandler.ServeHTTP(w, r)
+		case FleetServiceIndirectPingProcedure:
+			fleetServiceIndirectPingHandler.ServeHTTP(w, r)
+		case FleetServiceSyncProcedure:
+			fleetServiceSyncHandler.ServeHTTP(w, r)
 		case FleetServiceChangesProcedure:
 			fleetServiceChangesHandler.ServeHTTP(w, r)
 		case FleetServiceTimelineProcedure:
@@ -159,8 +210,16 @@
 // UnimplementedFleetServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedFleetServiceHandler struct{}
 
-func (UnimplementedFleetServiceHandler) Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("crocushinge.fleet.v1.FleetService.Heartbeat is not implemented"))
+func (UnimplementedFleetServiceHandler) Ping(context.Context, *connect.Request[v1.PingRequest]) (*connect.Response[v1.PingResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("crocushinge.fleet.v1.FleetService.Ping is not implemented"))
+}
+
+func (UnimplementedFleetServiceHandler) IndirectPing(context.Context, *connect.Request[v1.IndirectPingRequest]) (*connect.Response[v1.IndirectPingResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("crocushinge.fleet.v1.FleetService.IndirectPing is not implemented"))
+}
+
+func (UnimplementedFleetServiceHandler) Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("crocushinge.fleet.v1.FleetService.Sync is not implemented"))
 }
 
 func (UnimplementedFleetServiceHandler) Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error) {
