--- a/daemon/control.go
+++ b/daemon/control.go
@@ -47,13 +47,16 @@
 }
 
 func newControl(core *host.Core, ring *timeline.Ring) *control {
-	return &control{
+	c := &control{
 		core:     core,
 		ring:     ring,
 		events:   make(chan host.Event, eventQueue),
 		calls:    make(chan func(*host.Core)),
 		observed: make(chan link.Observation, observationQueue),
 	}
+	// Traffic and the API may ask before the control thread runs.
+	c.snapshot.Store(core.Snapshot())
+	return c
 }
 
 // observe hands an observation over without blocking. When the control thread
--- a/host/core.go
+++ b/host/core.go
@@ -282,6 +282,11 @@
 		return
 	}
 	c.dirty = false
+	c.emit(Publish{Snapshot: c.Snapshot()})
+}
+
+// Snapshot returns the present view for traffic.
+func (c *Core) Snapshot() *Snapshot {
 	snap := &Snapshot{
 		Self:      c.self,
 		Revision:  c.revision,
@@ -304,7 +309,7 @@
 			snap.usable[id] = p.Usable() && !p.Unreachable
 		}
 	}
-	c.emit(Publish{Snapshot: snap})
+	return snap
 }
 
 // directory lists the hosts that callers may use, sorted by id. When fewer
