--- a/cmd/crocushinged/main.go
+++ b/cmd/crocushinged/main.go
@@ -12,7 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/crocushinge/crocushinge/daemon"
-	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/platform/open"
 	"github.com/crocushinge/crocushinge/sample"
 )
 
@@ -49,8 +49,11 @@
 		return nil
 	}
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
-	store := memory.New()
-	d, err := daemon.New(settings, daemon.Platform{Table: store, Objects: store, HostList: store}, log)
+	services, err := open.Open(settings.Platform)
+	if err != nil {
+		return cli.Exit(err, exitSettings)
+	}
+	d, err := daemon.New(settings, daemon.Platform(services), log)
 	if err != nil {
 		return err
 	}
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -33,10 +33,16 @@
 	}
 }
 
-// startDaemon runs a daemon until the test ends.
+// startDaemon runs a daemon on a platform in memory until the test ends.
 func startDaemon(t *testing.T, s Settings, store *memory.Platform) *Daemon {
 	t.Helper()
-	d, err := New(s, Platform{Table: store, Objects: store, HostList: store}, zerolog.Nop())
+	return startWith(t, s, Platform{Table: store, Objects: store, HostList: store})
+}
+
+// startWith runs a daemon until the test ends.
+func startWith(t *testing.T, s Settings, platform Platform) *Daemon {
+	t.Helper()
+	d, err := New(s, platform, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/daemon/platform_test.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/platform/open"
+	"github.com/crocushinge/crocushinge/platform/standin"
+	"github.com/crocushinge/crocushinge/publish"
+)
+
+// startPlatform runs a stand-in and returns it with the settings to open it.
+func startPlatform(t *testing.T) (*standin.Standin, open.Settings) {
+	t.Helper()
+	services := standin.New(standin.Config{Table: "t", Bucket: "b", AccessKeyID: "k"}, memory.New())
+	server := httptest.NewServer(services)
+	t.Cleanup(server.Close)
+	credentials := filepath.Join(t.TempDir(), "credentials.yaml")
+	if err := os.WriteFile(credentials, []byte("access-key-id: k\nsecret-access-key: s\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return services, open.Settings{
+		Kind: open.Service, Region: "test", CredentialsFile: credentials,
+		TableEndpoint: server.URL, Table: "t", ObjectEndpoint: server.URL, Bucket: "b",
+		HostList: server.URL + standin.HostListPath,
+	}
+}
+
+// startOn runs a daemon that opens the platform for itself.
+func startOn(t *testing.T, s Settings, platform open.Settings) *Daemon {
+	t.Helper()
+	services, err := open.Open(platform)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startWith(t, s, Platform(services))
+}
+
+func TestHostsShareAPlatformOverItsProtocols(t *testing.T) {
+	is := is.New(t)
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "sheet for "+r.URL.Path)
+	}))
+	defer target.Close()
+	services, platform := startPlatform(t)
+	// The hosts know nothing of each other: the table alone joins them.
+	first := startOn(t, testSettings("one"), platform)
+	second := startOn(t, testSettings("two"), platform)
+
+	services.Table.LoseAnswers(1)
+	result, err := first.store.Propose(context.Background(), publish.Proposal{
+		ID: "p1", Operator: "ana", Service: "catalogue",
+		Document: testContract(strings.TrimPrefix(target.URL, "http://")),
+	})
+	is.NoErr(err)
+	is.Equal(result.Status, publish.Accepted)
+	for _, d := range []*Daemon{first, second} {
+		eventually(t, "revision 1 in force", func() bool { return d.control.snapshot.Load().Revision == 1 })
+	}
+
+	for _, faults := range []func(bool){services.Table.Down, services.Objects.Down, services.HostList.Down} {
+		faults(true)
+	}
+	for _, d := range []*Daemon{first, second} {
+		status, outcome, body := get(t, d.Self().Address, testKey)
+		is.Equal(status, http.StatusOK)
+		is.Equal(outcome, "completed")
+		is.Equal(body, "sheet for /catalogue/1")
+	}
+}
+
+func TestHostWithoutConfigurationAnswersNotRun(t *testing.T) {
+	is := is.New(t)
+	services, platform := startPlatform(t)
+	services.Table.Down(true)
+	d := startOn(t, testSettings("one"), platform)
+	eventually(t, "a snapshot", func() bool { return d.control.snapshot.Load() != nil })
+	status, outcome, _ := get(t, d.Self().Address, testKey)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(outcome, "not-run")
+	services.Table.Down(false)
+	eventually(t, "the host is ready", func() bool { return d.control.snapshot.Load().Ready })
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -12,6 +12,7 @@
 
 	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/finding"
+	"github.com/crocushinge/crocushinge/platform/open"
 	"github.com/crocushinge/crocushinge/zone"
 )
 
@@ -32,7 +33,7 @@
 	// Zones are the availability zones of the deployment.
 	Zones []ZoneSettings `yaml:"zones"`
 	// Platform says where the table, the objects and the host list are.
-	Platform PlatformSettings `yaml:"platform"`
+	Platform open.Settings `yaml:"platform"`
 	// FleetToken is the credential between hosts.
 	FleetToken string `yaml:"fleet-token"`
 	// OperatorToken is the credential of operators.
@@ -47,12 +48,6 @@
 	Region string `yaml:"region"`
 }
 
-// PlatformSettings says where the platform is.
-type PlatformSettings struct {
-	// Kind is "memory" or "service". Default: memory.
-	Kind string `yaml:"kind"`
-}
-
 // AccountSettings declares a client account.
 type AccountSettings struct {
 	Name string `yaml:"name"`
@@ -90,6 +85,9 @@
 			report(a.name+" is not an address: "+err.Error(), "write it as ip:port")
 		}
 	}
+	for _, f := range s.Platform.Check() {
+		report("platform: "+f.Message, f.Fix)
+	}
 	for _, a := range s.Accounts {
 		if sum, err := hex.DecodeString(a.KeySHA256); err != nil || len(sum) != sha256.Size {
 			report("account "+a.Name+": key-sha256 is no SHA-256 in hexadecimal", "print one with: printf KEY | sha256sum")
