Claim callers' keys in the table, and keep outcomes after a host is gone

Cause: a caller that brings an Idempotency-Key of its own may repeat it to any host, hours later; home-host ids last minutes and die with their host. And an "unknown" of a replaced host could never be resolved. Change: - caller.Claim decides, claim.Store carries out: a key is claimed by a conditional write before the dispatch; an ambiguous write is read back by the claim's id, and where that does not settle it, the request is not run and the claim is settled as "not run", which makes a late write fail its condition. - A claim without an outcome is never taken over: its holder is asked, and when the holder is gone the answer is "unknown". A claim that ended "not run" is free for the next epoch. - With the table away the contract's rule holds: "refuse" answers "not run", "home" runs the request only under an id that the caller brought. - The outcome is written before the answer goes out, for up to 250 ms, and in the background after that, until the table takes it. - claim.Log writes the outcomes of home ids in batches, one write in 20 s a host, and "unknown" answers consult it, with a bound on the look-ups. - Ids are minted in whole seconds: an id with a fraction did not equal itself after parsing, so no outcome of a minted id was ever settled. Found by TestKeyRunsOnceOverHosts. Weighed: taking over the claim of a holder that is gone (a paused holder would run the key a second time); dispatching after an ambiguous claim that cannot be read (a second host may hold the key). Conclusion: TestReorderLandsExactlyOnce shows an unhurried reorder landing once with the store up, down for 5 h, losing answers to writes and losing writes, on a virtual clock. TestKeyRunsOnceOverAnyHistory generates histories of faults. Taking over held keys, trusting an ambiguous write, not comparing the claim's id, answering before the outcome is written, and "home" without an id each turned a test red.

--- a/caller/home.go
+++ b/caller/home.go
@@ -36,15 +36,19 @@
 	return RequestID{
 		Host:        h.Host,
 		Incarnation: h.Incarnation,
-		Expires:     h.Since() + IDLifetime,
+		Expires:     h.expiry(),
 		Nonce:       "n" + strconv.FormatUint(h.nonce.Add(1), idBase),
 	}
 }
 
+// expiry returns when an id minted now expires, in whole seconds, as its text
+// holds it.
+func (h *Home) expiry() time.Duration { return (h.Since() + IDLifetime).Truncate(time.Second) }
+
 // Prefix returns the start of an id, to which a caller appends a nonce of its
 // own. It ends in a dot.
 func (h *Home) Prefix() string {
-	id := RequestID{Host: h.Host, Incarnation: h.Incarnation, Expires: h.Since() + IDLifetime}
+	id := RequestID{Host: h.Host, Incarnation: h.Incarnation, Expires: h.expiry()}
 	return id.String()
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -54,6 +54,7 @@
 	peers    *fleetClient
 	ledger   *caller.Ledger
 	home     *caller.Home
+	claims   traffic.Claims
 	handler  *traffic.Handler
 	metrics  *metrics
 	// corrupt counts readings of items of the table that were left out.
@@ -109,6 +110,7 @@
 	d.store.Corrupt = d.corruptItem
 	d.control = newControl(core, d.ring)
 	d.control.effects = d
+	d.claims = newClaims(p.Table, d.home)
 	d.handler = d.newHandler(network)
 	if d.metrics, err = newMetrics(d); err != nil {
 		return nil, err
@@ -133,7 +135,7 @@
 	defer stop()
 	d.ctx = background
 	d.background.Go(func() { d.control.run(background) })
-	d.background.Go(func() { d.sweepLedger(background) })
+	d.startRequests(background)
 	group, failed := errgroup.WithContext(ctx)
 	for _, s := range d.servers {
 		group.Go(s.serve)
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/claim"
+	"github.com/crocushinge/crocushinge/platform"
 	"github.com/crocushinge/crocushinge/traffic"
 )
 
@@ -21,6 +23,7 @@
 		Snapshot:   d.control.snapshot.Load,
 		Home:       d.home,
 		Ledger:     d.ledger,
+		Claims:     d.claims,
 		Bodies:     caller.NewMemory(bodyMemory),
 		Observe:    d.control.observe,
 		Ended:      d.control.ended,
@@ -30,6 +33,19 @@
 	})
 }
 
+// newClaims builds the store of keys and outcomes in the platform's table.
+func newClaims(table platform.Table, home *caller.Home) traffic.Claims {
+	store := &claim.Store{Table: table}
+	return traffic.Claims{Store: store, Writer: claim.NewWriter(store), Log: claim.NewLog(table, home)}
+}
+
+// startRequests starts the background work of callers' requests.
+func (d *Daemon) startRequests(ctx context.Context) {
+	d.background.Go(func() { d.sweepLedger(ctx) })
+	d.background.Go(func() { d.claims.Writer.Run(ctx) })
+	d.background.Go(func() { d.claims.Log.Run(ctx) })
+}
+
 // sweepLedger forgets expired records until ctx ends.
 func (d *Daemon) sweepLedger(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"net/http"
+	"time"
 
 	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/host"
@@ -38,8 +39,19 @@
 	return peer, ok && peer.Incarnation == req.id.Incarnation
 }
 
-// homeless answers a request whose home host cannot be asked.
-func (h *Handler) homeless(w http.ResponseWriter, _ *request, message string) {
+// lookupTimeout limits the look-up of an outcome in the table.
+const lookupTimeout = 500 * time.Millisecond
+
+// homeless answers a request whose home host cannot tell its outcome: from the
+// outcomes in the table, or else as unknown.
+func (h *Handler) homeless(w http.ResponseWriter, req *request, message string) {
+	ctx, cancel := context.WithTimeout(req.in.Context(), lookupTimeout)
+	defer cancel()
+	outcome, err := h.cfg.Claims.Log.Find(ctx, req.account, req.id)
+	if err == nil && outcome.Result != caller.Unknown {
+		writeOutcome(w, outcome)
+		return
+	}
 	answer(http.StatusConflict, caller.Unknown, message).write(w)
 }
 
--- a/traffic/handler.go
+++ b/traffic/handler.go
@@ -47,6 +47,8 @@
 	// Home mints the ids of this incarnation.
 	Home   *caller.Home
 	Ledger *caller.Ledger
+	// Claims keeps keys and outcomes in the table.
+	Claims Claims
 	// Bodies bounds the request bodies held in memory.
 	Bodies *caller.Memory
 	// Observe hands an observation to the control thread without blocking.
@@ -79,6 +81,10 @@
 	arrived time.Time
 	// body is the whole body once it was read into memory.
 	body *body
+	// brought is set when the caller brought the id.
+	brought bool
+	// claimed is the claim by which the request holds the caller's key, if any.
+	claimed *caller.Claim
 	// forwarded is set when another host passed the request on.
 	forwarded bool
 }
@@ -132,6 +138,7 @@
 		routing:   routing,
 		in:        r,
 		arrived:   time.Now(),
+		brought:   r.Header.Get(HeaderRequestID) != "",
 		forwarded: r.Header.Get(headerForwarded) != "",
 	}, nil
 }
--- a/traffic/harness_test.go
+++ b/traffic/harness_test.go
@@ -14,9 +14,12 @@
 	"time"
 
 	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/claim"
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/link"
+	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/platform/memory"
 	"github.com/crocushinge/crocushinge/route"
 	"github.com/crocushinge/crocushinge/service"
 )
@@ -33,6 +36,7 @@
 	handler  *Handler
 	home     *caller.Home
 	ledger   *caller.Ledger
+	claims   Claims
 	snapshot atomic.Pointer[host.Snapshot]
 
 	// served counts the requests that reached this host.
@@ -45,12 +49,37 @@
 // newTestHost starts a host before targets at the given addresses. POST and
 // PUT are non-idempotent on /orders; every method is idempotent on /prices.
 func newTestHost(t *testing.T, id string, targets ...string) *testHost {
+	t.Helper()
+	return newTestHostOn(t, memory.New(), id, targets...)
+}
+
+// newTestHostOn starts a host on a platform that it shares with others.
+func newTestHostOn(t *testing.T, store platform.Table, id string, targets ...string) *testHost {
+	t.Helper()
+	h := newHostCore(t, store, id)
+	h.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.served.Add(1)
+		h.handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(h.Close)
+	h.snapshot.Store(h.newSnapshot(targets))
+	return h
+}
+
+// newHostCore returns a host without a listener.
+func newHostCore(t *testing.T, store platform.Table, id string) *testHost {
 	t.Helper()
 	h := &testHost{home: caller.NewHome(id, 7), ledger: caller.NewLedger(caller.DefaultLimits())}
+	claims := &claim.Store{Table: store}
+	h.claims = Claims{Store: claims, Writer: claim.NewWriter(claims), Log: claim.NewLog(store, h.home)}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go h.claims.Writer.Run(ctx)
 	h.handler = NewHandler(Config{
 		Snapshot:   h.snapshot.Load,
 		Home:       h.home,
 		Ledger:     h.ledger,
+		Claims:     h.claims,
 		Bodies:     caller.NewMemory(1 << 20),
 		Observe:    func(link.Observation) {},
 		Ended:      h.record,
@@ -58,12 +87,6 @@
 		Peers:      NewPeerTransport(DialTCP),
 		FleetToken: testToken,
 	})
-	h.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		h.served.Add(1)
-		h.handler.ServeHTTP(w, r)
-	}))
-	t.Cleanup(h.Close)
-	h.snapshot.Store(h.newSnapshot(targets))
 	return h
 }
 
@@ -74,7 +97,11 @@
 }
 
 func (h *testHost) identity() host.Identity {
-	return host.Identity{ID: host.ID(h.home.Host), Incarnation: h.home.Incarnation, Address: h.Listener.Addr().String()}
+	id := host.Identity{ID: host.ID(h.home.Host), Incarnation: h.home.Incarnation, Address: h.home.Host + ":80"}
+	if h.Server != nil {
+		id.Address = h.Listener.Addr().String()
+	}
+	return id
 }
 
 func (h *testHost) newSnapshot(targets []string) *host.Snapshot {
--- a/traffic/once.go
+++ b/traffic/once.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/claim"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/link"
 )
@@ -28,14 +29,18 @@
 		return
 	}
 	req.body = body
+	defer body.free()
 	print := caller.NewFingerprint(req.in.Method, req.match.Service, req.in.URL.RequestURI(), body.data)
 	record, verdict := h.cfg.Ledger.Begin(h.cfg.Home.Since(), req.account, req.id, print)
-	if verdict == caller.Dispatch {
+	_, keyed := req.key()
+	switch {
+	case verdict != caller.Dispatch:
+		h.answerVerdict(w, req, record, verdict)
+	case keyed:
+		h.runKeyed(w, req, record, print)
+	default:
 		h.run(w, req, record)
-		return
 	}
-	body.free()
-	h.answerVerdict(w, req, record, verdict)
 }
 
 // refuseBody refuses a request whose body could not be read.
@@ -60,15 +65,20 @@
 	case caller.Full:
 		refuse(http.StatusServiceUnavailable, "this host keeps as many outcomes as it can").write(w)
 	default:
-		answer(http.StatusConflict, caller.Unknown, "this id has expired").write(w)
+		h.homeless(w, req, "this id has expired")
 	}
 }
 
-// repeat answers a request whose id was dispatched before.
+// repeat answers a request whose id was dispatched before. A key whose id was
+// not run is settled, so that it is free again.
 func (h *Handler) repeat(w http.ResponseWriter, req *request, record *caller.Record) {
 	ctx, cancel := context.WithDeadline(req.in.Context(), req.deadline())
 	defer cancel()
-	writeOutcome(w, record.Wait(ctx))
+	outcome := record.Wait(ctx)
+	if outcome.Result == caller.NotRun {
+		awaitSettled(h.settle(req, outcome))
+	}
+	writeOutcome(w, outcome)
 }
 
 // writeOutcome tells the outcome of an earlier request.
@@ -86,7 +96,6 @@
 // run dispatches a request that the ledger has claimed. It goes on when the
 // caller goes away, so that a repeat learns the outcome.
 func (h *Handler) run(w http.ResponseWriter, req *request, record *caller.Record) {
-	defer req.body.free()
 	defer record.End(caller.Outcome{Result: caller.Unknown})
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(req.in.Context()), req.deadline())
 	defer cancel()
@@ -154,9 +163,16 @@
 	return answer(status, result, err.Error())
 }
 
-// end records the outcome in the ledger and on the time line.
+// end records the outcome in the ledger, in the table and on the time line.
 func (h *Handler) end(req *request, record *caller.Record, a *attempt, o caller.Outcome, cause error) {
 	record.End(o)
+	settled := h.settle(req, o)
+	h.cfg.Claims.Log.Add(claim.Ended{
+		Account: req.account,
+		Request: req.id.String(),
+		Result:  o.Result,
+		Status:  o.Status,
+	})
 	ended := host.RequestEnded{
 		Request: req.id.String(),
 		Service: req.match.Service,
@@ -170,4 +186,5 @@
 		ended.Reason = cause.Error()
 	}
 	h.cfg.Ended(ended)
+	awaitSettled(settled)
 }
