Pool the evidence of the entry set, and divide its probes

The hosts of an entry set now tell each other what they see of the targets: at most one message to a peer each 500 ms, 64 reports in it, changes only; a sign that a target leaves goes out with the next tick and reaches the set within 1 s of virtual time, from a host outside the set too. Evidence of an incarnation that is gone is forgotten; a host that joins the set is told everything again. Services that a host does not front are ticked once a second.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -42,6 +42,8 @@
 	sendPing(host.SendPing)
 	sendIndirectPing(host.SendIndirectPing)
 	sendSync(host.SendSync)
+	sendReports(host.SendReports)
+	sendProbe(host.SendProbe)
 	readHostList()
 	recorded(timeline.Event)
 }
@@ -153,6 +155,10 @@
 			c.effects.sendPing(e)
 		case host.SendIndirectPing:
 			c.effects.sendIndirectPing(e)
+		case host.SendReports:
+			c.effects.sendReports(e)
+		case host.SendProbe:
+			c.effects.sendProbe(e)
 		case host.SendSync:
 			c.effects.sendSync(e)
 		case host.ReadHostList:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -52,6 +52,7 @@
 	store    *publish.Store
 	hostList platform.HostList
 	peers    *fleetClient
+	prober   *prober
 	ledger   *caller.Ledger
 	home     *caller.Home
 	claims   traffic.Claims
@@ -101,6 +102,7 @@
 		store:    &publish.Store{Table: p.Table, Now: time.Now},
 		hostList: p.HostList,
 		peers:    newFleetClient(s.FleetToken, network),
+		prober:   newProber(network),
 		ledger:   caller.NewLedger(caller.DefaultLimits()),
 		home:     caller.NewHome(string(self.ID), self.Incarnation),
 	}
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -96,6 +96,21 @@
 	})
 }
 
+func (d *Daemon) sendReports(e host.SendReports) {
+	d.start(func(ctx context.Context) {
+		req := connect.NewRequest(&fleetv1.ReportRequest{
+			From:    wire.PeerToProto(e.From),
+			Reports: wire.ReportsToProto(e.Reports),
+		})
+		// A lost report needs no repeat; pings notice a peer that is away.
+		_, _ = d.peers.to(e.To.FleetAddress).Report(ctx, req)
+	})
+}
+
+func (d *Daemon) sendProbe(e host.SendProbe) {
+	d.start(func(ctx context.Context) { d.control.send(d.ctx, d.prober.probe(ctx, e)) })
+}
+
 func (d *Daemon) readHostList() {
 	d.start(func(ctx context.Context) {
 		listing, err := d.hostList.Hosts(ctx)
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -77,6 +77,15 @@
 	return connect.NewResponse(&fleetv1.IndirectPingResponse{Reached: reached}), nil
 }
 
+// Report implements fleetv1connect.FleetServiceHandler.
+func (s *fleetServer) Report(ctx context.Context, req *connect.Request[fleetv1.ReportRequest]) (*connect.Response[fleetv1.ReportResponse], error) {
+	s.control.send(ctx, host.ReportsHeard{
+		From:    wire.PeerFromProto(req.Msg.GetFrom()),
+		Reports: wire.ReportsFromProto(req.Msg.GetReports()),
+	})
+	return connect.NewResponse(&fleetv1.ReportResponse{}), nil
+}
+
 // Sync implements fleetv1connect.FleetServiceHandler.
 func (s *fleetServer) Sync(ctx context.Context, req *connect.Request[fleetv1.SyncRequest]) (*connect.Response[fleetv1.SyncResponse], error) {
 	asked := wire.MessageFromProto(req.Msg.GetMessage())
--- a/host/cluster_test.go
+++ b/host/cluster_test.go
@@ -67,11 +67,13 @@
 	store     []contract.Change
 	storeDown bool
 	reads     int
+	// probed holds who probed each target.
+	probed map[string][]string
 }
 
 func newCluster(t *testing.T, n int) *cluster {
 	c := &cluster{
-		t: t, now: time.UnixMilli(1_000_000), nodes: make(map[string]*node),
+		t: t, now: time.UnixMilli(1_000_000), nodes: make(map[string]*node), probed: make(map[string][]string),
 		cut: func(string, string) bool { return false },
 	}
 	for i := range n {
@@ -155,6 +157,11 @@
 		c.call(name, e.Peer.FleetAddress, func(to *node) Event {
 			return ConfigurationRead{Changes: to.core.Changes(e.After), Revision: to.core.Revision()}
 		}, func() Event { return ConfigurationRead{Err: errors.New("no answer")} }, time.Second)
+	case SendReports:
+		n.sent++
+		c.deliverReports(name, e)
+	case SendProbe:
+		c.probed[e.Target.Name] = append(c.probed[e.Target.Name], name)
 	case ReadConfiguration:
 		c.reads++
 		c.after(storeAnswer, func() { c.handle(name, c.readStore(e.After)) })
@@ -209,6 +216,15 @@
 	}, func() Event { return IndirectAnswered{Subject: e.Subject.ID, Err: errors.New("no answer")} }, e.Timeout)
 }
 
+func (c *cluster) deliverReports(from string, e SendReports) {
+	to := e.To.FleetAddress
+	c.after(testLatency, func() {
+		if c.nodes[to] != nil && !c.cut(from, to) {
+			c.handle(to, ReportsHeard{From: e.From, Reports: e.Reports})
+		}
+	})
+}
+
 func (c *cluster) readStore(after uint64) Event {
 	if c.storeDown {
 		return ConfigurationRead{FromStore: true, Err: errors.New("table away")}
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -39,6 +41,7 @@
 		}
 	}
 	c.revision = ev.Revision
+	c.names = slices.Sorted(maps.Keys(c.services))
 	c.rebuildRoutes()
 	c.rebuildAccounts()
 	c.rebuildEntrySets()
--- a/host/core.go
+++ b/host/core.go
@@ -42,6 +42,12 @@
 	revision uint64
 	ready    bool
 	services map[string]*service.Service
+	// names are the names of the services, sorted.
+	names []string
+	// signed holds the services of which this host has told its peers that a
+	// target leaves.
+	signed   map[string]bool
+	ticks    int
 	changes  []contract.Change
 	routes   *route.Table
 	accounts *caller.Accounts
@@ -72,6 +78,7 @@
 	news       newsState
 
 	nextPing      time.Time
+	nextReport    time.Time
 	nextSync      time.Time
 	nextRecontact time.Time
 	nextPoll      time.Time
@@ -88,6 +95,7 @@
 		peers:     make(map[ID]*Peer),
 		rounds:    make(map[ID]*pingRound),
 		entrySets: make(map[string]EntrySet),
+		signed:    make(map[string]bool),
 		routes:    route.NewTable(nil),
 		accounts:  caller.NewAccounts(cfg.Accounts),
 		dirty:     true,
@@ -130,6 +138,8 @@
 		c.indirectAnswered(now, ev)
 	case SyncAnswered:
 		c.syncAnswered(now, ev)
+	case ReportsHeard:
+		c.reportsHeard(now, ev)
 	case HostListRead:
 		c.hostListRead(now, ev)
 	case ProbeAnswered:
@@ -156,10 +166,7 @@
 }
 
 func (c *Core) tick(now time.Time) {
-	for _, s := range c.services {
-		c.applyTransitions(now, s.Tick(now))
-		c.sendProbes(now, s)
-	}
+	c.tickServices(now)
 	c.noticePause(now)
 	c.expireRounds(now)
 	c.expireSuspicions(now)
@@ -169,6 +176,27 @@
 	c.startPeriodic(now)
 }
 
+// idleTicks is how many ticks pass between two ticks of a service that this
+// host does not front.
+const idleTicks = 20
+
+// tickServices lets time pass for the services. Those that this host does not
+// front have next to no state that changes; they take turns.
+func (c *Core) tickServices(now time.Time) {
+	c.ticks++
+	for i, name := range c.names {
+		fronted := c.entrySets[name].Rank(c.self.ID) >= 0
+		if !fronted && (c.ticks+i)%idleTicks != 0 {
+			continue
+		}
+		s := c.services[name]
+		c.applyTransitions(now, s.Tick(now))
+		if fronted {
+			c.sendProbes(now, s)
+		}
+	}
+}
+
 // startPeriodic starts what is due of the work that every host does all the
 // time. All periods are jittered.
 func (c *Core) startPeriodic(now time.Time) {
@@ -176,6 +204,9 @@
 	if c.due(now, &c.nextPing, timing.PingInterval) {
 		c.pingNext(now)
 	}
+	if c.due(now, &c.nextReport, reportInterval) {
+		c.sendReports(now)
+	}
 	if c.due(now, &c.nextSync, timing.syncPeriod(hosts)) {
 		c.syncPeers(now)
 	}
@@ -232,6 +263,10 @@
 func (c *Core) applyTransitions(now time.Time, list []service.Transition) {
 	for _, tr := range list {
 		c.dirty = true
+		if tr.To == target.Leaving || tr.From == target.Leaving {
+			c.signed[tr.Target.Service] = true
+			c.nextReport = now
+		}
 		c.record(now, timeline.Event{
 			Kind:    transitionKinds[tr.Change],
 			Service: tr.Target.Service,
--- a/host/effect.go
+++ b/host/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/service"
 	"github.com/crocushinge/crocushinge/target"
 	"github.com/crocushinge/crocushinge/timeline"
 )
@@ -45,6 +46,14 @@
 		Message Message
 	}
 
+	// SendReports tells a peer of the evidence about targets. A lost message
+	// needs no repeat.
+	SendReports struct {
+		To      Identity
+		From    Identity
+		Reports []service.Report
+	}
+
 	// ReadHostList asks for the platform's host list.
 	ReadHostList struct{}
 
@@ -67,6 +76,7 @@
 func (FetchChanges) isEffect()      {}
 func (SendPing) isEffect()          {}
 func (SendIndirectPing) isEffect()  {}
+func (SendReports) isEffect()       {}
 func (SendSync) isEffect()          {}
 func (ReadHostList) isEffect()      {}
 func (SendProbe) isEffect()         {}
--- a/host/event.go
+++ b/host/event.go
@@ -7,6 +7,7 @@
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/service"
 	"github.com/crocushinge/crocushinge/target"
 )
 
@@ -58,6 +59,12 @@
 		Members []Update
 	}
 
+	// ReportsHeard is a peer's evidence about targets.
+	ReportsHeard struct {
+		From    Identity
+		Reports []service.Report
+	}
+
 	// HostListRead is the answer to ReadHostList.
 	HostListRead struct {
 		Hosts []platform.ListedHost
@@ -102,6 +109,7 @@
 func (PingAnswered) isEvent()      {}
 func (PingFailed) isEvent()        {}
 func (IndirectAnswered) isEvent()  {}
+func (ReportsHeard) isEvent()      {}
 func (SyncAnswered) isEvent()      {}
 func (HostListRead) isEvent()      {}
 func (ProbeAnswered) isEvent()     {}
--- /dev/null
+++ b/host/evidence.go
@@ -0,0 +1,77 @@
+package host
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/crocushinge/crocushinge/service"
+)
+
+const (
+	// reportInterval is the least time between two messages of evidence to one
+	// peer. Shorter detects failing targets sooner and costs more messages; a
+	// sign that a target leaves does not wait for it.
+	reportInterval = 500 * time.Millisecond
+	// maxReports bounds the reports in one message, and so the bytes a second.
+	maxReports = 64
+)
+
+// EvidenceKey names one incarnation of a host as the source of evidence.
+func (id Identity) EvidenceKey() string { return fmt.Sprintf("%s/%d", id.ID, id.Incarnation) }
+
+// sendReports tells the other hosts of each entry set what this host has seen
+// of the targets, in one message for each host.
+func (c *Core) sendReports(now time.Time) {
+	outbox := make(map[ID][]service.Report)
+	for _, name := range c.names {
+		set := c.entrySets[name]
+		if set.Rank(c.self.ID) < 0 && !c.signed[name] {
+			continue
+		}
+		reports := c.services[name].Reports(now)
+		for _, m := range set.Members {
+			if p := c.peers[m.ID]; p != nil && p.State != PeerGone && len(reports) > 0 {
+				outbox[m.ID] = append(outbox[m.ID], reports...)
+			}
+		}
+	}
+	for _, id := range c.sortedPeerIDs() {
+		for batch := range slices.Chunk(outbox[id], maxReports) {
+			c.emit(SendReports{To: c.peers[id].Identity, From: c.self, Reports: batch})
+		}
+	}
+}
+
+// reportsHeard takes in a peer's evidence. That of an incarnation which is not
+// known, or gone, does not count.
+func (c *Core) reportsHeard(now time.Time, ev ReportsHeard) {
+	p := c.peers[ev.From.ID]
+	if p == nil || p.State == PeerGone || p.Identity.Incarnation != ev.From.Incarnation {
+		return
+	}
+	key := ev.From.EvidenceKey()
+	for _, r := range ev.Reports {
+		if s, ok := c.services[r.Target.Service]; ok {
+			c.applyTransitions(now, s.ObserveReport(key, r, now))
+		}
+	}
+}
+
+// forgetEvidence drops the evidence of a host that is gone.
+func (c *Core) forgetEvidence(now time.Time, id Identity) {
+	for _, name := range c.names {
+		c.applyTransitions(now, c.services[name].ForgetPeer(id.EvidenceKey(), now))
+	}
+}
+
+// doubtsPaths reports whether this host alone sees most targets of a service
+// at fault.
+func (c *Core) doubtsPaths() bool {
+	for _, name := range c.names {
+		if c.services[name].SelfDoubt() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/host/evidence_test.go
@@ -0,0 +1,101 @@
+package host
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocushinge/crocushinge/link"
+	"github.com/crocushinge/crocushinge/target"
+)
+
+// frontedCluster returns a fleet that fronts "catalogue" with a set of hosts.
+func frontedCluster(t *testing.T) (*cluster, []string) {
+	c := newCluster(t, 12)
+	service := entryContract("catalogue", 30, 600)
+	service.Health.Path, service.Health.Interval = "/health", 10*time.Second
+	c.publish(service)
+	c.run(20 * time.Second)
+	var set []string
+	for _, m := range c.nodes["h00"].snapshot.EntrySets["catalogue"].Members {
+		set = append(set, string(m.ID))
+	}
+	return c, set
+}
+
+// observe lets hosts see requests to a target end, one each a second.
+func (c *cluster) observe(hosts []string, key target.Key, outcome link.Outcome, seconds int) {
+	for range seconds {
+		for _, name := range hosts {
+			c.handle(name, Observed{Observations: []link.Observation{{
+				Target: key, Outcome: outcome, Latency: time.Millisecond, Started: c.now, At: c.now,
+			}}})
+		}
+		c.run(time.Second)
+	}
+}
+
+func (c *cluster) targetState(name string, key target.Key) target.State {
+	return c.nodes[name].core.services[key.Service].State(key.Name)
+}
+
+func TestEvidenceOfTheSetEjectsAFailingTarget(t *testing.T) {
+	is := is.New(t)
+	c, set := frontedCluster(t)
+	gray, healthy := target.Key{Service: "catalogue", Name: "t1"}, target.Key{Service: "catalogue", Name: "t2"}
+	c.observe(set, healthy, link.Succeeded, 5)
+	c.observe(set, gray, link.Failed, 5)
+	for _, name := range set {
+		is.Equal(c.targetState(name, gray), target.Ejected)
+		is.Equal(c.targetState(name, healthy), target.Active)
+	}
+}
+
+func TestOneHostAloneEjectsNothing(t *testing.T) {
+	is := is.New(t)
+	c, set := frontedCluster(t)
+	key := target.Key{Service: "catalogue", Name: "t1"}
+	c.observe(set, key, link.Succeeded, 5)
+	for range 30 {
+		c.observe(set[:1], key, link.Failed, 1)
+		c.observe(set[1:], key, link.Succeeded, 1)
+		for _, name := range set[1:] {
+			is.Equal(c.targetState(name, key), target.Active)
+		}
+	}
+}
+
+func TestLeavingSignReachesTheSetAtOnce(t *testing.T) {
+	is := is.New(t)
+	c, set := frontedCluster(t)
+	key := target.Key{Service: "catalogue", Name: "t3"}
+	outside := ""
+	for _, name := range c.names {
+		if !c.nodes[name].snapshot.Fronts("catalogue") {
+			outside = name
+		}
+	}
+	c.handle(outside, OperatorDrain{Target: key})
+	c.run(time.Second)
+	for _, name := range set {
+		is.Equal(c.targetState(name, key), target.Leaving)
+	}
+	// A host that joins the set later hears of it too.
+	c.takeDown(set[0])
+	c.run(40 * time.Second)
+	for _, m := range c.nodes[set[1]].snapshot.EntrySets["catalogue"].Members {
+		is.Equal(c.targetState(string(m.ID), key), target.Leaving)
+	}
+}
+
+func TestSetProbesEachTargetOnceAnInterval(t *testing.T) {
+	is := is.New(t)
+	c, _ := frontedCluster(t)
+	clear(c.probed)
+	c.run(40 * time.Second)
+	is.Equal(len(c.probed), 30)
+	for _, hosts := range c.probed {
+		is.True(len(hosts) >= 3 && len(hosts) <= 5)
+	}
+}
--- a/host/fronting.go
+++ b/host/fronting.go
@@ -27,8 +27,12 @@
 	c.dirty = true
 	hosts := newCandidates(c.frontingHosts())
 	sets := make(map[string]EntrySet, len(c.services))
-	for name, s := range c.services {
+	for _, name := range c.names {
+		s := c.services[name]
 		set := newEntrySet(s.Contract, hosts, c.cfg.Zones)
+		if joined(c.entrySets[name], set) {
+			s.RepeatReports()
+		}
 		sets[name] = set
 		s.SetShare(len(set.Members), set.Rank(c.self.ID))
 	}
@@ -61,3 +65,13 @@
 	}
 	return 0
 }
+
+// joined reports whether a set has a member that the earlier one lacked.
+func joined(before, after EntrySet) bool {
+	for _, m := range after.Members {
+		if before.Rank(m.ID) < 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/host/hostlist.go
+++ b/host/hostlist.go
@@ -30,7 +30,7 @@
 // addresses of all targets.
 func (c *Core) drainListed(now time.Time, leaving map[string]bool) map[string]bool {
 	targets := make(map[string]bool)
-	for _, name := range c.serviceNames() {
+	for _, name := range c.names {
 		s := c.services[name]
 		for _, spec := range s.Contract.Targets {
 			targets[spec.Address] = true
@@ -43,13 +43,3 @@
 	}
 	return targets
 }
-
-// serviceNames returns the names of the services in force, sorted.
-func (c *Core) serviceNames() []string {
-	names := make([]string, 0, len(c.services))
-	for name := range c.services {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
--- a/host/membership.go
+++ b/host/membership.go
@@ -67,6 +67,7 @@
 // replacePeer takes in a later identity of a known peer.
 func (c *Core) replacePeer(now time.Time, p *Peer, u Update) {
 	if u.Identity.Incarnation != p.Identity.Incarnation {
+		c.forgetEvidence(now, p.Identity)
 		delete(c.peers, p.Identity.ID)
 		c.addPeer(now, u)
 		return
@@ -87,6 +88,7 @@
 	case state == PeerSuspect:
 		p.goneAt = now.Add(c.doubts.scale(c.cfg.Timing.suspicionTime(len(c.peers) + 1)))
 	case state == PeerGone:
+		c.forgetEvidence(now, p.Identity)
 		c.recordPeer(now, timeline.HostLost, p, "did not refute the suspicion")
 	case previous == PeerGone:
 		c.recordPeer(now, timeline.HostJoined, p, "refuted that it was gone")
@@ -132,7 +134,7 @@
 
 // refreshSelf spreads it when this host begins or ceases to doubt itself.
 func (c *Core) refreshSelf(now time.Time) {
-	sick := !c.ready || c.doubts.sick || c.stale(now)
+	sick := !c.ready || c.doubts.sick || c.stale(now) || c.doubtsPaths()
 	if sick == c.self.Sick {
 		return
 	}
--- a/service/report.go
+++ b/service/report.go
@@ -47,6 +47,14 @@
 	return out
 }
 
+// RepeatReports makes everything due again, for a peer that has just joined
+// the entry set.
+func (s *Service) RepeatReports() {
+	for _, m := range s.members {
+		m.report.at = time.Time{}
+	}
+}
+
 // due reports whether news are worth a message.
 func (r *reportState) due(n target.News, hot bool, now time.Time) bool {
 	old := &r.sent
--- a/wire/gen/crocushinge/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/wire/gen/crocushinge/fleet/v1/fleetv1connect/fleet.connect.go
@@ -40,6 +40,8 @@
 	FleetServiceIndirectPingProcedure = "/crocushinge.fleet.v1.FleetService/IndirectPing"
 	// FleetServiceSyncProcedure is the fully-qualified name of the FleetService's Sync RPC.
 	FleetServiceSyncProcedure = "/crocushinge.fleet.v1.FleetService/Sync"
+	// FleetServiceReportProcedure is the fully-qualified name of the FleetService's Report RPC.
+	FleetServiceReportProcedure = "/crocushinge.fleet.v1.FleetService/Report"
 	// FleetServiceChangesProcedure is the fully-qualified name of the FleetService's Changes RPC.
 	FleetServiceChangesProcedure = "/crocushinge.fleet.v1.FleetService/Changes"
 	// FleetServiceTimelineProcedure is the fully-qualified name of the FleetService's Timeline RPC.
@@ -54,6 +56,8 @@
 	IndirectPing(context.Context, *connect.Request[v1.IndirectPingRequest]) (*connect.Response[v1.IndirectPingResponse], error)
 	// Sync compares the lists of hosts.
 	Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error)
+	// Report tells of the evidence about targets.
+	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
 	// Changes returns the configuration changes after a revision.
 	Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error)
 	// Timeline streams the events kept by the host.
@@ -89,6 +93,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Sync")),
 			connect.WithClientOptions(opts...),
 		),
+		report: connect.NewClient[v1.ReportRequest, v1.ReportResponse](
+			httpClient,
+			baseURL+FleetServiceReportProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Report")),
+			connect.WithClientOptions(opts...),
+		),
 		changes: connect.NewClient[v1.ChangesRequest, v1.ChangesResponse](
 			httpClient,
 			baseURL+FleetServiceChangesProcedure,
@@ -109,6 +119,7 @@
 	ping         *connect.Client[v1.PingRequest, v1.PingResponse]
 	indirectPing *connect.Client[v1.IndirectPingRequest, v1.IndirectPingResponse]
 	sync         *connect.Client[v1.SyncRequest, v1.SyncResponse]
+	report       *connect.Client[v1.ReportRequest, v1.ReportResponse]
 	changes      *connect.Client[v1.ChangesRequest, v1.ChangesResponse]
 	timeline     *connect.Client[v1.TimelineRequest, v1.TimelineResponse]
 }
@@ -128,6 +139,11 @@
 	return c.sync.CallUnary(ctx, req)
 }
 
+// Report calls crocushinge.fleet.v1.FleetService.Report.
+func (c *fleetServiceClient) Report(ctx context.Context, req *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
+	return c.report.CallUnary(ctx, req)
+}
+
 // Changes calls crocushinge.fleet.v1.FleetService.Changes.
 func (c *fleetServiceClient) Changes(ctx context.Context, req *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error) {
 	return c.changes.CallUnary(ctx, req)
@@ -146,6 +162,8 @@
 	IndirectPing(context.Context, *connect.Request[v1.IndirectPingRequest]) (*connect.Response[v1.IndirectPingResponse], error)
 	// Sync compares the lists of hosts.
 	Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error)
+	// Report tells of the evidence about targets.
+	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
 	// Changes returns the configuration changes after a revision.
 	Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error)
 	// Timeline streams the events kept by the host.
@@ -177,6 +195,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Sync")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceReportHandler := connect.NewUnaryHandler(
+		FleetServiceReportProcedure,
+		svc.Report,
+		connect.WithSchema(fleetServiceMethods.ByName("Report")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetServiceChangesHandler := connect.NewUnaryHandler(
 		FleetServiceChangesProcedure,
 		svc.Changes,
@@ -197,6 +221,8 @@
 			fleetServiceIndirectPingHandler.ServeHTTP(w, r)
 		case FleetServiceSyncProcedure:
 			fleetServiceSyncHandler.ServeHTTP(w, r)
+		case FleetServiceReportProcedure:
+			fleetServiceReportHandler.ServeHTTP(w, r)
 		case FleetServiceChangesProcedure:
 			fleetServiceChangesHandler.ServeHTTP(w, r)
 		case FleetServiceTimelineProcedure:
@@ -222,6 +248,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("crocushinge.fleet.v1.FleetService.Sync is not implemented"))
 }
 
+func (UnimplementedFleetServiceHandler) Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("crocushinge.fleet.v1.FleetService.Report is not implemented"))
+}
+
 func (UnimplementedFleetServiceHandler) Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("crocushinge.fleet.v1.FleetService.Changes is not implemented"))
 }
--- /dev/null
+++ b/wire/report.go
@@ -0,0 +1,50 @@
+package wire
+
+import (
+	"github.com/crocushinge/crocushinge/service"
+	"github.com/crocushinge/crocushinge/target"
+	fleetv1 "github.com/crocushinge/crocushinge/wire/gen/crocushinge/fleet/v1"
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+// ReportsToProto encodes evidence about targets.
+func ReportsToProto(reports []service.Report) []*fleetv1.TargetReport {
+	out := make([]*fleetv1.TargetReport, len(reports))
+	for i, r := range reports {
+		out[i] = &fleetv1.TargetReport{
+			Service:      r.Target.Service,
+			Target:       r.Target.Name,
+			Sequence:     r.News.Sequence,
+			Zone:         string(r.News.Zone),
+			Observations: r.News.Observations,
+			Leaving:      r.News.Leaving,
+			LinkCut:      r.News.LinkCut,
+		}
+		for _, nats := range r.News.Total {
+			out[i].TotalNats = append(out[i].TotalNats, float32(nats))
+		}
+	}
+	return out
+}
+
+// ReportsFromProto decodes evidence about targets.
+func ReportsFromProto(reports []*fleetv1.TargetReport) []service.Report {
+	out := make([]service.Report, len(reports))
+	for i, r := range reports {
+		out[i] = service.Report{
+			Target: target.Key{Service: r.GetService(), Name: r.GetTarget()},
+			News: target.News{
+				Sequence:     r.GetSequence(),
+				Zone:         zone.ID(r.GetZone()),
+				Observations: r.GetObservations(),
+				Leaving:      r.GetLeaving(),
+				LinkCut:      r.GetLinkCut(),
+			},
+		}
+		totals := r.GetTotalNats()
+		for k := range min(len(totals), int(target.Suspicions)) {
+			out[i].News.Total[k] = float64(totals[k])
+		}
+	}
+	return out
+}
