--- a/daemon/api.go
+++ b/daemon/api.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/kataras/iris/v12"
 	"github.com/pkg/errors"
@@ -18,9 +17,6 @@
 	"github.com/crocushinge/crocushinge/wire"
 )
 
-// directoryTTL is how long a caller may keep a directory answer.
-const directoryTTL = 10 * time.Second
-
 // maxDocument limits a published contract, in bytes.
 const maxDocument = 1 << 20
 
@@ -58,21 +54,6 @@
 
 func reply(ctx iris.Context, v any) { _ = ctx.JSON(v) }
 
-func (d *Daemon) getDirectory(ctx iris.Context) {
-	snap := d.control.snapshot.Load()
-	if snap == nil || snap.Services[ctx.Params().Get("service")] == nil {
-		fail(ctx, http.StatusNotFound, errors.New("no such service"))
-		return
-	}
-	answer := wire.Directory{Service: ctx.Params().Get("service"), KeepMillis: directoryTTL.Milliseconds()}
-	for _, id := range snap.Directory {
-		answer.Hosts = append(answer.Hosts, wire.DirectoryHost{
-			ID: string(id.ID), Zone: string(id.Zone), Address: id.Address, APIAddress: id.APIAddress,
-		})
-	}
-	reply(ctx, answer)
-}
-
 func (d *Daemon) getStatus(ctx iris.Context) {
 	snap := d.control.snapshot.Load()
 	status := wire.Status{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -61,6 +61,7 @@
 	// corrupt counts readings of items of the table that were left out.
 	corrupt    atomic.Int64
 	servers    []*server
+	leaveTime  time.Duration
 	background sync.WaitGroup
 	// ctx ends when the process has finished its work in flight.
 	ctx context.Context
@@ -69,7 +70,8 @@
 // New builds a daemon from checked settings and opens its listeners. A port of
 // 0 in the settings takes a free one.
 func New(s Settings, p Platform, log zerolog.Logger, opts ...Option) (*Daemon, error) {
-	network := newOptions(opts).network
+	options := newOptions(opts)
+	network := options.network
 	servers, err := listen(network, s.Address, s.APIAddress, s.FleetAddress)
 	if err != nil {
 		return nil, err
@@ -94,17 +96,18 @@
 		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d := &Daemon{
-		settings: s,
-		self:     self,
-		servers:  servers,
-		log:      log.With().Str("host", string(self.ID)).Logger(),
-		ring:     timeline.NewRing(ringCapacity),
-		store:    &publish.Store{Table: p.Table, Now: time.Now},
-		hostList: p.HostList,
-		peers:    newFleetClient(s.FleetToken, network),
-		prober:   newProber(network),
-		ledger:   caller.NewLedger(caller.DefaultLimits()),
-		home:     caller.NewHome(string(self.ID), self.Incarnation),
+		leaveTime: options.leaveTime,
+		settings:  s,
+		self:      self,
+		servers:   servers,
+		log:       log.With().Str("host", string(self.ID)).Logger(),
+		ring:      timeline.NewRing(ringCapacity),
+		store:     &publish.Store{Table: p.Table, Now: time.Now},
+		hostList:  p.HostList,
+		peers:     newFleetClient(s.FleetToken, network),
+		prober:    newProber(network),
+		ledger:    caller.NewLedger(caller.DefaultLimits()),
+		home:      caller.NewHome(string(self.ID), self.Incarnation),
 	}
 	d.store.InForce = d.inForce
 	d.store.KnownAccounts = s.accountNames()
@@ -121,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	servers[callerServer].http.Handler = d.handler
+	servers[callerServer].http.Handler = d.closeWhileLeaving(d.handler)
 	servers[apiServer].http.Handler = api
 	servers[fleetAPIServer].http.Handler = d.fleetHandler()
 	return d, nil
@@ -144,6 +147,7 @@
 	}
 	<-failed.Done()
 	d.control.send(background, host.ShutdownRequested{})
+	d.linger(background)
 	err := shutdown(d.servers)
 	if serveErr := group.Wait(); err == nil {
 		err = serveErr
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -42,7 +42,7 @@
 // startWith runs a daemon until the test ends.
 func startWith(t *testing.T, s Settings, platform Platform) *Daemon {
 	t.Helper()
-	d, err := New(s, platform, zerolog.Nop())
+	d, err := New(s, platform, zerolog.Nop(), WithLeaveTime(0))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/network.go
+++ b/daemon/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/crocushinge/crocushinge/traffic"
 )
@@ -32,13 +33,19 @@
 // Option changes how a daemon is built.
 type Option func(*options)
 
-type options struct{ network Network }
+type options struct {
+	network   Network
+	leaveTime time.Duration
+}
 
 // WithNetwork makes a daemon use a network other than the machine's.
 func WithNetwork(n Network) Option { return func(o *options) { o.network = n } }
 
+// WithLeaveTime changes how long a leaving host goes on accepting requests.
+func WithLeaveTime(t time.Duration) Option { return func(o *options) { o.leaveTime = t } }
+
 func newOptions(list []Option) options {
-	o := options{network: tcpNetwork{}}
+	o := options{network: tcpNetwork{}, leaveTime: leaveTime}
 	for _, set := range list {
 		set(&o)
 	}
--- a/wire/api.go
+++ b/wire/api.go
@@ -18,6 +18,9 @@
 	Hosts []DirectoryHost `json:"hosts"`
 	// KeepMillis is how long the caller may keep the answer.
 	KeepMillis int64 `json:"keep_ms"`
+	// IDPrefix begins the ids of the caller's requests; it makes the
+	// answering host their home. The caller appends a nonce of its own.
+	IDPrefix string `json:"id_prefix"`
 }
 
 // DirectoryHost is a host that a caller may use.
