--- a/contract/contractfile/parse.go
+++ b/contract/contractfile/parse.go
@@ -3,6 +3,8 @@
 package contractfile
 
 import (
+	"fmt"
+
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/finding"
 	"github.com/crocushinge/crocushinge/finding/yamlfile"
@@ -43,6 +45,12 @@
 }
 
 func parse(name string, data []byte, opts yamlfile.Options) (*File, finding.List) {
+	if len(data) > maxFile {
+		return nil, finding.List{{
+			File: name, Line: 1, Column: 1, Message: fmt.Sprintf("the file has %d bytes, above the limit of %d", len(data), maxFile),
+			Fix: "split it over several documents",
+		}}
+	}
 	doc, findings := yamlfile.Parse(name, data)
 	if doc == nil {
 		return nil, findings
@@ -69,20 +77,17 @@
 	return f, findings
 }
 
-// merge adds the faults to the findings of the decoder. A place that the
-// decoder reported already is not reported a second time.
+// merge adds the faults to the findings of the decoder, but for those of values
+// that could not be decoded.
 func (f *File) merge(findings finding.List, faults []contract.Fault) finding.List {
-	type place struct{ line, column int }
-	reported := make(map[place]bool, len(findings))
-	for _, known := range findings {
-		reported[place{known.Line, known.Column}] = true
-	}
+	var rest []contract.Fault
 	for _, fault := range faults {
-		found := f.Finding(fault)
-		if f.places.Has(fault.Field) && reported[place{found.Line, found.Column}] {
-			continue
+		if !f.places.Faulty(fault.Field) {
+			rest = append(rest, fault)
 		}
-		findings = append(findings, found)
+	}
+	for _, fault := range rest {
+		findings = append(findings, f.Finding(fault))
 	}
 	findings.Sort()
 	return findings
--- a/finding/yamlfile/decode.go
+++ b/finding/yamlfile/decode.go
@@ -59,7 +59,7 @@
 // Decode fills the struct that dst points to. All faults are returned together;
 // the values without a fault are decoded in any case.
 func (d *Document) Decode(dst any, opts Options) (*Places, finding.List) {
-	dec := &decoder{opts: opts, places: &Places{file: d.file, values: make(map[string]Place)}}
+	dec := &decoder{opts: opts, places: newPlaces(d.file)}
 	v := reflect.ValueOf(dst).Elem()
 	setDefaults(v)
 	dec.value("", d.body, v)
@@ -121,8 +121,11 @@
 	findings finding.List
 }
 
-func (d *decoder) report(n ast.Node, fix, format string, args ...any) {
+// report adds a finding at a node. Path names the value that cannot be used,
+// or is "" when none is concerned.
+func (d *decoder) report(path string, n ast.Node, fix, format string, args ...any) {
 	place := placeOf(n)
+	d.places.faulty[path] = true
 	d.findings = append(d.findings, finding.Finding{
 		File: d.places.file, Line: place.Line, Column: place.Column,
 		Message: fmt.Sprintf(format, args...), Fix: fix,
@@ -134,10 +137,10 @@
 	d.places.values[path] = placeOf(n)
 	switch n := n.(type) {
 	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode, *ast.MergeKeyNode:
-		d.report(n, "write the value out", "%s uses an anchor, alias or tag, which is not supported", name(path))
+		d.report(path, n, "write the value out", "%s uses an anchor, alias or tag, which is not supported", name(path))
 		return
 	case *ast.NullNode:
-		d.report(n, "give a value or delete the line", "%s is empty", name(path))
+		d.report(path, n, "give a value or delete the line", "%s is empty", name(path))
 		return
 	}
 	switch v.Kind() {
@@ -160,7 +163,7 @@
 func (d *decoder) mapping(path string, n ast.Node, v reflect.Value) {
 	m, ok := n.(*ast.MappingNode)
 	if !ok {
-		d.report(n, "write fields such as: "+example(v.Type()), "%s is %s, not a group of fields", name(path), kindOf(n))
+		d.report(path, n, "write fields such as: "+example(v.Type()), "%s is %s, not a group of fields", name(path), kindOf(n))
 		return
 	}
 	fields, known := structFields(v)
@@ -168,7 +171,7 @@
 	for _, entry := range m.Values {
 		key := entry.Key.GetToken().Value
 		if before, twice := seen[key]; twice {
-			d.report(entry.Key, "keep one of the two", "%s is given twice, first in line %d", join(path, key), before.Line)
+			d.report("", entry.Key, "keep one of the two", "%s is given twice, first in line %d", join(path, key), before.Line)
 			continue
 		}
 		seen[key] = placeOf(entry.Key)
@@ -189,13 +192,13 @@
 	if near := Nearest(key, known); near != "" {
 		fix = "did you mean " + near + "?"
 	}
-	d.report(n, fix, "unknown field %s", join(path, key))
+	d.report("", n, fix, "unknown field %s", join(path, key))
 }
 
 func (d *decoder) sequence(path string, n ast.Node, v reflect.Value) {
 	s, ok := n.(*ast.SequenceNode)
 	if !ok {
-		d.report(n, "write a list, for example: [a, b]", "%s is %s, not a list", name(path), kindOf(n))
+		d.report(path, n, "write a list, for example: [a, b]", "%s is %s, not a list", name(path), kindOf(n))
 		return
 	}
 	out := reflect.MakeSlice(v.Type(), len(s.Values), len(s.Values))
--- a/finding/yamlfile/place.go
+++ b/finding/yamlfile/place.go
@@ -26,6 +26,16 @@
 type Places struct {
 	file   string
 	values map[string]Place
+	// faulty holds the paths of the values that have a finding.
+	faulty map[string]bool
+}
+
+// Faulty reports whether the value with the path has a finding already, so
+// that what follows from it need not be reported too.
+func (p *Places) Faulty(path string) bool { return p.faulty[path] }
+
+func newPlaces(file string) *Places {
+	return &Places{file: file, values: make(map[string]Place), faulty: make(map[string]bool)}
 }
 
 // Has reports whether the file gives the value with the path, for example
@@ -39,6 +49,9 @@
 // does not give is placed at the nearest value around it.
 func (p *Places) Finding(path, message, fix string) finding.Finding {
 	place := p.values[path]
+	if p.Has(path) {
+		p.faulty[path] = true
+	}
 	for around := path; place.Line == 0 && around != ""; {
 		around = parent(around)
 		place = p.values[around]
--- a/finding/yamlfile/scalar.go
+++ b/finding/yamlfile/scalar.go
@@ -19,7 +19,7 @@
 func (d *decoder) scalar(path string, n ast.Node, v reflect.Value) {
 	text, ok := scalarText(n)
 	if !ok {
-		d.report(n, "write one value", "%s is %s, not a single value", name(path), kindOf(n))
+		d.report(path, n, "write one value", "%s is %s, not a single value", name(path), kindOf(n))
 		return
 	}
 	switch v.Type() {
@@ -38,25 +38,25 @@
 			v.SetBool(b.Value)
 			return
 		}
-		d.report(n, "write true or false", "%s is %q, neither true nor false", path, text)
+		d.report(path, n, "write true or false", "%s is %q, neither true nor false", path, text)
 	case reflect.Int:
 		if i, err := strconv.Atoi(text); err == nil {
 			v.SetInt(int64(i))
 			return
 		}
-		d.report(n, "write a whole number, for example 4", "%s is %q, not a whole number", path, text)
+		d.report(path, n, "write a whole number, for example 4", "%s is %q, not a whole number", path, text)
 	case reflect.Uint64:
 		if u, err := strconv.ParseUint(text, 10, 64); err == nil {
 			v.SetUint(u)
 			return
 		}
-		d.report(n, "write a whole number, for example 4", "%s is %q, not a whole number", path, text)
+		d.report(path, n, "write a whole number, for example 4", "%s is %q, not a whole number", path, text)
 	case reflect.Float64:
 		if f, err := strconv.ParseFloat(text, 64); err == nil {
 			v.SetFloat(f)
 			return
 		}
-		d.report(n, "write a number, for example 120", "%s is %q, not a number", path, text)
+		d.report(path, n, "write a number, for example 120", "%s is %q, not a number", path, text)
 	}
 }
 
@@ -66,10 +66,10 @@
 		return
 	}
 	if _, err := strconv.ParseFloat(text, 64); err == nil {
-		d.report(n, "write "+text+"s or "+text+"ms", "%s is %q, a time without a unit", path, text)
+		d.report(path, n, "write "+text+"s or "+text+"ms", "%s is %q, a time without a unit", path, text)
 		return
 	}
-	d.report(n, "write a number with a unit: ms, s, m or h, for example 500ms", "%s is %q, not a time", path, text)
+	d.report(path, n, "write a number with a unit: ms, s, m or h, for example 500ms", "%s is %q, not a time", path, text)
 }
 
 func (d *decoder) size(path string, n ast.Node, text string, v reflect.Value) {
@@ -78,10 +78,10 @@
 		return
 	}
 	if _, err := strconv.ParseFloat(text, 64); err == nil {
-		d.report(n, "write "+text+"B, or a number of KiB or MiB", "%s is %q, a size without a unit", path, text)
+		d.report(path, n, "write "+text+"B, or a number of KiB or MiB", "%s is %q, a size without a unit", path, text)
 		return
 	}
-	d.report(n, "write a whole number with a unit: B, KiB, MiB or GiB, for example 1MiB", "%s is %q, not a size", path, text)
+	d.report(path, n, "write a whole number with a unit: B, KiB, MiB or GiB, for example 1MiB", "%s is %q, not a size", path, text)
 }
 
 // scalarText returns the text of a node without parts.
