Publish, compare and resolve documents as a named operator

Cause: the operator's name was a parameter that anyone could choose, one token served all, history could not be read, and an answer lost between the tool and a host left the operator without a way to find out. Change: the settings declare operators with token files or digests, and every change records the operator whose token came with it; refused credentials are counted. The API serves documents of any kind, history by page, changes by revision, and settles proposals. The tool has list, get, diff, history, remove, resolve, drain and status beside check and publish, text or JSON output, and one exit code for each kind of end. A lost answer is followed by the same proposal again. Settings are checked whole, with places, and read their credentials from files.

--- a/cmd/crocushinge/main.go
+++ b/cmd/crocushinge/main.go
@@ -4,27 +4,84 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/urfave/cli/v3"
 )
 
 func main() {
-	cmd := &cli.Command{
-		Name:  "crocushinge",
-		Usage: "check, publish and watch the contracts of a proxy fleet",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "api", Usage: "`ADDRESS` of a host's API", Value: "127.0.0.1:8081", Sources: cli.EnvVars("CROCUSHINGE_API")},
-			&cli.StringFlag{Name: "token", Usage: "operator `TOKEN`", Sources: cli.EnvVars("CROCUSHINGE_TOKEN")},
+	os.Exit(run(context.Background(), os.Args, os.Stdout, os.Stderr))
+}
+
+// run carries out one command line and returns the exit code.
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	cmd := newCommand(out, errOut)
+	err := cmd.Run(ctx, args)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+	}
+	return exitCode(err)
+}
+
+func newCommand(out, errOut io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:           "crocushinge",
+		Usage:          "check, publish and watch the contracts of a proxy fleet",
+		Writer:         out,
+		ErrWriter:      errOut,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError:   onUsageError,
+		Flags:          globalFlags(),
+		Commands:       commands(),
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if name := cmd.Args().First(); name != "" {
+				return usageError("there is no command " + name + "; see crocushinge --help")
+			}
+			return cli.ShowRootCommandHelp(cmd)
 		},
-		Commands: []*cli.Command{
-			{Name: "check", Usage: "check the contracts below DIR", ArgsUsage: "DIR", Action: check},
-			{Name: "publish", Usage: "check the contracts below DIR and hand them over", ArgsUsage: "DIR", Action: publishAll},
-			{Name: "timeline", Usage: "print the events of the fleet", Action: printTimeline},
+	}
+}
+
+func onUsageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return exitError{code: exitUsage, err: err}
+}
+
+func globalFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "api", Usage: "`ADDRESS` of a host's API", Value: "127.0.0.1:8081", Sources: cli.EnvVars("CROCUSHINGE_API")},
+		&cli.StringFlag{Name: "token", Usage: "operator `TOKEN`; it shows in the list of processes, so prefer --token-file", Sources: cli.EnvVars("CROCUSHINGE_TOKEN")},
+		&cli.StringFlag{Name: "token-file", Usage: "`FILE` that holds the operator token", Sources: cli.EnvVars("CROCUSHINGE_TOKEN_FILE")},
+		&cli.StringFlag{Name: "output", Usage: "`FORMAT` of the output: text or json", Value: outputText},
+		&cli.DurationFlag{Name: "timeout", Usage: "`TIME` for each question to the host", Value: defaultTimeout},
+	}
+}
+
+func commands() []*cli.Command {
+	list := []*cli.Command{
+		{Name: "check", Usage: "check the documents below DIR", ArgsUsage: "DIR", Action: check},
+		{
+			Name: "publish", Usage: "check the documents below DIR and hand them over", ArgsUsage: "DIR", Action: publishAll,
+			Flags: []cli.Flag{
+				&cli.BoolFlag{Name: "dry-run", Usage: "show what would change and change nothing"},
+				&cli.StringFlag{Name: "proposal", Usage: "`ID` of an earlier publication to repeat"},
+			},
 		},
+		{Name: "list", Usage: "list the documents in force", Action: list},
+		{Name: "get", Usage: "print the document of SUBJECT in force", ArgsUsage: "SUBJECT", Action: get, Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "revision", Usage: "print the change of `REVISION` instead"},
+		}},
+		{Name: "diff", Usage: "compare the documents below DIR with those in force", ArgsUsage: "DIR", Action: diff},
+		{Name: "history", Usage: "list the changes of SUBJECT", ArgsUsage: "SUBJECT", Action: history},
+		{Name: "remove", Usage: "remove the document of SUBJECT", ArgsUsage: "SUBJECT", Action: remove, Flags: []cli.Flag{
+			&cli.StringFlag{Name: "proposal", Usage: "`ID` of an earlier removal to repeat"},
+		}},
+		{Name: "resolve", Usage: "decide what became of a proposal whose result is unknown", ArgsUsage: "PROPOSAL", Action: resolve},
+		{Name: "drain", Usage: "give a target no more work", ArgsUsage: "SERVICE TARGET", Action: drain},
+		{Name: "status", Usage: "show how a host is", Action: status},
 	}
-	if err := cmd.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	for _, cmd := range list {
+		cmd.OnUsageError = onUsageError
 	}
+	return list
 }
--- a/cmd/crocushinged/main.go
+++ b/cmd/crocushinged/main.go
@@ -45,14 +45,15 @@
 	if err != nil {
 		return cli.Exit(err, exitSettings)
 	}
-	if cmd.Bool("check") {
-		return nil
-	}
-	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
 	services, err := open.Open(settings.Platform)
 	if err != nil {
 		return cli.Exit(err, exitSettings)
 	}
+	if cmd.Bool("check") {
+		fmt.Printf("%s: no findings\n", cmd.String("settings"))
+		return nil
+	}
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
 	d, err := daemon.New(settings, daemon.Platform(services), log)
 	if err != nil {
 		return err
--- a/daemon/api.go
+++ b/daemon/api.go
@@ -1,25 +1,20 @@
 package daemon
 
 import (
-	"crypto/subtle"
-	"io"
 	"net/http"
-	"strconv"
+	"slices"
+	"strings"
 
 	"github.com/kataras/iris/v12"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/crocushinge/crocushinge/host"
-	"github.com/crocushinge/crocushinge/publish"
 	"github.com/crocushinge/crocushinge/target"
 	"github.com/crocushinge/crocushinge/timeline"
 	"github.com/crocushinge/crocushinge/wire"
 )
 
-// maxDocument limits a published contract, in bytes.
-const maxDocument = 1 << 20
-
 // api builds the HTTP handler for callers' directory questions and operators.
 func (d *Daemon) api() (http.Handler, error) {
 	app := iris.New()
@@ -28,9 +23,14 @@
 	app.Get("/metrics", iris.FromStd(promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{})))
 	operator := app.Party("/v1", d.requireOperator)
 	operator.Get("/status", d.getStatus)
-	operator.Get("/contracts/{service}", d.getContract)
-	operator.Put("/contracts/{service}", d.putContract)
+	operator.Get("/documents", d.getDocuments)
+	operator.Get("/documents/{subject:path}", d.getDocument)
+	operator.Put("/documents/{subject:path}", d.putDocument)
+	operator.Delete("/documents/{subject:path}", d.deleteDocument)
+	operator.Get("/history/{subject:path}", d.getHistory)
+	operator.Get("/changes/{revision:uint64}", d.getChange)
 	operator.Get("/proposals/{id}", d.getProposal)
+	operator.Post("/proposals/{id}/settle", d.postSettle)
 	operator.Post("/drain/{service}/{target}", d.postDrain)
 	operator.Get("/timeline", d.getTimeline)
 	if err := app.Build(); err != nil {
@@ -39,15 +39,6 @@
 	return app, nil
 }
 
-func (d *Daemon) requireOperator(ctx iris.Context) {
-	want := []byte("Bearer " + d.settings.OperatorToken)
-	if subtle.ConstantTimeCompare([]byte(ctx.GetHeader(authorizationHeader)), want) != 1 {
-		fail(ctx, http.StatusUnauthorized, errors.New("missing or wrong operator token"))
-		return
-	}
-	ctx.Next()
-}
-
 func fail(ctx iris.Context, status int, err error) {
 	_ = ctx.StopWithJSON(status, wire.Failure{Error: err.Error()})
 }
@@ -62,74 +53,42 @@
 		Revision:    snap.Revision,
 		Ready:       snap.Ready,
 	}
+	status.Accounts = snap.Accounts.Len()
 	for _, id := range snap.Directory {
 		status.Hosts = append(status.Hosts, string(id.ID))
 	}
-	reply(ctx, status)
-}
-
-func (d *Daemon) getContract(ctx iris.Context) {
-	name := ctx.Params().Get("service")
-	var found *wire.Contract
-	err := d.control.call(ctx.Request().Context(), func(core *host.Core) {
-		for _, ch := range core.Changes(0) {
-			if ch.Service == name && ch.Contract != nil {
-				found = wire.NewContract(ch)
-			}
-		}
-	})
-	switch {
-	case err != nil:
-		fail(ctx, http.StatusServiceUnavailable, err)
-	case found == nil:
-		fail(ctx, http.StatusNotFound, errors.Errorf("no contract of service %s is in force", name))
-	default:
-		reply(ctx, found)
+	for name, r := range snap.Services {
+		s := wire.ServiceStatus{Service: name, Targets: len(r.Contract.Targets), Routed: len(r.Links), Panic: r.Panic}
+		status.Services = append(status.Services, s)
 	}
+	slices.SortFunc(status.Services, func(a, b wire.ServiceStatus) int { return strings.Compare(a.Service, b.Service) })
+	reply(ctx, status)
 }
 
-func (d *Daemon) putContract(ctx iris.Context) {
-	document, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxDocument))
-	if err != nil {
-		fail(ctx, http.StatusRequestEntityTooLarge, err)
-		return
-	}
-	base, err := strconv.ParseUint(ctx.URLParam("base"), 10, 64)
-	if err != nil {
-		fail(ctx, http.StatusBadRequest, errors.Wrap(err, "parameter base"))
-		return
-	}
-	result, err := d.store.Propose(ctx.Request().Context(), publish.Proposal{
-		ID:       ctx.URLParam("proposal"),
-		Operator: ctx.URLParam("operator"),
-		Service:  ctx.Params().Get("service"),
-		Document: document,
-		Base:     base,
-	})
-	if err != nil {
-		fail(ctx, http.StatusServiceUnavailable, err)
+func (d *Daemon) postDrain(ctx iris.Context) {
+	key := target.Key{Service: ctx.Params().Get("service"), Name: ctx.Params().Get("target")}
+	if !d.declares(key) {
+		fail(ctx, http.StatusNotFound, errors.Errorf("no contract in force declares target %s", key))
 		return
 	}
-	reply(ctx, result)
-	if result.Status == publish.Accepted {
-		d.readConfiguration(host.ReadConfiguration{After: d.control.snapshot.Load().Revision})
-	}
+	d.control.send(ctx.Request().Context(), host.OperatorDrain{Target: key})
+	d.log.Info().Str("operator", operatorOf(ctx)).Str("target", key.String()).Msg("operator drains a target")
+	ctx.StatusCode(http.StatusAccepted)
+	reply(ctx, wire.Drain{Target: key.String()})
 }
 
-func (d *Daemon) getProposal(ctx iris.Context) {
-	result, err := d.store.Resolve(ctx.Request().Context(), ctx.Params().Get("id"))
-	if err != nil {
-		fail(ctx, http.StatusServiceUnavailable, err)
-		return
+// declares reports whether a contract in force declares the target.
+func (d *Daemon) declares(key target.Key) bool {
+	routing := d.control.snapshot.Load().Services[key.Service]
+	if routing == nil {
+		return false
 	}
-	reply(ctx, result)
-}
-
-func (d *Daemon) postDrain(ctx iris.Context) {
-	d.control.send(ctx.Request().Context(), host.OperatorDrain{Target: target.Key{
-		Service: ctx.Params().Get("service"), Name: ctx.Params().Get("target"),
-	}})
-	ctx.StatusCode(http.StatusAccepted)
+	for _, t := range routing.Contract.Targets {
+		if t.Name == key.Name {
+			return true
+		}
+	}
+	return false
 }
 
 func (d *Daemon) getTimeline(ctx iris.Context) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,10 +59,13 @@
 	handler  *traffic.Handler
 	metrics  *metrics
 	// corrupt counts readings of items of the table that were left out.
-	corrupt    atomic.Int64
-	servers    []*server
-	leaveTime  time.Duration
-	background sync.WaitGroup
+	corrupt   atomic.Int64
+	operators []operator
+	// refusedOperators counts API requests without a valid operator token.
+	refusedOperators atomic.Int64
+	servers          []*server
+	leaveTime        time.Duration
+	background       sync.WaitGroup
 	// ctx ends when the process has finished its work in flight.
 	ctx context.Context
 }
@@ -104,6 +107,7 @@
 		ring:      timeline.NewRing(ringCapacity),
 		store:     &publish.Store{Table: p.Table, Now: time.Now},
 		hostList:  p.HostList,
+		operators: s.operators(),
 		peers:     newFleetClient(s.FleetToken, network),
 		prober:    newProber(network),
 		ledger:    caller.NewLedger(caller.DefaultLimits()),
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -57,5 +57,14 @@
 			o.Observe(d.corrupt.Load())
 			return nil
 		}))
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	_, err = meter.Int64ObservableCounter("crocushinge.operator.refused",
+		metric.WithDescription("API requests refused for a missing or wrong operator token."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(d.refusedOperators.Load())
+			return nil
+		}))
 	return m, errors.Wrap(err, "metrics")
 }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -1,17 +1,10 @@
 package daemon
 
 import (
-	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
-	"net"
-	"os"
-
-	"github.com/goccy/go-yaml"
-	"github.com/pkg/errors"
+	"time"
 
 	"github.com/crocushinge/crocushinge/caller"
-	"github.com/crocushinge/crocushinge/finding"
+	"github.com/crocushinge/crocushinge/contract/contractfile"
 	"github.com/crocushinge/crocushinge/platform/open"
 	"github.com/crocushinge/crocushinge/zone"
 )
@@ -30,16 +23,47 @@
 	FleetAddress string `yaml:"fleet-address"`
 	// Seeds are fleet addresses of hosts to contact first. Default: none.
 	Seeds []string `yaml:"seeds"`
-	// Zones are the availability zones of the deployment.
+	// Zones are the availability zones of the deployment. Default: none, which
+	// allows any zone in contracts.
 	Zones []ZoneSettings `yaml:"zones"`
 	// Platform says where the table, the objects and the host list are.
 	Platform open.Settings `yaml:"platform"`
-	// FleetToken is the credential between hosts.
+	// FleetToken is the credential between hosts. Give it by file but for a
+	// first run.
 	FleetToken string `yaml:"fleet-token"`
-	// OperatorToken is the credential of operators.
+	// FleetTokenFile names the file that holds the fleet token.
+	FleetTokenFile string `yaml:"fleet-token-file"`
+	// OperatorToken is the credential of one operator named "operator", for a
+	// first run.
 	OperatorToken string `yaml:"operator-token"`
-	// Accounts are the client accounts.
+	// Operators may change the configuration. Default: none but the one of
+	// OperatorToken.
+	Operators []OperatorSettings `yaml:"operators"`
+	// Accounts are client accounts beside those of the published accounts
+	// documents, for a first run. Default: none.
 	Accounts []AccountSettings `yaml:"accounts"`
+	// Distances are the measured latencies between zones. Default for a pair:
+	// 250us within a zone, 1.5ms within a region, 40ms between regions.
+	Distances []DistanceSettings `yaml:"distances"`
+}
+
+// OperatorSettings declares an operator by the token or by its digest.
+type OperatorSettings struct {
+	// Name stands in the history beside each change of the operator.
+	Name string `yaml:"name"`
+	// TokenFile names the file that holds the operator's token.
+	TokenFile string `yaml:"token-file"`
+	// TokenSHA256 is the SHA-256 of the token in hexadecimal, instead of
+	// TokenFile.
+	TokenSHA256 string `yaml:"token-sha256"`
+}
+
+// DistanceSettings declares the latency between two zones.
+type DistanceSettings struct {
+	From string `yaml:"from"`
+	To   string `yaml:"to"`
+	// OneWay is the one-way network latency, for example 1.5ms.
+	OneWay time.Duration `yaml:"one-way"`
 }
 
 // ZoneSettings declares an availability zone.
@@ -55,47 +79,6 @@
 	KeySHA256 string `yaml:"key-sha256"`
 }
 
-// ReadSettings reads and checks a settings file. The error is a finding.List
-// when the file could be read but has faults.
-func ReadSettings(path string) (Settings, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, errors.Wrap(err, "read settings")
-	}
-	var s Settings
-	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(&s); err != nil {
-		return Settings{}, finding.List{{File: path, Message: err.Error()}}
-	}
-	return s, s.Check(path).Err()
-}
-
-// Check returns the faults of the settings.
-func (s *Settings) Check(path string) finding.List {
-	var out finding.List
-	report := func(message, fix string) {
-		out = append(out, finding.Finding{File: path, Message: message, Fix: fix})
-	}
-	if s.Zone == "" {
-		report("zone is missing", "name the availability zone of this host")
-	}
-	for _, a := range []struct{ name, value string }{
-		{"address", s.Address}, {"api-address", s.APIAddress}, {"fleet-address", s.FleetAddress},
-	} {
-		if _, _, err := net.SplitHostPort(a.value); err != nil {
-			report(a.name+" is not an address: "+err.Error(), "write it as ip:port")
-		}
-	}
-	for _, f := range s.Platform.Check() {
-		report("platform: "+f.Message, f.Fix)
-	}
-	for _, a := range s.Accounts {
-		if sum, err := hex.DecodeString(a.KeySHA256); err != nil || len(sum) != sha256.Size {
-			report("account "+a.Name+": key-sha256 is no SHA-256 in hexadecimal", "print one with: printf KEY | sha256sum")
-		}
-	}
-	return out
-}
-
 func (s *Settings) zoneID() zone.ID { return zone.ID(s.Zone) }
 
 func (s *Settings) zoneMap() *zone.Map {
@@ -103,7 +86,11 @@
 	for _, z := range s.Zones {
 		zones = append(zones, zone.Zone{ID: zone.ID(z.ID), Region: z.Region})
 	}
-	return zone.NewMap(zones, nil)
+	var distances []zone.Distance
+	for _, d := range s.Distances {
+		distances = append(distances, zone.Distance{A: zone.ID(d.From), B: zone.ID(d.To), OneWay: d.OneWay})
+	}
+	return zone.NewMap(zones, distances)
 }
 
 // knownZone returns the test for a declared zone, or nil when none is declared.
@@ -130,8 +117,7 @@
 	out := make([]caller.Account, len(s.Accounts))
 	for i, a := range s.Accounts {
 		out[i].Name = a.Name
-		sum, _ := hex.DecodeString(a.KeySHA256)
-		copy(out[i].KeyHash[:], sum)
+		out[i].KeyHash, _ = contractfile.ParseKeyHash(a.KeySHA256)
 	}
 	return out
 }
--- a/publish/read.go
+++ b/publish/read.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"sort"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -117,23 +119,35 @@
 	return out
 }
 
-// History reads the changes of a subject after a revision, oldest first and
-// without their documents, at most limit of them.
-func (s *Store) History(ctx context.Context, subject string, after uint64, limit int) ([]contract.Change, error) {
+// Entry is one change of a subject's history, without its document.
+type Entry struct {
+	contract.Change
+	// Removed is set when the change removed the document.
+	Removed bool
+}
+
+// History reads the changes of a subject after a revision, oldest first, at
+// most limit of them. Next is the revision to read the next page after, or 0
+// on the last page.
+func (s *Store) History(ctx context.Context, subject string, after uint64, limit int) (list []Entry, next uint64, err error) {
 	items, err := s.Table.Query(ctx, partitionHistory+subject, revisionText(after), limit)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	var out []contract.Change
+	removed := sha256.Sum256(nil)
 	for _, item := range items {
 		sum, err := wire.DecodeSummary(item.Value)
 		if err != nil {
 			s.corrupt(item.Key, err)
 			continue
 		}
-		out = append(out, sum.Change)
+		list = append(list, Entry{Change: sum.Change, Removed: sum.Digest == removed})
+	}
+	if len(items) < limit {
+		return list, 0, nil
 	}
-	return out, nil
+	next, err = strconv.ParseUint(items[limit-1].Key.Sort, 10, 64)
+	return list, next, errors.Wrap(err, "sort key of the history")
 }
 
 // Change reads the change of a revision with its document. It fails with
--- a/wire/api.go
+++ b/wire/api.go
@@ -38,26 +38,69 @@
 	Revision    uint64   `json:"revision"`
 	Ready       bool     `json:"ready"`
 	Hosts       []string `json:"hosts"`
+	// Services are those in force, sorted by name.
+	Services []ServiceStatus `json:"services"`
+	// Accounts is the number of client accounts.
+	Accounts int `json:"accounts"`
 }
 
-// Contract is a contract in force.
-type Contract struct {
-	Service  string    `json:"service"`
+// ServiceStatus tells how one host routes a service.
+type ServiceStatus struct {
+	Service string `json:"service"`
+	// Targets is how many targets the contract declares.
+	Targets int `json:"targets"`
+	// Routed is how many of them this host sends work to.
+	Routed int `json:"routed"`
+	// Panic is set when too few are left to be choosy.
+	Panic bool `json:"panic,omitempty"`
+}
+
+// Document is the newest change of one subject, or one change of its history.
+type Document struct {
+	// Subject is a service, or "accounts/" and the name of an accounts
+	// document.
+	Subject  string    `json:"subject"`
 	Version  uint64    `json:"version"`
 	Revision uint64    `json:"revision"`
 	Operator string    `json:"operator"`
 	At       time.Time `json:"at"`
-	Document string    `json:"document"`
+	Proposal string    `json:"proposal"`
+	// Removed is set when the change removed the document.
+	Removed bool `json:"removed,omitempty"`
+	// Text is the document as YAML; empty in lists and in the history.
+	Text string `json:"text,omitempty"`
 }
 
-// NewContract returns the contract that a change put in force.
-func NewContract(ch contract.Change) *Contract {
-	return &Contract{
-		Service:  ch.Service,
+// NewDocument returns a change for the API, with its text.
+func NewDocument(ch contract.Change) Document {
+	return Document{
+		Subject:  ch.Service,
 		Version:  ch.Version,
 		Revision: ch.Revision,
 		Operator: ch.Operator,
 		At:       ch.At,
-		Document: string(ch.Document),
+		Proposal: ch.Proposal,
+		Removed:  len(ch.Document) == 0,
+		Text:     string(ch.Document),
 	}
 }
+
+// Documents lists what is in force on a host.
+type Documents struct {
+	Revision  uint64     `json:"revision"`
+	Documents []Document `json:"documents"`
+	// KnownAccounts are accounts that stand in no document.
+	KnownAccounts []string `json:"known_accounts,omitempty"`
+}
+
+// History is one page of the changes of a subject, oldest first.
+type History struct {
+	Changes []Document `json:"changes"`
+	// Next is the revision to ask for the next page after; 0 on the last page.
+	Next uint64 `json:"next,omitempty"`
+}
+
+// Drain acknowledges that a target gets no more work.
+type Drain struct {
+	Target string `json:"target"`
+}
