Queue, share, retry and refuse within bounds

Change: - caller.Gate admits the requests of one service: a slot at once while there is one, else a queue bounded in length and wait by the contract. Accounts are served in turn, a full queue displaces the newest request of the account with the most waiting, and what cannot be answered before its deadline is refused at once with Retry-After. The goroutine that frees a slot hands it on, so nothing polls. Weighed for the queue: last in, first out (lower latency for those served, but an account cannot tell its turn), CoDel (drops by sojourn time alone, while the deadline is known here).

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -27,7 +27,9 @@
 	events   chan host.Event
 	calls    chan func(*host.Core)
 	observed chan link.Observation
-	dropped  atomic.Int64
+	// published holds a token after a snapshot was published.
+	published chan struct{}
+	dropped   atomic.Int64
 	// unrecorded counts ended requests that are not on the time line because
 	// the control thread was behind.
 	unrecorded atomic.Int64
@@ -50,11 +52,12 @@
 
 func newControl(core *host.Core, ring *timeline.Ring) *control {
 	c := &control{
-		core:     core,
-		ring:     ring,
-		events:   make(chan host.Event, eventQueue),
-		calls:    make(chan func(*host.Core)),
-		observed: make(chan link.Observation, observationQueue),
+		core:      core,
+		ring:      ring,
+		events:    make(chan host.Event, eventQueue),
+		calls:     make(chan func(*host.Core)),
+		observed:  make(chan link.Observation, observationQueue),
+		published: make(chan struct{}, 1),
 	}
 	// Traffic and the API may ask before the control thread runs.
 	c.snapshot.Store(core.Snapshot())
@@ -81,6 +84,14 @@
 	}
 }
 
+// announce wakes the goroutine that tells traffic of a new snapshot.
+func (c *control) announce() {
+	select {
+	case c.published <- struct{}{}:
+	default:
+	}
+}
+
 // send hands an event over. It gives up when the control thread has stopped.
 func (c *control) send(ctx context.Context, ev host.Event) {
 	select {
@@ -147,6 +158,7 @@
 		switch e := e.(type) {
 		case host.Publish:
 			c.snapshot.Store(e.Snapshot)
+			c.announce()
 		case host.ReadConfiguration:
 			c.effects.readConfiguration(e)
 		case host.FetchChanges:
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -42,10 +42,23 @@
 // startRequests starts the background work of callers' requests.
 func (d *Daemon) startRequests(ctx context.Context) {
 	d.background.Go(func() { d.sweepLedger(ctx) })
+	d.background.Go(func() { d.tellTraffic(ctx) })
 	d.background.Go(func() { d.claims.Writer.Run(ctx) })
 	d.background.Go(func() { d.claims.Log.Run(ctx) })
 }
 
+// tellTraffic lets waiting requests use each new snapshot, until ctx ends.
+func (d *Daemon) tellTraffic(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.control.published:
+			d.handler.SnapshotChanged()
+		}
+	}
+}
+
 // sweepLedger forgets expired records until ctx ends.
 func (d *Daemon) sweepLedger(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
--- /dev/null
+++ b/traffic/admission.go
@@ -0,0 +1,101 @@
+package traffic
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/link"
+)
+
+// serviceState is what traffic keeps of one service from request to request.
+type serviceState struct {
+	gate    caller.Gate
+	retries *caller.RetryBudget
+}
+
+// state returns the state of a service.
+func (h *Handler) state(service string) *serviceState {
+	if s, ok := h.states.Load(service); ok {
+		return s.(*serviceState)
+	}
+	s, _ := h.states.LoadOrStore(service, &serviceState{retries: caller.NewRetryBudget()})
+	return s.(*serviceState)
+}
+
+// SnapshotChanged lets waiting requests use the newest snapshot. The control
+// thread calls it from a goroutine of its own after each publication.
+func (h *Handler) SnapshotChanged() {
+	snap := h.cfg.Snapshot()
+	h.states.Range(func(service, s any) bool {
+		if snap.Services[service.(string)] == nil {
+			h.states.Delete(service)
+			return true
+		}
+		s.(*serviceState).gate.Kick(time.Now())
+		return true
+	})
+}
+
+// acquire takes a slot on a link, waiting for one within the contract's
+// bounds. It never takes a tried link while the service has another one.
+func (h *Handler) acquire(ctx context.Context, req *request, tried map[*link.Link]bool) (*link.Link, int, error) {
+	now := time.Now()
+	deadline, _ := ctx.Deadline()
+	queue := req.routing.Contract.Queue
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	var l *link.Link
+	var slot int
+	err := h.state(req.match.Service).gate.Enter(ctx, caller.Entry{
+		Account:  req.account,
+		Now:      now,
+		Deadline: deadline,
+		Limits:   caller.QueueLimits{Length: queue.Length, Wait: queue.Wait},
+		Take: func() (ok bool) {
+			l, slot, ok = h.pick(rng, req, tried)
+			return ok
+		},
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	if ctx.Err() != nil {
+		l.Release(slot)
+		h.state(req.match.Service).gate.Leave(time.Now(), 0, false)
+		return nil, 0, errDeadline
+	}
+	return l, slot, nil
+}
+
+// pick takes a slot by the newest snapshot.
+func (h *Handler) pick(rng *rand.Rand, req *request, tried map[*link.Link]bool) (*link.Link, int, bool) {
+	routing := h.cfg.Snapshot().Services[req.match.Service]
+	if routing == nil {
+		return nil, 0, false
+	}
+	for _, l := range routing.Links {
+		if !tried[l] {
+			return routing.Pick(rng, time.Now(), tried)
+		}
+	}
+	return routing.Pick(rng, time.Now(), nil)
+}
+
+// failure is the answer to a request that failed.
+func failure(result caller.Result, err error) *refusal {
+	var queue *caller.Refusal
+	switch {
+	case errors.As(err, &queue):
+		f := answer(http.StatusServiceUnavailable, result, err.Error())
+		f.retryAfter = max(queue.RetryAfter, time.Second)
+		return f
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, errDeadline):
+		return answer(http.StatusGatewayTimeout, result, err.Error())
+	default:
+		return answer(http.StatusBadGateway, result, err.Error())
+	}
+}
--- a/traffic/body.go
+++ b/traffic/body.go
@@ -63,13 +63,23 @@
 	b.reserved = 0
 }
 
-// attach makes the body that of an outbound request. The transport of
+// replayable makes the body that of an outbound idempotent request.
+func (b *body) replayable(out *http.Request) {
+	out.Body = http.NoBody
+	if len(b.data) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(b.data))
+	}
+	out.ContentLength = int64(len(b.data))
+	out.TransferEncoding = nil
+}
+
+// once makes the body that of an outbound non-idempotent request. The transport of
 // net/http repeats on its own what it takes for idempotent: a GET, HEAD,
 // OPTIONS or TRACE without a body or with GetBody, and any request with an
 // Idempotency-Key. A request that may run once only therefore gets a body
 // that cannot be replayed, and the key's header under a name that the
 // transport does not look up; header names are case-insensitive on the wire.
-func (b *body) attach(out *http.Request) {
+func (b *body) once(out *http.Request) {
 	out.Body = onceBody{bytes.NewReader(b.data)}
 	out.ContentLength = int64(len(b.data))
 	out.GetBody = nil
--- a/traffic/dispatch.go
+++ b/traffic/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -16,8 +15,6 @@
 
 // Errors of an attempt.
 var (
-	// errNoSlot means that no target had a free slot.
-	errNoSlot = errors.New("no target has a free slot")
 	// errDeadline means that the deadline passed before the dispatch.
 	errDeadline = errors.New("the deadline passed before the request was sent")
 	// errCrossed means that the answer belongs to another request.
@@ -27,6 +24,7 @@
 // attempt is one dispatch of a request to a target.
 type attempt struct {
 	handler  *Handler
+	service  string
 	link     *link.Link
 	slot     int
 	started  time.Time
@@ -38,18 +36,12 @@
 // dispatch sends the request to one target. The attempt is nil when the
 // request was not sent at all.
 func (h *Handler) dispatch(ctx context.Context, req *request, tried map[*link.Link]bool) (*attempt, error) {
-	now := time.Now()
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	l, slot, ok := req.routing.Pick(rng, now, tried)
-	if !ok {
-		return nil, errNoSlot
-	}
-	if ctx.Err() != nil {
-		l.Release(slot)
-		return nil, errDeadline
+	l, slot, err := h.acquire(ctx, req, tried)
+	if err != nil {
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	a := &attempt{handler: h, link: l, slot: slot, started: now, cancel: cancel}
+	a := &attempt{handler: h, link: l, service: req.match.Service, slot: slot, started: time.Now(), cancel: cancel}
 	conn := &connUse{}
 	out := outbound(httptrace.WithClientTrace(ctx, conn.trace()), req, l.Address)
 	req.prepare(ctx, out)
@@ -79,8 +71,12 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		setTimeLeft(out.Header, deadline, time.Now())
 	}
-	if req.body != nil {
-		req.body.attach(out)
+	switch {
+	case req.body == nil:
+	case req.match.Route.Idempotent:
+		req.body.replayable(out)
+	default:
+		req.body.once(out)
 	}
 }
 
@@ -120,6 +116,15 @@
 		strings.Contains(text, "http2: Transport received Server's graceful shutdown GOAWAY")
 }
 
+// shed reports whether the target turned the request away for its load.
+func (a *attempt) shed() bool {
+	if a.outcome == link.Refused {
+		return true
+	}
+	r := a.response
+	return r != nil && r.StatusCode == http.StatusServiceUnavailable && r.Header.Get("Retry-After") != ""
+}
+
 // certainlyNotRun reports whether no byte of the request can have reached the
 // application.
 func (a *attempt) certainlyNotRun() bool {
@@ -131,6 +136,7 @@
 	a.cancel()
 	a.link.Release(a.slot)
 	latency := time.Since(a.started)
+	a.handler.state(a.service).gate.Leave(time.Now(), latency, a.shed())
 	a.link.ObserveOutcome(a.outcome, latency)
 	a.handler.cfg.Observe(link.Observation{
 		Target:  a.link.Target,
--- a/traffic/handler.go
+++ b/traffic/handler.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/crocushinge/crocushinge/caller"
@@ -66,6 +67,8 @@
 // Handler serves callers' requests.
 type Handler struct {
 	cfg Config
+	// states holds a *serviceState for each service.
+	states sync.Map
 }
 
 // NewHandler returns a handler that runs on the given settings.
--- a/traffic/keyed.go
+++ b/traffic/keyed.go
@@ -72,13 +72,14 @@
 		return
 	}
 	h.end(req, record, nil, caller.Outcome{Result: caller.NotRun}, cause)
-	w.Header().Set("Retry-After", retryAfterOutage)
-	refuse(http.StatusServiceUnavailable, cause.Error()).write(w)
+	away := refuse(http.StatusServiceUnavailable, cause.Error())
+	away.retryAfter = retryAfterOutage
+	away.write(w)
 }
 
 // retryAfterOutage is the Retry-After of a request refused because the table
-// is away, in seconds.
-const retryAfterOutage = "10"
+// is away.
+const retryAfterOutage = 10 * time.Second
 
 // settle hands the outcome of a request with a key to the writer.
 func (h *Handler) settle(req *request, o caller.Outcome) <-chan struct{} {
--- a/traffic/message.go
+++ b/traffic/message.go
@@ -4,7 +4,9 @@
 	"context"
 	"net/http"
 	"net/textproto"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/crocushinge/crocushinge/caller"
 )
@@ -14,6 +16,8 @@
 	status  int
 	result  caller.Result
 	message string
+	// retryAfter is when the caller may try again; 0 says nothing of it.
+	retryAfter time.Duration
 }
 
 // refuse is an answer to a request that was certainly not run.
@@ -26,6 +30,10 @@
 func (f *refusal) write(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set(HeaderResult, f.result.String())
+	if f.retryAfter > 0 {
+		seconds := int64((f.retryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
 	w.WriteHeader(f.status)
 	_, _ = w.Write([]byte(f.message + "\n"))
 }
--- a/traffic/once.go
+++ b/traffic/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 
@@ -131,12 +132,17 @@
 
 // dispatchOnce sends the request until one attempt may have reached a target.
 func (h *Handler) dispatchOnce(ctx context.Context, req *request) (*attempt, error) {
+	state := h.state(req.match.Service)
+	state.retries.Earn()
 	tried := make(map[*link.Link]bool)
 	for {
 		a, err := h.dispatch(ctx, req, tried)
 		if err == nil || a == nil || !a.certainlyNotRun() || len(tried) >= maxAttempts-1 {
 			return a, err
 		}
+		if !state.retries.Spend() || !pause(ctx, caller.Backoff(len(tried), rand.Float64())) {
+			return a, err
+		}
 		tried[a.link] = true
 	}
 }
@@ -151,18 +157,6 @@
 	failure(result, err).write(w)
 }
 
-// failure is the answer to a request that failed.
-func failure(result caller.Result, err error) *refusal {
-	status := http.StatusBadGateway
-	switch {
-	case errors.Is(err, errNoSlot):
-		status = http.StatusServiceUnavailable
-	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, errDeadline):
-		status = http.StatusGatewayTimeout
-	}
-	return answer(status, result, err.Error())
-}
-
 // end records the outcome in the ledger, in the table and on the time line.
 func (h *Handler) end(req *request, record *caller.Record, a *attempt, o caller.Outcome, cause error) {
 	record.End(o)
