--- /dev/null
+++ b/bench/capacity/configuration.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/host"
+	"github.com/crocushinge/crocushinge/wire"
+)
+
+// document writes the contract of one service.
+func document(size Size, n int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "service: service-%d\ntargets:\n", n)
+	targets := spread(size.Targets, size.Services, n)
+	for t := range targets {
+		fmt.Fprintf(&b, "  - {name: target-%d, address: \"10.%d.%d.%d:8080\", zone: %s, slots: 4, connections: 400}\n",
+			t, n/200, n%200, t+1, size.zoneOf(n+t))
+	}
+	b.WriteString("routes:\n")
+	for r := range spread(size.Routes, size.Services, n) {
+		fmt.Fprintf(&b, "  - {path: /service-%d/part-%d, methods: [GET], idempotent: true, deadline: 2s}\n", n, r)
+	}
+	fmt.Fprintf(&b, "floor: 60%%\nhealth: {path: /health, interval: 10s}\nload: %.0f\naccounts: [account-%d]\n",
+		size.Requests/float64(size.Services), n)
+	return []byte(b.String())
+}
+
+// spread divides a total over n parts and returns the size of one part.
+func spread(total, n, part int) int {
+	if part < total%n {
+		return total/n + 1
+	}
+	return total / n
+}
+
+// changes returns the newest change of every service, undecoded.
+func changes(size Size) [][]byte {
+	var out [][]byte
+	for n := range size.Services {
+		data, err := wire.EncodeChange(contract.Change{
+			Revision: uint64(n + 1), Service: fmt.Sprintf("service-%d", n), Version: 1,
+			Document: document(size, n), Proposal: fmt.Sprintf("proposal-%d", n), Operator: "bench", At: time.Unix(0, 0),
+		})
+		if err != nil {
+			panic(err)
+		}
+		out = append(out, data)
+	}
+	return out
+}
+
+// startCost is what the whole configuration costs a host that starts.
+type startCost struct {
+	bytes  int
+	decode time.Duration
+	apply  time.Duration
+	heapMB float64
+}
+
+// measureStart decodes the whole configuration and puts it in force.
+func measureStart(size Size) (startCost, error) {
+	encoded := changes(size)
+	cost := startCost{}
+	for _, data := range encoded {
+		cost.bytes += len(data)
+	}
+	before := heapMB()
+	list, elapsed, err := decodeAll(encoded)
+	if err != nil {
+		return cost, err
+	}
+	cost.decode = elapsed
+	core := newCore(size)
+	began := time.Now()
+	core.Handle(virtualStart, host.ConfigurationRead{Changes: list, Revision: uint64(size.Services), FromStore: true})
+	cost.apply = time.Since(began)
+	cost.heapMB = heapMB() - before
+	runtime.KeepAlive(core)
+	return cost, nil
+}
+
+func decodeAll(encoded [][]byte) ([]contract.Change, time.Duration, error) {
+	began := time.Now()
+	var list []contract.Change
+	for _, data := range encoded {
+		ch, err := wire.DecodeChange(data)
+		if err != nil {
+			return nil, 0, err
+		}
+		list = append(list, ch)
+	}
+	return list, time.Since(began), nil
+}
+
+// heapMB returns the live heap in MB.
+func heapMB() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) / (1 << 20)
+}
--- /dev/null
+++ b/bench/capacity/control.go
@@ -0,0 +1,333 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/crocushinge/crocushinge/host"
+	"github.com/crocushinge/crocushinge/link"
+	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/service"
+	"github.com/crocushinge/crocushinge/target"
+	"github.com/crocushinge/crocushinge/wire"
+	fleetv1 "github.com/crocushinge/crocushinge/wire/gen/crocushinge/fleet/v1"
+)
+
+// virtualStart is when the virtual clock begins.
+var virtualStart = time.Unix(1_800_000_000, 0)
+
+// Parts of a run on the virtual clock.
+const (
+	settleTime  = 5 * time.Second
+	measureTime = 120 * time.Second
+)
+
+// day is a state of the world around the measured host.
+type day struct {
+	name string
+	// away reports whether a peer does not answer.
+	away func(size Size, i int) bool
+	// back makes the peers answer again when the measurement begins.
+	back bool
+	// store is false while the platform is away.
+	store bool
+}
+
+var (
+	quietDay  = day{name: "ordinary", away: nobody, store: true}
+	rackLost  = day{name: "a rack of 40 lost", away: func(_ Size, i int) bool { return i < 40 }, store: true}
+	zoneLost  = day{name: "a zone lost", away: func(s Size, i int) bool { return i%s.Zones == 1 }, store: true}
+	zoneBack  = day{name: "a zone back", away: zoneLost.away, back: true, store: true}
+	storeAway = day{name: "the store away", away: nobody}
+
+	regionLost = day{
+		name:  "the other region lost",
+		away:  func(s Size, i int) bool { return s.regionOf(i%s.Zones) != s.regionOf(0) },
+		store: true,
+	}
+)
+
+func nobody(Size, int) bool { return false }
+
+// usage is what one host's control used, a second.
+type usage struct {
+	cores  float64
+	heapMB float64
+	// sent counts messages that the host began, and received those that it
+	// answered, with the bytes of their bodies both ways.
+	sent, received           float64
+	sentBytes, receivedBytes float64
+	probes, reads, hostLists float64
+	publications             float64
+	events                   float64
+	fronted                  int
+	worstStep                time.Duration
+}
+
+// driver feeds one core and answers its effects.
+type driver struct {
+	size  Size
+	day   day
+	core  *host.Core
+	peers []host.Identity
+	index map[host.ID]int
+	rng   *rand.Rand
+	now   time.Time
+	away  bool
+
+	queue    []host.Event
+	revision uint64
+	snapshot *host.Snapshot
+	used     usage
+	seq      uint64
+}
+
+func newCore(size Size) *host.Core {
+	return host.New(host.Config{
+		Self:   identity(size, 0),
+		Zones:  size.zones(),
+		Timing: host.DefaultTiming(),
+		Rand:   rand.New(rand.NewPCG(1, 1)),
+	})
+}
+
+func identity(size Size, i int) host.Identity {
+	address := fmt.Sprintf("10.64.%d.%d", i/250, i%250)
+	return host.Identity{
+		ID: host.ID(fmt.Sprintf("host-%03d", i)), Incarnation: uint64(virtualStart.UnixMilli()), Zone: size.zoneOf(i),
+		Address: address + ":8080", APIAddress: address + ":8081", FleetAddress: address + ":8082",
+	}
+}
+
+// measureControl runs one host at full size for measureTime of virtual time.
+func measureControl(size Size, day day) (usage, error) {
+	before := heapMB()
+	d, err := newDriver(size, day)
+	if err != nil {
+		return usage{}, err
+	}
+	d.run(settleTime)
+	d.away = !day.back
+	if day.back {
+		d.away = true
+		d.run(measureTime)
+		d.away = false
+	}
+	d.used = usage{}
+	cpu := processCPU()
+	d.run(measureTime)
+	d.used.cores = (processCPU() - cpu).Seconds() / measureTime.Seconds()
+	d.used.heapMB = heapMB() - before
+	for name := range d.snapshot.EntrySets {
+		if d.snapshot.Fronts(name) {
+			d.used.fronted++
+		}
+	}
+	runtime.KeepAlive(d)
+	return d.used.perSecond(measureTime), nil
+}
+
+func newDriver(size Size, day day) (*driver, error) {
+	list, _, err := decodeAll(changes(size))
+	if err != nil {
+		return nil, err
+	}
+	d := &driver{
+		size: size, day: day, core: newCore(size), index: make(map[host.ID]int),
+		rng: rand.New(rand.NewPCG(2, 2)), now: virtualStart, revision: uint64(size.Services),
+	}
+	for i := 1; i < size.Hosts; i++ {
+		d.peers = append(d.peers, identity(size, i))
+		d.index[d.peers[i-1].ID] = i
+	}
+	d.handle(host.Tick{})
+	d.handle(host.ConfigurationRead{Changes: list, Revision: d.revision, FromStore: true})
+	d.handle(host.SyncAnswered{Message: d.message(d.peers[0]), Members: d.members()})
+	return d, nil
+}
+
+func (d *driver) members() []host.Update {
+	var out []host.Update
+	for _, p := range d.peers {
+		out = append(out, host.Update{Identity: p, State: host.PeerAlive})
+	}
+	return out
+}
+
+func (d *driver) message(from host.Identity) host.Message {
+	return host.Message{From: from, Revision: d.revision, Ready: true}
+}
+
+// run lets virtual time pass.
+func (d *driver) run(length time.Duration) {
+	share := d.size.Requests / float64(d.size.Hosts) * host.TickInterval.Seconds()
+	pings := host.TickInterval.Seconds() / host.DefaultTiming().PingInterval.Seconds()
+	for end := d.now.Add(length); d.now.Before(end); d.now = d.now.Add(host.TickInterval) {
+		d.handle(host.Tick{})
+		if observations := d.observations(share); len(observations) > 0 {
+			d.handle(host.Observed{Observations: observations})
+		}
+		if d.rng.Float64() < pings {
+			d.hearPing()
+		}
+		d.hearReports()
+		for len(d.queue) > 0 {
+			ev := d.queue[0]
+			d.queue = d.queue[1:]
+			d.handle(ev)
+		}
+	}
+}
+
+// hearPing takes in the ping of a random peer, as many as the host sends.
+func (d *driver) hearPing() {
+	p := d.peers[d.rng.IntN(len(d.peers))]
+	if d.isAway(p.ID) {
+		return
+	}
+	m := d.message(p)
+	d.handle(host.MessageHeard{Message: m})
+	answer := d.core.Message(d.now, p.ID)
+	d.used.received++
+	d.used.receivedBytes += float64(messageSize(m) + messageSize(answer))
+}
+
+// observations are those of this host's share of the traffic: requests of the
+// services that it fronts.
+func (d *driver) observations(share float64) []link.Observation {
+	if d.snapshot == nil {
+		return nil
+	}
+	n := int(share)
+	if d.rng.Float64() < share-float64(n) {
+		n++
+	}
+	var fronted []*service.Routing
+	for name := range d.snapshot.EntrySets {
+		if d.snapshot.Fronts(name) && len(d.snapshot.Services[name].Links) > 0 {
+			fronted = append(fronted, d.snapshot.Services[name])
+		}
+	}
+	var out []link.Observation
+	for range n {
+		if len(fronted) == 0 {
+			break
+		}
+		r := fronted[d.rng.IntN(len(fronted))]
+		l := r.Links[d.rng.IntN(len(r.Links))]
+		latency := time.Duration(20+d.rng.ExpFloat64()*10) * time.Millisecond
+		out = append(out, link.Observation{Target: l.Target, Outcome: link.Succeeded, Latency: latency, At: d.now})
+	}
+	return out
+}
+
+// hearReports takes in as many reports as the host sent in the same step: in
+// an entry set of equals, each hears what each sends.
+func (d *driver) hearReports() {
+	for i, ev := range d.queue {
+		if echo, ok := ev.(host.ReportsHeard); ok {
+			for j := range echo.Reports {
+				d.seq++
+				echo.Reports[j].News.Sequence = d.seq
+			}
+			d.queue[i] = echo
+		}
+	}
+}
+
+func (d *driver) isAway(id host.ID) bool { return d.away && d.day.away(d.size, d.index[id]) }
+
+// handle feeds one event, counts the effects and answers them.
+func (d *driver) handle(ev host.Event) {
+	began := time.Now()
+	effects := d.core.Handle(d.now, ev)
+	d.used.worstStep = max(d.used.worstStep, time.Since(began))
+	for _, e := range effects {
+		d.carryOut(e)
+	}
+}
+
+func (d *driver) carryOut(e host.Effect) {
+	switch e := e.(type) {
+	case host.Publish:
+		d.snapshot = e.Snapshot
+		d.used.publications++
+	case host.SendPing:
+		d.exchange(messageSize(e.Message))
+		if d.isAway(e.To.ID) {
+			d.queue = append(d.queue, host.PingFailed{Subject: e.To.ID})
+			return
+		}
+		answer := d.message(d.peers[d.index[e.To.ID]-1])
+		d.used.sentBytes += float64(messageSize(answer))
+		d.queue = append(d.queue, host.PingAnswered{Message: answer})
+	case host.SendIndirectPing:
+		d.exchange(0)
+		if d.isAway(e.Via.ID) {
+			d.queue = append(d.queue, host.IndirectAnswered{Subject: e.Subject.ID, Err: platform.ErrUnavailable})
+			return
+		}
+		d.queue = append(d.queue, host.IndirectAnswered{Subject: e.Subject.ID, Reached: !d.isAway(e.Subject.ID)})
+	case host.SendSync:
+		d.exchange(messageSize(e.Message))
+	case host.SendReports:
+		d.exchange(reportsSize(e.Reports))
+		d.used.received++
+		d.used.receivedBytes += float64(reportsSize(e.Reports))
+		d.queue = append(d.queue, host.ReportsHeard{From: e.To, Reports: copyReports(e.Reports)})
+	case host.ReadConfiguration:
+		d.used.reads++
+		d.queue = append(d.queue, host.ConfigurationRead{Revision: e.After, FromStore: true, Err: d.storeErr()})
+	case host.ReadHostList:
+		d.used.hostLists++
+		d.queue = append(d.queue, host.HostListRead{Err: d.storeErr()})
+	case host.SendProbe:
+		d.used.probes++
+		d.queue = append(d.queue, host.ProbeAnswered{Target: e.Target, OK: true, Latency: probeTime})
+	case host.Record:
+		d.used.events++
+	}
+}
+
+// probeTime is how long a target takes to answer a probe.
+const probeTime = 25 * time.Millisecond
+
+func (d *driver) exchange(bytes int) {
+	d.used.sent++
+	d.used.sentBytes += float64(bytes)
+}
+
+func (d *driver) storeErr() error {
+	if d.day.store {
+		return nil
+	}
+	return platform.ErrUnavailable
+}
+
+func copyReports(list []service.Report) []service.Report {
+	return append([]service.Report(nil), list...)
+}
+
+func messageSize(m host.Message) int { return proto.Size(wire.MessageToProto(m)) }
+
+func reportsSize(list []service.Report) int {
+	return proto.Size(&fleetv1.ReportRequest{Reports: wire.ReportsToProto(list)})
+}
+
+// perSecond turns counts of a run into rates.
+func (u usage) perSecond(length time.Duration) usage {
+	s := length.Seconds()
+	for _, v := range []*float64{
+		&u.sent, &u.received, &u.sentBytes, &u.receivedBytes, &u.probes, &u.reads, &u.hostLists, &u.publications, &u.events,
+	} {
+		*v /= s
+	}
+	return u
+}
+
+// unused keeps the target package's key type in reach of the helpers above.
+var _ = target.Key{}
--- /dev/null
+++ b/bench/capacity/size.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+// Size is the size of a deployment.
+type Size struct {
+	Hosts, Services, Targets, Routes, Accounts int
+	Regions, Zones                             int
+	// Requests is the peak rate over the whole fleet, a second.
+	Requests float64
+	// Changes and Restarts are a day.
+	Changes, Restarts int
+}
+
+// DesignSize returns the size that decides the design.
+func DesignSize() Size {
+	return Size{
+		Hosts: 890, Services: 380, Targets: 7400, Routes: 5700, Accounts: 26000,
+		Regions: 2, Zones: 7, Requests: 89000, Changes: 1100, Restarts: 2200,
+	}
+}
+
+// Limits on the control work of one host, and on the platform's use by all.
+const (
+	limitCores       = 0.023
+	limitMemoryMB    = 128
+	limitBytesPerSec = 8 * 1024
+	limitReads       = 200
+	limitWrites      = 50
+	secondsPerDay    = 24 * 60 * 60
+)
+
+// onceShare is the share of requests that are not idempotent, assumed.
+const onceShare = 0.1
+
+// String describes the size in one line.
+func (s Size) String() string {
+	return fmt.Sprintf("size: %d hosts, %d services, %d targets, %d routes, %d accounts, %d regions, %d zones, %.0f requests/s, %d changes and %d restarts a day\n",
+		s.Hosts, s.Services, s.Targets, s.Routes, s.Accounts, s.Regions, s.Zones, s.Requests, s.Changes, s.Restarts)
+}
+
+// zoneOf spreads machines over the zones.
+func (s Size) zoneOf(i int) zone.ID { return zone.ID(fmt.Sprintf("zone-%d", i%s.Zones)) }
+
+// regionOf puts the zones with even numbers in one region, the others in the
+// other.
+func (s Size) regionOf(zoneNumber int) string { return fmt.Sprintf("region-%d", zoneNumber%s.Regions) }
+
+func (s Size) zones() *zone.Map {
+	var list []zone.Zone
+	for i := range s.Zones {
+		list = append(list, zone.Zone{ID: s.zoneOf(i), Region: s.regionOf(i)})
+	}
+	return zone.NewMap(list, nil)
+}
+
+// cpuModel reads the processor's name, or says that it is not known.
+func cpuModel() string {
+	data, err := os.ReadFile("/proc/cpuinfo")
+	if err != nil {
+		return "unknown processor"
+	}
+	for line := range strings.Lines(string(data)) {
+		if name, ok := strings.CutPrefix(line, "model name"); ok {
+			return strings.Trim(name, " \t:\n")
+		}
+	}
+	return "unknown processor"
+}
--- /dev/null
+++ b/bench/capacity/tables.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/contract/contractfile"
+	"github.com/crocushinge/crocushinge/route"
+)
+
+// lookups is how many look-ups are timed.
+const lookups = 1_000_000
+
+// tableCost is the cost of one look-up table.
+type tableCost struct {
+	name    string
+	entries int
+	heapMB  float64
+	build   time.Duration
+	lookup  time.Duration
+}
+
+// measureTables builds the tables of routes and accounts at full size.
+func measureTables(size Size) []tableCost {
+	return []tableCost{measureRoutes(size), measureAccounts(size)}
+}
+
+func measureRoutes(size Size) tableCost {
+	var contracts []*contract.Contract
+	var paths []string
+	for n := range size.Services {
+		c, findings := contractfile.Parse("bench", document(size, n))
+		if len(findings) > 0 {
+			panic(findings)
+		}
+		contracts = append(contracts, c.Document.Contract)
+		for _, r := range c.Document.Contract.Routes {
+			paths = append(paths, r.Path+"/sheet/17")
+		}
+	}
+	cost := tableCost{name: "routes", entries: len(paths)}
+	before := heapMB()
+	began := time.Now()
+	table := route.NewTable(contracts)
+	cost.build = time.Since(began)
+	cost.heapMB = heapMB() - before
+	rng := rand.New(rand.NewPCG(3, 3))
+	began = time.Now()
+	for range lookups {
+		if _, ok := table.Find("shop.example", paths[rng.IntN(len(paths))], "GET"); !ok {
+			panic("a route is missing")
+		}
+	}
+	cost.lookup = time.Since(began) / lookups
+	return cost
+}
+
+func measureAccounts(size Size) tableCost {
+	var list []caller.Account
+	var keys []string
+	for i := range size.Accounts {
+		keys = append(keys, fmt.Sprintf("the-secret-key-of-account-%d", i))
+		list = append(list, caller.NewAccount(fmt.Sprintf("account-%d", i), keys[i]))
+	}
+	cost := tableCost{name: "accounts", entries: len(list)}
+	before := heapMB()
+	began := time.Now()
+	table := caller.NewAccounts(list)
+	cost.build = time.Since(began)
+	cost.heapMB = heapMB() - before
+	rng := rand.New(rand.NewPCG(4, 4))
+	began = time.Now()
+	for range lookups {
+		if _, ok := table.Authenticate(keys[rng.IntN(len(keys))]); !ok {
+			panic("an account is missing")
+		}
+	}
+	cost.lookup = time.Since(began) / lookups
+	runtime.KeepAlive(list)
+	return cost
+}
+
+// ledgerCost is the cost of remembering non-idempotent requests.
+type ledgerCost struct {
+	entries int
+	heapMB  float64
+	perID   time.Duration
+}
+
+// measureLedger fills a ledger with this host's share of non-idempotent
+// requests over the lifetime of an id.
+func measureLedger(size Size) ledgerCost {
+	rate := size.Requests / float64(size.Hosts) * onceShare
+	cost := ledgerCost{entries: int(rate * caller.IDLifetime.Seconds())}
+	before := heapMB()
+	ledger := caller.NewLedger(caller.DefaultLimits())
+	home := caller.NewHome("host-000", 1)
+	began := time.Now()
+	for range cost.entries {
+		record, verdict := ledger.Begin(home.Since(), "account-17", home.Mint(), caller.Fingerprint{})
+		if verdict != caller.Dispatch {
+			panic("the ledger is full")
+		}
+		record.End(caller.Outcome{Result: caller.Completed, Status: 201})
+	}
+	cost.perID = time.Since(began) / time.Duration(cost.entries)
+	cost.heapMB = heapMB() - before
+	runtime.KeepAlive(ledger)
+	return cost
+}
