--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,6 +31,7 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
 	// drainTime limits the work in flight at a graceful shutdown.
 	drainTime = 30 * time.Second
 )
@@ -128,7 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
-	servers[callerServer].http.Handler = d.closeWhileLeaving(d.handler)
+	servers[callerServer].http = traffic.NewServer(d.closeWhileLeaving(d.handler))
 	servers[apiServer].http.Handler = api
 	servers[fleetAPIServer].http.Handler = d.fleetHandler()
 	return d, nil
@@ -193,7 +194,11 @@
 		}
 		servers = append(servers, &server{
 			listener: listener,
-			http:     &http.Server{ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout},
+			http: &http.Server{
+				ReadHeaderTimeout: readHeaderTimeout,
+				IdleTimeout:       idleTimeout,
+				MaxHeaderBytes:    maxHeaderBytes,
+			},
 		})
 	}
 	return servers, nil
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -27,7 +27,7 @@
 		Bodies:     caller.NewMemory(bodyMemory),
 		Observe:    d.control.observe,
 		Ended:      d.control.ended,
-		Transport:  traffic.NewTransport(network.DialContext),
+		Transport:  traffic.NewTargets(network.DialContext),
 		Peers:      traffic.NewPeerTransport(network.DialContext),
 		FleetToken: d.settings.FleetToken,
 	})
--- a/traffic/admission.go
+++ b/traffic/admission.go
@@ -95,6 +95,10 @@
 		return f
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, errDeadline):
 		return answer(http.StatusGatewayTimeout, result, err.Error())
+	case errors.Is(err, errBodyTooLarge):
+		return answer(http.StatusRequestEntityTooLarge, result, err.Error())
+	case errors.Is(err, errBodyBroken):
+		return answer(http.StatusBadRequest, result, err.Error())
 	default:
 		return answer(http.StatusBadGateway, result, err.Error())
 	}
--- a/traffic/answer.go
+++ b/traffic/answer.go
@@ -63,7 +63,8 @@
 		return nil
 	}
 	header := make(http.Header)
-	copyHeaders(header, a.response.Header)
+	answerHeaders(header, a.response)
+	header.Del("Trailer")
 	answer := &caller.Answer{Status: a.response.StatusCode, Body: body}
 	for name, values := range header {
 		for _, v := range values {
@@ -75,7 +76,7 @@
 
 // writeHead passes the answer's head on.
 func (a *attempt) writeHead(w http.ResponseWriter, result caller.Result) {
-	copyHeaders(w.Header(), a.response.Header)
+	answerHeaders(w.Header(), a.response)
 	w.Header().Set(HeaderResult, result.String())
 	w.WriteHeader(a.response.StatusCode)
 }
@@ -86,6 +87,7 @@
 	if err := copyBody(w, io.MultiReader(bytes.NewReader(held), a.response.Body)); err != nil {
 		return errors.Wrap(err, "the answer was cut short")
 	}
+	writeTrailers(w, a.response)
 	return nil
 }
 
--- a/traffic/body.go
+++ b/traffic/body.go
@@ -84,6 +84,9 @@
 	out.ContentLength = int64(len(b.data))
 	out.GetBody = nil
 	out.TransferEncoding = nil
+	if len(out.Trailer) > 0 {
+		out.ContentLength = -1
+	}
 	for _, name := range [...]string{"Idempotency-Key", "X-Idempotency-Key"} {
 		if values, ok := out.Header[name]; ok {
 			delete(out.Header, name)
--- a/traffic/dispatch.go
+++ b/traffic/dispatch.go
@@ -94,6 +94,8 @@
 func classify(ctx context.Context, err error, conn *connUse) link.Outcome {
 	var op *net.OpError
 	switch {
+	case callerFault(err):
+		return link.Canceled
 	case errors.As(err, &op) && op.Op == "dial", conn.nothingSent():
 		return link.ConnectFailed
 	case refusedStream(err):
--- a/traffic/handler.go
+++ b/traffic/handler.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -90,18 +91,29 @@
 	claimed *caller.Claim
 	// forwarded is set when another host passed the request on.
 	forwarded bool
+	// connections is how many this host may have to each target.
+	connections int
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	caller := newCallerWriter(w, r)
+	defer caller.finish()
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), caller.trace()))
 	req, refusal := h.admit(r)
 	if refusal != nil {
-		refusal.write(w)
+		refusal.write(caller)
 		return
 	}
+	caller.receive(req)
+	h.serve(caller, req)
+}
+
+// serve serves an admitted request.
+func (h *Handler) serve(w http.ResponseWriter, req *request) {
 	w.Header().Set(HeaderRequestID, req.id.String())
 	if req.match.Route.Idempotent {
-		ctx, cancel := context.WithDeadline(r.Context(), req.deadline())
+		ctx, cancel := context.WithDeadline(req.in.Context(), req.deadline())
 		defer cancel()
 		h.serveIdempotent(ctx, w, req)
 		return
@@ -112,6 +124,9 @@
 // admit checks a request before any work is done for it.
 func (h *Handler) admit(r *http.Request) (*request, *refusal) {
 	snap := h.cfg.Snapshot()
+	if f := screen(r); f != nil {
+		return nil, h.refuseEarly(r, "", f.status, f.message)
+	}
 	if snap == nil || !snap.Ready {
 		return nil, h.refuseEarly(r, "", http.StatusServiceUnavailable, "this host has no configuration yet")
 	}
@@ -130,19 +145,23 @@
 	if !routing.Contract.AllowsAccount(account) {
 		return nil, h.refuseEarly(r, account, http.StatusForbidden, "account "+account+" may not use service "+match.Service)
 	}
+	if f := screenBody(r, routing.Contract); f != nil {
+		return nil, h.refuseEarly(r, account, f.status, f.message)
+	}
 	id, err := h.requestID(r)
 	if err != nil {
 		return nil, refuse(http.StatusBadRequest, err.Error())
 	}
 	return &request{
-		account:   account,
-		id:        id,
-		match:     match,
-		routing:   routing,
-		in:        r,
-		arrived:   time.Now(),
-		brought:   r.Header.Get(HeaderRequestID) != "",
-		forwarded: r.Header.Get(headerForwarded) != "",
+		account:     account,
+		id:          id,
+		match:       match,
+		routing:     routing,
+		in:          r,
+		arrived:     time.Now(),
+		brought:     r.Header.Get(HeaderRequestID) != "",
+		forwarded:   r.Header.Get(headerForwarded) != "",
+		connections: service.ConnectionShare(routing.Contract, len(snap.EntrySets[match.Service].Members)),
 	}, nil
 }
 
--- a/traffic/harness_test.go
+++ b/traffic/harness_test.go
@@ -83,7 +83,7 @@
 		Bodies:     caller.NewMemory(1 << 20),
 		Observe:    func(link.Observation) {},
 		Ended:      h.record,
-		Transport:  NewTransport(DialTCP),
+		Transport:  NewTargets(DialTCP),
 		Peers:      NewPeerTransport(DialTCP),
 		FleetToken: testToken,
 	})
--- /dev/null
+++ b/traffic/header.go
@@ -0,0 +1,125 @@
+package traffic
+
+import (
+	"net"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+)
+
+// Headers that proxies add to what they pass on.
+const (
+	viaHeader       = "Via"
+	forwardedHeader = "Forwarded"
+)
+
+// viaName is the name of this system in the Via header.
+const viaName = "crocushinge"
+
+// maxHops is how often a request may have passed this system before it counts
+// as going round in a loop. A request passes two hosts at most.
+const maxHops = 4
+
+// protocolPrefix is the start of the names of this system's own headers.
+const protocolPrefix = "Crocushinge-"
+
+// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = [...]string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Http2-Settings",
+}
+
+// copyHeaders copies end-to-end headers.
+func copyHeaders(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = append([]string(nil), values...)
+	}
+	for _, list := range src["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			dst.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		dst.Del(name)
+	}
+}
+
+// copyTrailers copies the trailers that may pass from one connection to
+// another. Values that are not known yet are copied as empty lists.
+func copyTrailers(dst, src http.Header) {
+	for name, values := range src {
+		if !strings.HasPrefix(name, protocolPrefix) && !isHopByHop(name) {
+			dst[name] = append([]string(nil), values...)
+		}
+	}
+}
+
+func isHopByHop(name string) bool {
+	for _, h := range hopByHop {
+		if name == h {
+			return true
+		}
+	}
+	return false
+}
+
+// acceptsTrailers reports whether the sender of a request takes trailers.
+func acceptsTrailers(header http.Header) bool { return hasToken(header["Te"], "trailers") }
+
+// hasToken reports whether a comma-separated list has a token.
+func hasToken(lists []string, token string) bool {
+	for _, list := range lists {
+		for element := range strings.SplitSeq(list, ",") {
+			if strings.EqualFold(textproto.TrimString(element), token) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// addVia notes that a message of the given protocol version passed this
+// system.
+func addVia(header http.Header, major, minor int) {
+	version := strconv.Itoa(major)
+	if major < 2 {
+		version += "." + strconv.Itoa(minor)
+	}
+	header[viaHeader] = append(header[viaHeader], version+" "+viaName)
+}
+
+// hops counts how often a request passed this system.
+func hops(header http.Header) int {
+	n := 0
+	for _, list := range header[viaHeader] {
+		n += strings.Count(list, " "+viaName)
+	}
+	return n
+}
+
+// addForwarded notes from where a request came (RFC 7239).
+func addForwarded(header http.Header, r *http.Request) {
+	var element strings.Builder
+	element.WriteString("for=")
+	element.WriteString(forwardedNode(r.RemoteAddr))
+	if r.Host != "" && !strings.ContainsAny(r.Host, "\"\\") {
+		element.WriteString(`;host="`)
+		element.WriteString(r.Host)
+		element.WriteString(`"`)
+	}
+	element.WriteString(";proto=http")
+	header[forwardedHeader] = append(header[forwardedHeader], element.String())
+}
+
+// forwardedNode writes an address without its port as RFC 7239 wants it.
+func forwardedNode(address string) string {
+	ip, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return "unknown"
+	}
+	if strings.Contains(ip, ":") {
+		return `"[` + ip + `]"`
+	}
+	return ip
+}
--- a/traffic/message.go
+++ b/traffic/message.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"net/http"
-	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -38,36 +38,83 @@
 	_, _ = w.Write([]byte(f.message + "\n"))
 }
 
-// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
-var hopByHop = [...]string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// copyHeaders copies end-to-end headers.
-func copyHeaders(dst, src http.Header) {
-	for name, values := range src {
-		dst[name] = append([]string(nil), values...)
-	}
-	for _, list := range src["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			dst.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopByHop {
-		dst.Del(name)
-	}
-}
-
 // outbound builds the request to a target.
 func outbound(ctx context.Context, req *request, address string) *http.Request {
+	ctx = withKind(ctx, targetKind{req.routing.Contract.Protocol, req.connections})
 	out := req.in.Clone(ctx)
 	out.URL.Scheme = "http"
 	out.URL.Host = address
 	out.RequestURI = ""
 	out.Close = false
-	out.Header = make(http.Header, len(req.in.Header)+1)
+	out.Header = make(http.Header, len(req.in.Header)+addedHeaders)
 	copyHeaders(out.Header, req.in.Header)
 	out.Header.Del(HeaderKey)
+	// This host has taken the body, or takes it while it sends it on.
+	out.Header.Del("Expect")
+	if acceptsTrailers(req.in.Header) {
+		out.Header.Set("Te", "trailers")
+	}
+	addVia(out.Header, req.in.ProtoMajor, req.in.ProtoMinor)
+	addForwarded(out.Header, req.in)
+	setTrailer(out, req.in)
+	if req.in.Body != nil && req.in.Body != http.NoBody {
+		out.Body = &limitedBody{
+			ReadCloser: req.in.Body,
+			left:       req.routing.Contract.MaxBody,
+			atEnd:      func() { copyTrailers(out.Trailer, req.in.Trailer) },
+		}
+	}
 	return out
 }
+
+// addedHeaders is how many headers an outbound request has more than the
+// caller's.
+const addedHeaders = 4
+
+// setTrailer announces the trailers of an inbound request to the target. Their
+// values are known once the body has been read.
+func setTrailer(out, in *http.Request) {
+	out.Trailer = nil
+	if len(in.Trailer) == 0 {
+		return
+	}
+	out.Trailer = make(http.Header, len(in.Trailer))
+	copyTrailers(out.Trailer, in.Trailer)
+	// Trailers need a body without an announced length.
+	out.ContentLength = -1
+}
+
+// answerHeaders copies the headers of a target's answer. The names of this
+// system's protocol are its own.
+func answerHeaders(dst http.Header, resp *http.Response) {
+	header := make(http.Header, len(resp.Header)+1)
+	copyHeaders(header, resp.Header)
+	for name, values := range header {
+		if !strings.HasPrefix(name, protocolPrefix) {
+			dst[name] = values
+		}
+	}
+	addVia(dst, resp.ProtoMajor, resp.ProtoMinor)
+	for name := range resp.Trailer {
+		if !isHopByHop(name) && !strings.HasPrefix(name, protocolPrefix) {
+			dst.Add("Trailer", name)
+		}
+	}
+	if len(dst["Trailer"]) > 0 {
+		// HTTP/1.1 has trailers only where no length is announced.
+		delete(dst, "Content-Length")
+	}
+}
+
+// writeTrailers passes the trailers of an answer on, after its body.
+func writeTrailers(w http.ResponseWriter, resp *http.Response) {
+	announced := w.Header().Values("Trailer")
+	trailers := make(http.Header, len(resp.Trailer))
+	copyTrailers(trailers, resp.Trailer)
+	for name, values := range trailers {
+		if !slices.Contains(announced, name) {
+			name = http.TrailerPrefix + name
+		}
+		w.Header()[name] = values
+	}
+}
--- a/traffic/once.go
+++ b/traffic/once.go
@@ -117,6 +117,7 @@
 		h.end(req, record, a, outcome, nil)
 		a.writeHead(w, caller.Completed)
 		_, _ = w.Write(held)
+		writeTrailers(w, a.response)
 		a.close()
 		return
 	}
--- a/traffic/retry.go
+++ b/traffic/retry.go
@@ -113,6 +113,7 @@
 	a.writeHead(w, caller.Completed)
 	if d.whole {
 		_, _ = w.Write(d.held)
+		writeTrailers(w, a.response)
 		return
 	}
 	if err := a.stream(w, d.held); err != nil {
--- a/traffic/transport.go
+++ b/traffic/transport.go
@@ -2,17 +2,26 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/crocushinge/crocushinge/contract"
 )
 
 // Timeouts and sizes of the connections to targets and hosts.
 const (
 	dialTimeout  = time.Second
-	idleTimeout  = 90 * time.Second
+	idleTimeout  = 30 * time.Second
 	idlePerPeer  = 16
 	maxHeadBytes = 64 << 10
+	// pingAfter is the silence on an HTTP/2 connection with open requests
+	// after which a ping is sent; pingTimeout is how long it may take.
+	pingAfter   = 2 * time.Second
+	pingTimeout = time.Second
 )
 
 // DialTCP opens a TCP connection.
@@ -20,11 +29,74 @@
 	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
 }
 
-// NewTransport returns the transport to targets that speak HTTP/1.1. It tells
-// the handler whether a request can have been sent.
-func NewTransport(dial Dial) *http.Transport {
+// targetKind is what the connections to a target have in common.
+type targetKind struct {
+	protocol contract.Protocol
+	// connections is how many this host may have to each target.
+	connections int
+}
+
+// kindKey is the context key under which a request carries its targetKind.
+type kindKey struct{}
+
+// withKind tells Targets how to reach the target of a request.
+func withKind(ctx context.Context, kind targetKind) context.Context {
+	return context.WithValue(ctx, kindKey{}, kind)
+}
+
+// Targets is the transport to targets. It speaks the protocol of the request's
+// contract and keeps this host's share of a target's connections. It is safe
+// for concurrent use.
+type Targets struct {
+	dial Dial
+	// kinds is replaced as a whole when a kind is added under mu.
+	kinds atomic.Pointer[map[targetKind]*http.Transport]
+	mu    sync.Mutex
+}
+
+var _ http.RoundTripper = (*Targets)(nil)
+
+// NewTargets returns the transport to targets.
+func NewTargets(dial Dial) *Targets {
+	t := &Targets{dial: dial}
+	t.kinds.Store(&map[targetKind]*http.Transport{})
+	return t
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Targets) RoundTrip(r *http.Request) (*http.Response, error) {
+	kind, _ := r.Context().Value(kindKey{}).(targetKind)
+	return t.transport(kind).RoundTrip(r)
+}
+
+func (t *Targets) transport(kind targetKind) *http.Transport {
+	if transport, ok := (*t.kinds.Load())[kind]; ok {
+		return transport
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if transport, ok := (*t.kinds.Load())[kind]; ok {
+		return transport
+	}
+	transport := newTargetTransport(t.dial, kind)
+	kinds := maps.Clone(*t.kinds.Load())
+	kinds[kind] = transport
+	t.kinds.Store(&kinds)
+	return transport
+}
+
+func newTargetTransport(dial Dial, kind targetKind) *http.Transport {
 	t := NewPeerTransport(dial)
-	t.DialContext = trackDial(t.DialContext)
+	t.MaxConnsPerHost = kind.connections
+	t.Protocols = new(http.Protocols)
+	if kind.protocol != contract.H2C {
+		// Only an HTTP/1.1 connection belongs to one request at a time.
+		t.DialContext = trackDial(dial)
+		t.Protocols.SetHTTP1(true)
+		return t
+	}
+	t.Protocols.SetUnencryptedHTTP2(true)
+	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
 	return t
 }
 
