Merge the events of all hosts into one line and explain requests

Cause: the time line showed the events of one process only. Conclusion: a property test with clocks that are wrong by a minute checks that no event stands before one that caused it.

--- /dev/null
+++ b/timeline/timeline_test.go
@@ -0,0 +1,117 @@
+package timeline
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func at(wall int64) Stamp { return Stamp{Wall: wall} }
+
+// TestMergeKeepsEachHostsOrder runs hosts with clocks that are wrong by up to
+// a minute and exchange messages, and checks that the merged line has every
+// event once, after all that its host had heard of.
+func TestMergeKeepsEachHostsOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		const hosts, steps = 4, 60
+		var clocks [hosts]Clock
+		var lists [hosts][]Event
+		skew := [hosts]time.Duration{0, time.Minute, -time.Minute, time.Millisecond}
+		now := time.UnixMilli(1_700_000_000_000)
+		type pair struct{ before, after Event }
+		var causes []pair
+		for range steps {
+			now = now.Add(time.Duration(rng.IntN(3)) * time.Millisecond)
+			h := rng.IntN(hosts)
+			e := Event{Host: string(rune('a' + h)), Stamp: clocks[h].Now(now.Add(skew[h]))}
+			if from := rng.IntN(hosts); len(lists[from]) > 0 && from != h {
+				cause := lists[from][len(lists[from])-1]
+				e.Stamp = clocks[h].Observe(now.Add(skew[h]), cause.Stamp)
+				causes = append(causes, pair{cause, e})
+			}
+			lists[h] = append(lists[h], e)
+		}
+		merged := Merge(lists[0], lists[1], lists[2], lists[3], lists[1])
+		if len(merged) != steps {
+			t.Fatalf("%d events of %d", len(merged), steps)
+		}
+		place := make(map[origin]int)
+		for i, e := range merged {
+			place[originOf(e)] = i
+		}
+		for _, c := range causes {
+			if place[originOf(c.before)] >= place[originOf(c.after)] {
+				t.Fatalf("%+v stands after %+v, which it caused", c.before, c.after)
+			}
+		}
+	})
+}
+
+func TestFilter(t *testing.T) {
+	is := is.New(t)
+	events := []Event{
+		{Stamp: at(10), Service: "a", Target: "one", Request: "r1"},
+		{Stamp: at(20), Service: "a", Target: "two", Request: "r2"},
+		{Stamp: at(30), Service: "b", Target: "one", Request: "r1"},
+	}
+	is.Equal(len(Filter{}.Select(events)), 3)
+	is.Equal(Filter{Service: "a"}.Select(events), events[:2])
+	is.Equal(Filter{Service: "a", Target: "one"}.Select(events), events[:1])
+	is.Equal(len(Filter{Request: "r1"}.Select(events)), 2)
+	is.Equal(Filter{Since: time.UnixMilli(20), Until: time.UnixMilli(20)}.Select(events), events[1:2])
+}
+
+func TestOutboxKeepsTheOldestAndCounts(t *testing.T) {
+	is := is.New(t)
+	o := NewOutbox(2)
+	for i := range int64(5) {
+		o.Add(Event{Stamp: at(i)})
+	}
+	is.Equal(o.Peek(), []Event{{Stamp: at(0)}, {Stamp: at(1)}})
+	is.Equal(o.Dropped(), int64(3))
+	o.Remove(1)
+	o.Add(Event{Stamp: at(9)})
+	is.Equal(o.Peek(), []Event{{Stamp: at(1)}, {Stamp: at(9)}})
+	is.Equal(o.Len(), 2)
+}
+
+func TestExplain(t *testing.T) {
+	home := Home{Host: "lima-a-1", Incarnation: 7}
+	ended := Event{Stamp: at(1000), Host: "lima-a-1", Incarnation: 7, Kind: RequestEnded, Request: "r", Service: "checkout", Target: "two"}
+	lost := Event{Stamp: at(2000), Host: "lima-b-1", Kind: HostLost, Target: "lima-a-1"}
+	ejected := Event{Stamp: at(1500), Host: "lima-b-1", Kind: TargetStateChanged, Service: "checkout", Target: "two", From: "active", To: "ejected", Reason: "evidence"}
+	tests := []struct {
+		name   string
+		to     string
+		reason string
+		others []Event
+		want   []string
+	}{
+		{"completed", "completed", "", nil, []string{`At 1970-01-01 00:00:01.000 host lima-a-1 told the caller of service checkout "completed" after it was sent to target two.`, "It ran once, and its whole answer went to the caller."}},
+		{"not run", "not-run", "no target has a free slot", nil, []string{"(no target has a free slot)", "It was not run: no byte"}},
+		{"unknown", "unknown", "timed out", []Event{ejected}, []string{"moved target checkout/two from active to ejected (evidence)", "It ran once at most"}},
+		{"home lost", "", "", []Event{lost}, []string{"No host has recorded an end", "host lima-b-1 took host lima-a-1 to be gone", "Its home host was lost"}},
+		{"nothing known", "", "", nil, []string{"No host has recorded an end", "It may still be on its way"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			events := tt.others
+			if tt.to != "" {
+				e := ended
+				e.To, e.Reason = tt.to, tt.reason
+				events = append(events, e)
+			}
+			got := strings.Join(Explain("r", home, events), "\n")
+			for _, want := range append(tt.want, "belongs to incarnation 7 of host lima-a-1") {
+				if !strings.Contains(got, want) {
+					t.Errorf("no %q in:\n%s", want, got)
+				}
+			}
+		})
+	}
+}
