Keep the time line in the object store, and ask the whole fleet for it

Cause: the events of a replaced host were lost, and an operator had to ask each host by itself. Change: each host writes its events as one object each 30 s at most, and once at its end; while the store is away they wait in a bounded outbox and those that find no room are counted. A batch in doubt is written again under its name. A host asked for the time line asks its peers and reads the batches that no live host still holds in memory; it says which sources are missing. It can be followed live, and streams end when a host shuts down. Figures: without the end of streams, TestFollowersDoNotHoldUpShutdown fails after 30 s with a shutdown that timed out. Conclusion: crocushinge timeline and explain work on it; metrics are listed in two tables.

--- a/cmd/crocushinge/main.go
+++ b/cmd/crocushinge/main.go
@@ -6,12 +6,16 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 
 	"github.com/urfave/cli/v3"
 )
 
 func main() {
-	os.Exit(run(context.Background(), os.Args, os.Stdout, os.Stderr))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := run(ctx, os.Args, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
 }
 
 // run carries out one command line and returns the exit code.
@@ -79,6 +83,10 @@
 		{Name: "resolve", Usage: "decide what became of a proposal whose result is unknown", ArgsUsage: "PROPOSAL", Action: resolve},
 		{Name: "drain", Usage: "give a target no more work", ArgsUsage: "SERVICE TARGET", Action: drain},
 		{Name: "status", Usage: "show how a host is", Action: status},
+		{Name: "timeline", Usage: "print the events of the whole fleet in order", Action: printTimeline, Flags: timelineFlags()},
+		{Name: "explain", Usage: "tell what happened to the request with ID", ArgsUsage: "ID", Action: explain, Flags: []cli.Flag{
+			&cli.StringFlag{Name: "since", Usage: "look at events since `TIME`: RFC 3339, or a time ago such as 90m", Value: "24h"},
+		}},
 	}
 	for _, cmd := range list {
 		cmd.OnUsageError = onUsageError
--- a/daemon/api.go
+++ b/daemon/api.go
@@ -11,7 +11,6 @@
 
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/target"
-	"github.com/crocushinge/crocushinge/timeline"
 	"github.com/crocushinge/crocushinge/wire"
 )
 
@@ -90,11 +89,3 @@
 	}
 	return false
 }
-
-func (d *Daemon) getTimeline(ctx iris.Context) {
-	events, _ := d.ring.After(timeline.Stamp{})
-	if events == nil {
-		events = []timeline.Event{}
-	}
-	reply(ctx, events)
-}
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -2,12 +2,26 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/platform"
 	"github.com/crocushinge/crocushinge/publish"
 )
 
+// newStore returns the store of the configuration, which checks proposals
+// against what this host has in force.
+func (d *Daemon) newStore(table platform.Table) *publish.Store {
+	return &publish.Store{
+		Table:         table,
+		Now:           time.Now,
+		InForce:       d.inForce,
+		KnownAccounts: d.settings.accountNames(),
+		KnownZone:     d.settings.knownZone(),
+		Corrupt:       d.corruptItem,
+	}
+}
+
 // inForce returns the configuration in force on this host.
 func (d *Daemon) inForce(ctx context.Context) (publish.View, error) {
 	var view publish.View
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -50,6 +50,10 @@
 	log      zerolog.Logger
 	control  *control
 	ring     *timeline.Ring
+	archive  *archive
+	// closing is closed when the servers begin to shut down, for streams that
+	// would not end by themselves.
+	closing  chan struct{}
 	store    *publish.Store
 	hostList platform.HostList
 	peers    *fleetClient
@@ -106,18 +110,16 @@
 		servers:   servers,
 		log:       log.With().Str("host", string(self.ID)).Logger(),
 		ring:      timeline.NewRing(ringCapacity),
-		store:     &publish.Store{Table: p.Table, Now: time.Now},
 		hostList:  p.HostList,
+		closing:   make(chan struct{}),
 		operators: s.operators(),
 		peers:     newFleetClient(s.FleetToken, network),
 		prober:    newProber(network),
 		ledger:    caller.NewLedger(caller.DefaultLimits()),
 		home:      caller.NewHome(string(self.ID), self.Incarnation),
 	}
-	d.store.InForce = d.inForce
-	d.store.KnownAccounts = s.accountNames()
-	d.store.KnownZone = s.knownZone()
-	d.store.Corrupt = d.corruptItem
+	d.archive = newArchive(p.Objects, self, d.log)
+	d.store = d.newStore(p.Table)
 	d.control = newControl(core, d.ring)
 	d.control.effects = d
 	d.claims = newClaims(p.Table, d.home)
@@ -145,6 +147,7 @@
 	defer stop()
 	d.ctx = background
 	d.background.Go(func() { d.control.run(background) })
+	d.background.Go(func() { d.archive.run(background) })
 	d.startRequests(background)
 	group, failed := errgroup.WithContext(ctx)
 	for _, s := range d.servers {
@@ -153,6 +156,7 @@
 	<-failed.Done()
 	d.control.send(background, host.ShutdownRequested{})
 	d.linger(background)
+	close(d.closing)
 	err := shutdown(d.servers)
 	if serveErr := group.Wait(); err == nil {
 		err = serveErr
@@ -205,7 +209,7 @@
 }
 
 func (d *Daemon) fleetHandler() http.Handler {
-	path, handler := fleetv1connect.NewFleetServiceHandler(&fleetServer{control: d.control, peers: d.peers, ring: d.ring})
+	path, handler := fleetv1connect.NewFleetServiceHandler(&fleetServer{control: d.control, peers: d.peers, ring: d.ring, closing: d.closing})
 	mux := http.NewServeMux()
 	mux.Handle(path, requireToken(d.settings.FleetToken, handler))
 	return mux
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -119,6 +119,10 @@
 }
 
 func (d *Daemon) recorded(e timeline.Event) {
+	d.archive.outbox.Add(e)
+	if e.Kind == timeline.RequestEnded {
+		return // one for each request is no change of state
+	}
 	d.log.Info().
 		Str("kind", string(e.Kind)).
 		Str("service", e.Service).
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/subtle"
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -35,6 +34,8 @@
 	control *control
 	peers   *fleetClient
 	ring    *timeline.Ring
+	// closing ends the streams of the time line.
+	closing <-chan struct{}
 }
 
 // Ping implements fleetv1connect.FleetServiceHandler. The control thread
@@ -119,9 +120,9 @@
 	for {
 		events, more := s.ring.After(after)
 		for _, e := range events {
-			data, err := json.Marshal(e)
+			data, err := wire.EncodeEvent(e)
 			if err != nil {
-				return errors.Wrap(err, "encode event")
+				return err
 			}
 			if err := stream.Send(&fleetv1.TimelineResponse{Event: data}); err != nil {
 				return err
@@ -133,6 +134,8 @@
 		}
 		select {
 		case <-more:
+		case <-s.closing:
+			return nil
 		case <-ctx.Done():
 			return nil
 		}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -31,40 +31,61 @@
 		provider: sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)),
 	}
 	meter := m.provider.Meter(meterName)
-	_, err = meter.Int64ObservableGauge("crocushinge.configuration.revision",
-		metric.WithDescription("Configuration revision in force on this host."),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			if snap := d.control.snapshot.Load(); snap != nil {
-				o.Observe(int64(snap.Revision))
-			}
-			return nil
-		}))
-	if err != nil {
-		return nil, errors.Wrap(err, "metrics")
+	for _, c := range d.counters() {
+		if err := c.registerCounter(meter); err != nil {
+			return nil, err
+		}
 	}
-	_, err = meter.Int64ObservableCounter("crocushinge.observations.dropped",
-		metric.WithDescription("Observations dropped because the control thread was behind."),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(d.control.dropped.Load())
-			return nil
-		}))
-	if err != nil {
-		return nil, errors.Wrap(err, "metrics")
+	for _, g := range d.gauges() {
+		if err := g.registerGauge(meter); err != nil {
+			return nil, err
+		}
 	}
-	_, err = meter.Int64ObservableCounter("crocushinge.configuration.unreadable",
-		metric.WithDescription("Readings of items of the table that were left out because they cannot be decoded."),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(d.corrupt.Load())
-			return nil
-		}))
-	if err != nil {
-		return nil, errors.Wrap(err, "metrics")
+	return m, nil
+}
+
+// instrument is a value that is read when the metrics are collected.
+type instrument struct {
+	name        string
+	description string
+	read        func() int64
+}
+
+// counters returns the counters of a daemon.
+func (d *Daemon) counters() []instrument {
+	return []instrument{
+		{"crocushinge.observations.dropped", "Observations dropped because the control thread was behind.", d.control.dropped.Load},
+		{"crocushinge.configuration.unreadable", "Readings of items of the table that were left out because they cannot be decoded.", d.corrupt.Load},
+		{"crocushinge.operator.refused", "API requests refused for a missing or wrong operator token.", d.refusedOperators.Load},
+		{"crocushinge.timeline.batches", "Batches of events written to the object store.", d.archive.written.Load},
+		{"crocushinge.timeline.batch.failures", "Writes of batches that failed or are in doubt.", d.archive.failure.Load},
+		{"crocushinge.timeline.dropped", "Events that were not kept for the object store because too many waited.", d.archive.outbox.Dropped},
+	}
+}
+
+// gauges returns the gauges of a daemon.
+func (d *Daemon) gauges() []instrument {
+	return []instrument{
+		{"crocushinge.configuration.revision", "Configuration revision in force on this host.", func() int64 {
+			return int64(d.control.snapshot.Load().Revision)
+		}},
+		{"crocushinge.timeline.waiting", "Events that wait for the object store.", func() int64 {
+			return int64(d.archive.outbox.Len())
+		}},
 	}
-	_, err = meter.Int64ObservableCounter("crocushinge.operator.refused",
-		metric.WithDescription("API requests refused for a missing or wrong operator token."),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(d.refusedOperators.Load())
-			return nil
-		}))
-	return m, errors.Wrap(err, "metrics")
+}
+
+func (i instrument) registerCounter(meter metric.Meter) error {
+	_, err := meter.Int64ObservableCounter(i.name, metric.WithDescription(i.description), metric.WithInt64Callback(i.observe))
+	return errors.Wrapf(err, "metric %s", i.name)
+}
+
+func (i instrument) registerGauge(meter metric.Meter) error {
+	_, err := meter.Int64ObservableGauge(i.name, metric.WithDescription(i.description), metric.WithInt64Callback(i.observe))
+	return errors.Wrapf(err, "metric %s", i.name)
+}
+
+func (i instrument) observe(_ context.Context, o metric.Int64Observer) error {
+	o.Observe(i.read())
+	return nil
 }
