Keep an entry set at its size, and choose it without copying hosts

Cause: each zone got the same quota, rounded up, so that over seven zones a set of 4 became one of 7, and every member exchanges evidence with every other. And choosing copied each host's identity into a ranked list for each service: 380 services x 890 hosts took 180 to 300 ms of the control thread when hosts came or went. Ruled out: fewer messages by a longer report interval, which would slow the detection of failing targets. Change: quotas add up to the size; which zones get one host more is decided by the service's hash over the zones, so that the loss of a zone still moves nothing in the others. Candidates are prepared once and ranked by position.

--- a/host/entryset.go
+++ b/host/entryset.go
@@ -65,25 +65,42 @@
 	return max(limit, 1)
 }
 
-// candidate is a host with the hash of its id, which is computed once for all
+// candidates are the hosts that may front services, prepared once for all
 // services.
-type candidate struct {
-	identity Identity
-	hash     uint64
+type candidates struct {
+	// identities are sorted by id.
+	identities []Identity
+	hashes     []uint64
+	// zones holds, for each host, the position of its zone in zoneIDs.
+	zones   []int
+	zoneIDs []zone.ID
 }
 
-func newCandidates(hosts []Identity) []candidate {
-	out := make([]candidate, len(hosts))
+// newCandidates prepares hosts that are sorted by id.
+func newCandidates(hosts []Identity) *candidates {
+	c := &candidates{
+		identities: hosts,
+		hashes:     make([]uint64, len(hosts)),
+		zones:      make([]int, len(hosts)),
+	}
+	positions := make(map[zone.ID]int)
 	for i, h := range hosts {
-		out[i] = candidate{identity: h, hash: hashID(h.ID)}
+		position, known := positions[h.Zone]
+		if !known {
+			position = len(c.zoneIDs)
+			positions[h.Zone] = position
+			c.zoneIDs = append(c.zoneIDs, h.Zone)
+		}
+		c.hashes[i] = hashID(h.ID)
+		c.zones[i] = position
 	}
-	return out
+	return c
 }
 
-// ranked is a candidate with its score for one service.
+// ranked is a candidate, by its position, with its score for one service.
 type ranked struct {
-	identity Identity
-	score    uint64
+	score uint64
+	host  int
 }
 
 // mix is the finalizer of SplitMix64: every bit of its input changes half of
@@ -97,39 +114,84 @@
 }
 
 // newEntrySet chooses the hosts of a service by rendezvous hashing (Thaler and
-// Ravishankar, 1998), the same number in each zone of the regions where its
-// targets are. A host that comes or goes moves one place in its own zone only.
-// Hosts weigh the same, because the fleet's hosts are of one size.
-func newEntrySet(c *contract.Contract, hosts []candidate, zones *zone.Map) EntrySet {
+// Ravishankar, 1998), spread over the zones of the regions where its targets
+// are. A host that comes or goes moves one place in its own zone only. Hosts
+// weigh the same, because the fleet's hosts are of one size.
+func newEntrySet(c *contract.Contract, hosts *candidates, zones *zone.Map) EntrySet {
 	eligible := eligibleZones(c, hosts, zones)
 	size := entrySetSize(c, len(eligible))
-	quota := (size + len(eligible) - 1) / max(len(eligible), 1)
 	seed := xxhash.Sum64String(c.Service)
-	byZone := make(map[zone.ID][]ranked, len(eligible))
-	var rest []ranked
-	for _, h := range hosts {
-		r := ranked{identity: h.identity, score: mix(seed ^ h.hash)}
-		if !slices.Contains(eligible, h.identity.Zone) {
-			rest = append(rest, r)
-			continue
-		}
-		best, spilled := keepBest(byZone[h.identity.Zone], r, quota)
-		byZone[h.identity.Zone] = best
-		rest = append(rest, spilled...)
+	quotas := zoneQuotas(seed, size, eligible)
+	chosen := hosts.best(seed, hosts.quotas(quotas))
+	if missing := leastMembers(size, len(eligible)) - len(chosen); missing > 0 {
+		chosen = append(chosen, hosts.bestOthers(seed, chosen, missing)...)
 	}
-	var chosen []ranked
-	for _, z := range eligible {
-		chosen = append(chosen, byZone[z]...)
-	}
-	chosen = fill(chosen, rest, leastMembers(size, len(eligible)))
 	slices.SortFunc(chosen, compareRanked)
 	set := EntrySet{Service: c.Service}
 	for _, r := range chosen {
-		set.Members = append(set.Members, r.identity)
+		set.Members = append(set.Members, hosts.identities[r.host])
 	}
 	return set
 }
 
+// zoneQuotas divides the size of a set over the zones. Which zones get one
+// host more than others depends on the service alone, not on the hosts, so
+// that the loss of a zone moves nothing in the others.
+func zoneQuotas(seed uint64, size int, zones []zone.ID) map[zone.ID]int {
+	if len(zones) == 0 {
+		return nil
+	}
+	order := slices.Clone(zones)
+	slices.SortFunc(order, func(a, b zone.ID) int {
+		return cmp.Compare(mix(seed^xxhash.Sum64String(string(b))), mix(seed^xxhash.Sum64String(string(a))))
+	})
+	quotas := make(map[zone.ID]int, len(order))
+	for i, z := range order {
+		quotas[z] = size / len(order)
+		if i < size%len(order) {
+			quotas[z]++
+		}
+	}
+	return quotas
+}
+
+// quotas lists the quotas of the zones in the order of zoneIDs.
+func (c *candidates) quotas(of map[zone.ID]int) []int {
+	out := make([]int, len(c.zoneIDs))
+	for i, id := range c.zoneIDs {
+		out[i] = of[id]
+	}
+	return out
+}
+
+// best returns the hosts with the highest scores, as many in each zone as its
+// quota.
+func (c *candidates) best(seed uint64, quotas []int) []ranked {
+	byZone := make([][]ranked, len(quotas))
+	for i, hash := range c.hashes {
+		z := c.zones[i]
+		if quotas[z] > 0 {
+			byZone[z] = keepBest(byZone[z], ranked{score: mix(seed ^ hash), host: i}, quotas[z])
+		}
+	}
+	return slices.Concat(byZone...)
+}
+
+// bestOthers returns the n hosts with the highest scores that are not chosen.
+func (c *candidates) bestOthers(seed uint64, chosen []ranked, n int) []ranked {
+	taken := make([]bool, len(c.hashes))
+	for _, r := range chosen {
+		taken[r.host] = true
+	}
+	var out []ranked
+	for i, hash := range c.hashes {
+		if !taken[i] {
+			out = keepBest(out, ranked{score: mix(seed ^ hash), host: i}, n)
+		}
+	}
+	return out
+}
+
 // leastMembers is how many of the wanted hosts must be there: those that are
 // left when one zone is away. A set is filled up from other zones only below
 // that, so that the loss of a zone moves nothing in the others.
@@ -140,37 +202,28 @@
 	return max(size-(size+zones-1)/zones, min(size, minEntryHosts-1))
 }
 
+// compareRanked orders by falling score; hosts are sorted by id.
 func compareRanked(a, b ranked) int {
 	if c := cmp.Compare(b.score, a.score); c != 0 {
 		return c
 	}
-	return cmp.Compare(a.identity.ID, b.identity.ID)
+	return cmp.Compare(a.host, b.host)
 }
 
-// keepBest inserts r into a list of the best at most n, and returns what does
-// not fit.
-func keepBest(best []ranked, r ranked, n int) (kept, spilled []ranked) {
+// keepBest inserts r into a sorted list of the best at most n.
+func keepBest(best []ranked, r ranked, n int) []ranked {
+	if len(best) == n && compareRanked(best[n-1], r) <= 0 {
+		return best
+	}
 	at, _ := slices.BinarySearchFunc(best, r, compareRanked)
 	best = slices.Insert(best, at, r)
-	if len(best) > n {
-		return best[:n], best[n:]
-	}
-	return best, nil
-}
-
-// fill adds the best of the rest until the set has the least size.
-func fill(chosen, rest []ranked, least int) []ranked {
-	if len(chosen) >= least {
-		return chosen
-	}
-	slices.SortFunc(rest, compareRanked)
-	return append(chosen, rest[:min(least-len(chosen), len(rest))]...)
+	return best[:min(n, len(best))]
 }
 
 // eligibleZones returns the zones of the regions in which the service has
 // targets, sorted; all zones of the hosts when no target's region is known.
 // A declared zone counts also while none of its hosts is there.
-func eligibleZones(c *contract.Contract, hosts []candidate, zones *zone.Map) []zone.ID {
+func eligibleZones(c *contract.Contract, hosts *candidates, zones *zone.Map) []zone.ID {
 	regions := make(map[string]bool)
 	for _, t := range c.Targets {
 		if z, ok := zones.Zone(t.Zone); ok {
@@ -186,26 +239,24 @@
 	if len(out) > 0 {
 		return out
 	}
-	for _, h := range hosts {
-		out = append(out, h.identity.Zone)
-	}
+	out = slices.Clone(hosts.zoneIDs)
 	slices.Sort(out)
-	return slices.Compact(out)
+	return out
 }
 
 // probes reports whether a member of the set is the one that probes a target.
 // One host probes each target, so that the cost of probing does not grow with
 // the set.
 func (e EntrySet) probes(id ID, target string) bool {
-	var best ranked
+	best := ranked{host: len(e.Members)}
 	seed := xxhash.Sum64String(target)
-	for _, m := range e.Members {
-		r := ranked{identity: m, score: mix(seed ^ hashID(m.ID))}
-		if best.identity.ID == "" || compareRanked(r, best) < 0 {
+	for i, m := range e.Members {
+		r := ranked{score: mix(seed ^ hashID(m.ID)), host: i}
+		if best.host == len(e.Members) || compareRanked(r, best) < 0 {
 			best = r
 		}
 	}
-	return best.identity.ID == id
+	return best.host < len(e.Members) && e.Members[best.host].ID == id
 }
 
 func hashID(id ID) uint64 { return xxhash.Sum64String(string(id)) }
--- a/host/entryset_test.go
+++ b/host/entryset_test.go
@@ -152,3 +152,15 @@
 		is.Equal(probing, 1)
 	}
 }
+
+// With more zones than hosts in the set, the set has its size, and the loss of
+// a zone moves nothing in the others.
+func TestEntrySetIsNoLargerThanItsSize(t *testing.T) {
+	is := is.New(t)
+	hosts := hostsIn(48)
+	for s := range 50 {
+		c := entryContract(fmt.Sprint("service", s), 30, 250)
+		set := setOf(c, hosts)
+		is.Equal(len(set.Members), entrySetSize(c, len(testZones)))
+	}
+}
