Run several daemons in one process, with faults at the interface

fleettest joins hosts, targets and callers by loopback or by pipes in memory, holds bytes on cut ways until they heal, pauses and kills places, records what targets ran and what callers were told, and reports each promise to a caller that was broken. In a synctest bubble a fleet runs on a virtual clock.

--- a/daemon/api_documents.go
+++ b/daemon/api_documents.go
@@ -10,7 +10,6 @@
 	"github.com/kataras/iris/v12"
 	"github.com/pkg/errors"
 
-	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/platform"
 	"github.com/crocushinge/crocushinge/publish"
 	"github.com/crocushinge/crocushinge/wire"
@@ -84,7 +83,7 @@
 	}
 	bound, cancel := context.WithTimeout(context.WithoutCancel(ctx.Request().Context()), proposeTimeout)
 	defer cancel()
-	result, err := d.store.Propose(bound, publish.Proposal{
+	result, err := d.Propose(bound, publish.Proposal{
 		ID:       ctx.URLParam("proposal"),
 		Operator: operatorOf(ctx),
 		Service:  ctx.Params().Get("subject"),
@@ -99,9 +98,6 @@
 	default:
 		reply(ctx, result)
 	}
-	if result.Status == publish.Accepted {
-		d.readConfiguration(host.ReadConfiguration{After: d.control.snapshot.Load().Revision})
-	}
 }
 
 func (d *Daemon) getProposal(ctx iris.Context) {
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -31,6 +31,16 @@
 	return view, err
 }
 
+// Propose publishes a change through this host. An accepted one is read back at
+// once, from where it spreads.
+func (d *Daemon) Propose(ctx context.Context, p publish.Proposal) (publish.Result, error) {
+	result, err := d.store.Propose(ctx, p)
+	if err == nil && result.Status == publish.Accepted {
+		d.readConfiguration(host.ReadConfiguration{After: d.Snapshot().Revision})
+	}
+	return result, err
+}
+
 // corruptItem reports an item of the table that cannot be read.
 func (d *Daemon) corruptItem(key platform.Key, err error) {
 	d.corrupt.Add(1)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -140,6 +140,9 @@
 // Self returns the identity of this host, with the addresses it listens on.
 func (d *Daemon) Self() host.Identity { return d.self }
 
+// Snapshot returns the host's present view of the fleet and its services.
+func (d *Daemon) Snapshot() *host.Snapshot { return d.control.snapshot.Load() }
+
 // Run serves until ctx ends, then leaves the fleet, finishes the work in
 // flight and returns.
 func (d *Daemon) Run(ctx context.Context) error {
--- /dev/null
+++ b/fleettest/harness_test.go
@@ -0,0 +1,125 @@
+package fleettest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/crocushinge/crocushinge/host"
+	"github.com/crocushinge/crocushinge/publish"
+)
+
+// testFleet is a fleet with targets and callers on a virtual clock.
+type testFleet struct {
+	*Fleet
+	t       *testing.T
+	ctx     context.Context
+	targets []*Target
+	callers []*Caller
+	version uint64
+}
+
+// inBubble runs a test of a fleet of hosts h00, h01 ... before targets t0, t1
+// ... on a virtual clock, and checks at its end that no promise to a caller
+// was broken.
+func inBubble(t *testing.T, hosts, targets int, test func(*testFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		network := NewMemory(1)
+		network.Delay(2 * time.Millisecond)
+		f := &testFleet{
+			Fleet: New(Config{Network: network, Log: zerolog.Nop()}),
+			t:     t, ctx: t.Context(),
+		}
+		for i := range targets {
+			target, err := StartTarget(network, fmt.Sprint("t", i))
+			f.must(err)
+			f.targets = append(f.targets, target)
+		}
+		for i := range hosts {
+			f.must(f.Start(fmt.Sprintf("h%02d", i)))
+		}
+		time.Sleep(5 * time.Second)
+		f.publish("h00", f.targets...)
+		time.Sleep(5 * time.Second)
+		test(f)
+		for _, c := range f.callers {
+			c.Close()
+		}
+		f.must(Broken(f.targets, f.callers))
+		f.must(f.Close())
+		for _, target := range f.targets {
+			f.must(target.Close())
+		}
+		time.Sleep(2 * time.Minute) // idle connections end
+	})
+}
+
+func (f *testFleet) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *testFleet) check(holds bool, what string, args ...any) {
+	f.t.Helper()
+	if !holds {
+		f.t.Fatalf(what, args...)
+	}
+}
+
+// publish replaces the contract of the service "prices".
+func (f *testFleet) publish(through string, targets ...*Target) {
+	f.t.Helper()
+	result, err := f.Publish(f.ctx, through, fmt.Sprint("p", f.version), "prices", Contract("prices", targets...), f.version)
+	f.must(err)
+	f.check(result.Status == publish.Accepted, "proposal: %+v", result)
+	f.version = result.Version
+}
+
+func (f *testFleet) caller(place string) *Caller {
+	c := NewCaller(f.Network, place, Key)
+	f.callers = append(f.callers, c)
+	return c
+}
+
+func (f *testFleet) address(name string) string { return f.Host(name).Self().Address }
+
+func (f *testFleet) get(c *Caller, name string) Told {
+	return c.Send(f.ctx, f.address(name), http.MethodGet, "/prices/1", "")
+}
+
+func (f *testFleet) post(c *Caller, name, id string) Told {
+	return c.Send(f.ctx, f.address(name), http.MethodPost, "/prices/orders", id)
+}
+
+// inForce reports whether every host has at least a revision.
+func (f *testFleet) inForce(revision uint64) bool {
+	return f.All(func(s *host.Snapshot) bool { return s.Ready && s.Revision >= revision })
+}
+
+// within waits until a condition holds, and fails after a time.
+func (f *testFleet) within(limit time.Duration, what string, holds func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(limit); !holds(); time.Sleep(50 * time.Millisecond) {
+		f.check(time.Now().Before(end), "not within %s: %s", limit, what)
+	}
+}
+
+// runs returns how often the targets ran a request.
+func (f *testFleet) runs(id string) int {
+	n := 0
+	for _, t := range f.targets {
+		for _, r := range t.Runs() {
+			if r.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/fleettest/platform.go
@@ -0,0 +1,65 @@
+package fleettest
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/crocushinge/crocushinge/daemon"
+	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/platform/memory"
+)
+
+// Store is the place of the platform on the network.
+const Store = "store"
+
+// storeView is the platform as one place reaches it.
+type storeView struct {
+	network *Network
+	place   string
+	store   *memory.Platform
+}
+
+func (v storeView) platform() daemon.Platform {
+	return daemon.Platform{Table: v, Objects: v.store, HostList: v}
+}
+
+// reach fails while the way to the platform or back is blocked.
+func (v storeView) reach() error {
+	if v.network.blocked(v.place, Store) || v.network.blocked(Store, v.place) {
+		return errors.Wrap(platform.ErrUnavailable, "no path")
+	}
+	return nil
+}
+
+// Get implements platform.Table.
+func (v storeView) Get(ctx context.Context, key platform.Key) (platform.Item, error) {
+	if err := v.reach(); err != nil {
+		return platform.Item{}, err
+	}
+	return v.store.Get(ctx, key)
+}
+
+// Query implements platform.Table.
+func (v storeView) Query(ctx context.Context, partition, after string, limit int) ([]platform.Item, error) {
+	if err := v.reach(); err != nil {
+		return nil, err
+	}
+	return v.store.Query(ctx, partition, after, limit)
+}
+
+// Write implements platform.Table.
+func (v storeView) Write(ctx context.Context, puts ...platform.Put) error {
+	if err := v.reach(); err != nil {
+		return err
+	}
+	return v.store.Write(ctx, puts...)
+}
+
+// Hosts implements platform.HostList.
+func (v storeView) Hosts(ctx context.Context) (platform.Listing, error) {
+	if err := v.reach(); err != nil {
+		return platform.Listing{}, err
+	}
+	return v.store.Hosts(ctx)
+}
