Let a leaving host keep its share, and say when it is gone

TestGracefulShutdownCutsNothing: a leaving host got one slot a target as soon as it left the entry set, and refused callers that still came to it ('no target has a free slot', 1 of 122).

TestLeavingTargetGetsNoNewWork: hosts outside the entry set went on sending work to a leaving target (104 requests after 3 s), because the drain header of answers was not read. Attempts now observe it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -143,6 +143,17 @@
 // Snapshot returns the host's present view of the fleet and its services.
 func (d *Daemon) Snapshot() *host.Snapshot { return d.control.snapshot.Load() }
 
+// Events returns the events that the process keeps for the time line, oldest
+// first.
+func (d *Daemon) Events() []timeline.Event {
+	events, _ := d.ring.After(timeline.Stamp{})
+	return events
+}
+
+// IDPrefix returns the start of request ids whose home is this host, as the
+// directory gives it.
+func (d *Daemon) IDPrefix() string { return d.home.Prefix() }
+
 // Run serves until ctx ends, then leaves the fleet, finishes the work in
 // flight and returns.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -161,6 +172,7 @@
 	d.linger(background)
 	close(d.closing)
 	err := shutdown(d.servers)
+	d.farewell(background)
 	if serveErr := group.Wait(); err == nil {
 		err = serveErr
 	}
--- a/daemon/leaving.go
+++ b/daemon/leaving.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
+
+	"github.com/crocushinge/crocushinge/host"
 )
 
 // leaveTime is how long a leaving host goes on accepting requests: as long as
@@ -25,6 +28,24 @@
 	}
 }
 
+// farewell tells the fleet that this host has finished its work.
+func (d *Daemon) farewell(ctx context.Context) {
+	var pings []host.SendPing
+	if err := d.control.call(ctx, func(core *host.Core) { pings = core.Farewell(time.Now()) }); err != nil {
+		return
+	}
+	var sent sync.WaitGroup
+	for _, p := range pings {
+		sent.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, p.Timeout)
+			defer cancel()
+			// A peer that misses it finds out by its pings.
+			_, _ = d.peers.ping(ctx, p.To.FleetAddress, p.Message)
+		})
+	}
+	sent.Wait()
+}
+
 // closeWhileLeaving makes callers open their next connection elsewhere: each
 // answer of a leaving host ends its connection, so that none is idle when the
 // listener closes.
--- a/host/fronting.go
+++ b/host/fronting.go
@@ -40,15 +40,13 @@
 }
 
 // frontingHosts returns the hosts that may front services, sorted by id: all
-// that are neither gone nor leaving. Suspected hosts stay, so that a suspicion
-// that is refuted moves nothing.
+// that are not gone. Suspected hosts stay, so that a suspicion that is refuted
+// moves nothing. Leaving hosts stay until they say that they are gone, because
+// they keep their share of the slots for the callers that still come to them.
 func (c *Core) frontingHosts() []Identity {
-	var out []Identity
-	if !c.self.Leaving {
-		out = append(out, c.self)
-	}
+	out := []Identity{c.self}
 	for _, p := range c.peers {
-		if p.State != PeerGone && !p.Identity.Leaving {
+		if p.State != PeerGone {
 			out = append(out, p.Identity)
 		}
 	}
--- a/host/membership.go
+++ b/host/membership.go
@@ -89,12 +89,30 @@
 		p.goneAt = now.Add(c.doubts.scale(c.cfg.Timing.suspicionTime(len(c.peers) + 1)))
 	case state == PeerGone:
 		c.forgetEvidence(now, p.Identity)
-		c.recordPeer(now, timeline.HostLost, p, "did not refute the suspicion")
+		c.recordPeer(now, timeline.HostLost, p, lossReason(p))
 	case previous == PeerGone:
 		c.recordPeer(now, timeline.HostJoined, p, "refuted that it was gone")
 	}
 }
 
+func lossReason(p *Peer) string {
+	if p.Identity.Leaving {
+		return "left"
+	}
+	return "did not refute the suspicion"
+}
+
+// Farewell returns the last messages of a host that has finished its work:
+// they tell a few peers, and through them the others, that it is gone.
+func (c *Core) Farewell(now time.Time) []SendPing {
+	c.updates = updateQueue{{update: Update{Identity: c.self, State: PeerGone}}}
+	var out []SendPing
+	for _, to := range c.randomPeers(announceFanout, "") {
+		out = append(out, SendPing{To: to, Message: c.Message(now, to.ID), Timeout: c.cfg.Timing.PingTimeout})
+	}
+	return out
+}
+
 func (c *Core) recordPeer(now time.Time, kind timeline.Kind, p *Peer, reason string) {
 	c.record(now, timeline.Event{Kind: kind, Target: string(p.Identity.ID), Reason: reason})
 }
--- a/host/membership_test.go
+++ b/host/membership_test.go
@@ -158,3 +158,18 @@
 	}
 	is.Equal(trace(), trace())
 }
+
+func TestHostThatLeftIsGoneAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 12)
+	c.run(20 * time.Second)
+	c.handle("h07", ShutdownRequested{})
+	c.run(3 * time.Second)
+	is.Equal(c.state("h00", "h07"), PeerAlive) // it keeps its share while it leaves
+	for _, ping := range c.nodes["h07"].core.Farewell(c.now) {
+		c.handle(ping.To.FleetAddress, MessageHeard{Message: ping.Message})
+	}
+	c.takeDown("h07")
+	c.run(3 * time.Second)
+	is.True(c.all(func(name string, _ *node) bool { return c.state(name, "h07") == PeerGone }))
+}
--- a/traffic/dispatch.go
+++ b/traffic/dispatch.go
@@ -30,7 +30,9 @@
 	started  time.Time
 	outcome  link.Outcome
 	response *http.Response
-	cancel   context.CancelFunc
+	// leaving is set when the answer carried the target's drain sign.
+	leaving bool
+	cancel  context.CancelFunc
 }
 
 // dispatch sends the request to one target. The attempt is nil when the
@@ -56,6 +58,8 @@
 		return a, errors.Wrapf(err, "target %s", l.Target)
 	}
 	a.response = resp
+	sign := req.routing.Contract.Leaving.Header
+	a.leaving = sign != "" && resp.Header.Get(sign) != ""
 	l.Answered(slot)
 	if resp.StatusCode >= http.StatusInternalServerError {
 		a.outcome = link.Failed
@@ -146,5 +150,6 @@
 		Latency: latency,
 		Started: a.started,
 		At:      time.Now(),
+		Leaving: a.leaving,
 	})
 }
