--- /dev/null
+++ b/fleettest/configuration_test.go
@@ -0,0 +1,155 @@
+package fleettest
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/crocushinge/crocushinge/publish"
+)
+
+// watchRevisions fails the test when a host that serves goes back behind a
+// revision that has been in force everywhere.
+func (f *testFleet) watchRevisions() (stop func()) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	var done sync.WaitGroup
+	everywhere := uint64(0)
+	done.Go(func() {
+		for ; ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+			least := ^uint64(0)
+			for _, name := range f.Names() {
+				s := f.Host(name).Snapshot()
+				if s.Ready && s.Revision < everywhere {
+					f.t.Errorf("%s serves revision %d after %d was in force everywhere", name, s.Revision, everywhere)
+					return
+				}
+				least = min(least, s.Revision)
+			}
+			everywhere = max(everywhere, least)
+		}
+	})
+	return func() { cancel(); done.Wait() }
+}
+
+// Promise: a configuration, once accepted, is in force everywhere within
+// seconds.
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	inBubble(t, 24, 2, func(f *testFleet) {
+		for i := range 10 {
+			f.publish(f.Names()[i*2], f.targets...)
+			f.within(2*time.Second, "in force everywhere", func() bool { return f.inForce(f.version) })
+		}
+	})
+}
+
+// Promise: a configuration never reverts. Each case ends with the newest
+// accepted revision in force everywhere.
+func TestConfigurationNeverReverts(t *testing.T) {
+	cases := []struct {
+		name string
+		run  func(*testFleet)
+	}{
+		{"host replaced during a store outage", func(f *testFleet) {
+			f.Store.Faults.Down(true)
+			f.Kill("h02")
+			f.must(f.Start("h02"))
+		}},
+		{"all hosts but one replaced during a store outage", func(f *testFleet) {
+			f.Store.Faults.Down(true)
+			for _, name := range f.Names()[:5] {
+				f.Kill(name)
+			}
+			for i := range 5 {
+				f.must(f.Start(fmt.Sprintf("h%02d", i)))
+			}
+		}},
+		{"one-way partition while a change spreads", func(f *testFleet) {
+			f.Network.Cut("h00", "h01")
+			f.Network.Cut("h00", "h02")
+			f.Network.Cut("h03", "h00")
+			f.publish("h00", f.targets...)
+		}},
+		{"accepting host killed at once", func(f *testFleet) {
+			f.publish("h04", f.targets...)
+			f.Kill("h04")
+			f.must(f.Start("h04"))
+		}},
+		{"host paused while changes spread", func(f *testFleet) {
+			f.Network.Pause("h05")
+			f.publish("h00", f.targets[:2]...)
+			f.publish("h01", f.targets...)
+			time.Sleep(20 * time.Second)
+			f.Network.Resume("h05")
+		}},
+		{"service removed, then host replaced in an outage", func(f *testFleet) {
+			result, err := f.Publish(f.ctx, "h00", "gone", "prices", "", f.version)
+			f.must(err)
+			f.check(result.Status == publish.Accepted, "removal: %+v", result)
+			f.version = result.Revision
+			f.within(2*time.Second, "removal in force", func() bool { return f.inForce(f.version) })
+			f.Store.Faults.Down(true)
+			f.Kill("h03")
+			f.must(f.Start("h03"))
+			time.Sleep(5 * time.Second)
+			f.check(f.Host("h03").Snapshot().Services["prices"] == nil, "the removed service is back")
+		}},
+	}
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, 6, 3, func(f *testFleet) {
+				stop := f.watchRevisions()
+				tt.run(f)
+				f.within(15*time.Second, "in force everywhere", func() bool { return f.inForce(f.version) })
+				stop()
+			})
+		})
+	}
+}
+
+// A write whose answer is lost ends as accepted or unknown, never as a second
+// change, and what it did is in force everywhere.
+func TestAmbiguousWriteIsResolved(t *testing.T) {
+	inBubble(t, 4, 2, func(f *testFleet) {
+		stop := f.watchRevisions()
+		f.Store.Faults.LoseAnswers(1)
+		document := Contract("prices", f.targets...)
+		first, err := f.Publish(f.ctx, "h00", "lost", "prices", document, f.version)
+		f.must(err)
+		f.check(first.Status == publish.Accepted || first.Status == publish.Undecided, "%+v", first)
+		again, err := f.Publish(f.ctx, "h01", "lost", "prices", document, f.version)
+		f.must(err)
+		f.check(again.Status == publish.Accepted && again.Version == f.version+1, "repeated: %+v", again)
+		f.within(5*time.Second, "in force everywhere", func() bool { return f.inForce(again.Revision) })
+		stop()
+	})
+}
+
+// Of two operators who change the same service at once, one is accepted and
+// the other is told of the conflict.
+func TestTwoOperatorsAtOnce(t *testing.T) {
+	inBubble(t, 4, 2, func(f *testFleet) {
+		stop := f.watchRevisions()
+		for round := range 10 {
+			var results [2]publish.Result
+			var operators sync.WaitGroup
+			for i := range results {
+				operators.Go(func() {
+					proposal := fmt.Sprintf("r%d-%d", round, i)
+					result, err := f.Publish(f.ctx, f.Names()[i], proposal, "prices", Contract("prices", f.targets...), f.version)
+					if err != nil {
+						f.t.Error(err)
+					}
+					results[i] = result
+				})
+			}
+			operators.Wait()
+			a, b := results[0], results[1]
+			f.check((a.Status == publish.Accepted) != (b.Status == publish.Accepted), "round %d: %+v, %+v", round, a, b)
+			f.version = max(a.Version, b.Version)
+			f.within(2*time.Second, "in force everywhere", func() bool { return f.inForce(f.version) })
+		}
+		stop()
+	})
+}
