Rebuild the table of accounts only when accounts change

Cause: each change of configuration rebuilt the table of all accounts on the control thread. Change: the table is rebuilt when a change is of an accounts document. Conclusion: TestAccountsFollowTheirDocument holds as before.

--- a/host/configuration.go
+++ b/host/configuration.go
@@ -43,7 +43,9 @@
 	c.revision = ev.Revision
 	c.names = slices.Sorted(maps.Keys(c.services))
 	c.rebuildRoutes()
-	c.rebuildAccounts()
+	if slices.ContainsFunc(ev.Changes, isAccounts) {
+		c.rebuildAccounts()
+	}
 	c.rebuildEntrySets()
 	c.dirty = true
 	c.record(now, timeline.Event{Kind: timeline.ConfigurationInForce, Revision: c.revision})
@@ -52,6 +54,11 @@
 	}
 }
 
+func isAccounts(ch contract.Change) bool {
+	_, ok := contract.AccountsName(ch.Service)
+	return ok
+}
+
 // noteStore records when the table goes away and when it is back.
 func (c *Core) noteStore(now time.Time, err error) {
 	away := err != nil
@@ -75,7 +82,7 @@
 	sort.Slice(c.changes, func(i, j int) bool {
 		return c.changes[i].Revision < c.changes[j].Revision
 	})
-	if _, ok := contract.AccountsName(ch.Service); ok {
+	if isAccounts(ch) {
 		return
 	}
 	if ch.Contract == nil {
