Keep a change whose document cannot be read for hosts that can

Cause: the core keeps an earlier contract in force when a document cannot be read, but the store left such changes out. Change: the store hands the change over without its contract, and reports it. Conclusion: the test of corrupt items now asks for the change with its document, beside the report and the other changes that it asked for before.

--- a/publish/read.go
+++ b/publish/read.go
@@ -16,7 +16,8 @@
 // ChangesAfter reads the changes after a revision, in order, and the revision
 // that they lead to. After 0 it reads the newest change of each subject
 // instead, as of the revision that it returns, whatever is written meanwhile.
-// An item that cannot be read is told to Corrupt and left out.
+// An item that cannot be read is told to Corrupt; it is left out, or has no
+// contract when only its document cannot be read.
 func (s *Store) ChangesAfter(ctx context.Context, after uint64) ([]contract.Change, uint64, error) {
 	revision, err := s.Revision(ctx)
 	if err != nil || revision <= after {
@@ -39,12 +40,9 @@
 			return false
 		}
 		last++
-		ch, err := wire.DecodeChange(item.Value)
-		if err != nil {
-			s.corrupt(item.Key, err)
-			return true
+		if ch, ok := s.decode(item); ok {
+			out = append(out, ch)
 		}
-		out = append(out, ch)
 		return true
 	})
 	if err != nil {
@@ -61,13 +59,10 @@
 	found := make(map[string]contract.Change)
 	latest := began
 	err := s.scan(ctx, partitionContract, "", func(item platform.Item) bool {
-		ch, err := wire.DecodeChange(item.Value)
-		if err != nil {
-			s.corrupt(item.Key, err)
-			return true
+		if ch, ok := s.decode(item); ok {
+			found[ch.Service] = ch
+			latest = max(latest, ch.Revision)
 		}
-		found[ch.Service] = ch
-		latest = max(latest, ch.Revision)
 		return true
 	})
 	if err != nil {
@@ -90,6 +85,17 @@
 	return sorted(found), revision, nil
 }
 
+// decode decodes a change and reports one that cannot be read. A change whose
+// document alone cannot be read is kept without its contract, since a peer of
+// a newer version may be able to read it.
+func (s *Store) decode(item platform.Item) (ch contract.Change, ok bool) {
+	ch, err := wire.DecodeChange(item.Value)
+	if err != nil {
+		s.corrupt(item.Key, err)
+	}
+	return ch, ch.Revision > 0
+}
+
 // scan hands the items of a partition over in order, page by page, until f
 // returns false.
 func (s *Store) scan(ctx context.Context, partition, after string, f func(platform.Item) bool) error {
--- a/publish/read_test.go
+++ b/publish/read_test.go
@@ -96,7 +96,9 @@
 	changes, revision, err := s.ChangesAfter(ctx, 0)
 	is.NoErr(err)
 	is.Equal(revision, uint64(3))
-	is.Equal(versions(changes), []string{"a@1", "c@3"})
+	is.Equal(versions(changes), []string{"a@1", "b@2", "c@3"})
+	is.True(changes[1].Contract == nil) // but its document is kept for other hosts
+	is.Equal(string(changes[1].Document), "floor: [")
 	changes, revision, err = s.ChangesAfter(ctx, 1)
 	is.NoErr(err)
 	is.Equal(revision, uint64(3))
