--- a/traffic/body.go
+++ b/traffic/body.go
@@ -28,28 +28,44 @@
 	memory   *caller.Memory
 }
 
-// readBody reads a whole body of at most limit bytes. On an error it holds no
-// memory.
-func readBody(r io.Reader, limit int64, memory *caller.Memory) (*body, error) {
+// readBody reads the whole body of a request, of at most limit bytes. On an
+// error it holds no memory.
+func readBody(r *http.Request, limit int64, memory *caller.Memory) (*body, error) {
+	if r.ContentLength > limit {
+		return nil, errBodyTooLarge
+	}
 	b := &body{memory: memory}
+	err := b.read(r.Body, r.ContentLength, limit)
+	if err != nil {
+		b.free()
+		return nil, err
+	}
+	return b, nil
+}
+
+// read reads a body of the given length, or of an unknown one if that is
+// negative, reserving memory before it is used.
+func (b *body) read(r io.Reader, length, limit int64) error {
 	var data bytes.Buffer
 	for {
-		if !memory.Reserve(bodyStep) {
-			b.free()
-			return nil, errBodyMemory
+		step := int64(bodyStep)
+		if length >= 0 {
+			step = min(step, length-int64(data.Len()))
+		}
+		if !b.memory.Reserve(step) {
+			return errBodyMemory
 		}
-		b.reserved += bodyStep
-		n, err := io.CopyN(&data, r, bodyStep)
+		b.reserved += step
+		n, err := io.CopyN(&data, r, step)
+		done := length >= 0 && int64(data.Len()) == length || length < 0 && errors.Is(err, io.EOF)
 		switch {
 		case int64(data.Len()) > limit:
-			b.free()
-			return nil, errBodyTooLarge
-		case errors.Is(err, io.EOF):
+			return errBodyTooLarge
+		case done:
 			b.data = data.Bytes()
-			return b, nil
-		case err != nil || n < bodyStep:
-			b.free()
-			return nil, errors.Wrap(errBodyBroken, err.Error())
+			return nil
+		case err != nil || n < step:
+			return errors.Wrap(errBodyBroken, "end of the body")
 		}
 	}
 }
--- a/traffic/once.go
+++ b/traffic/once.go
@@ -24,7 +24,7 @@
 		refuse(http.StatusBadRequest, "this host has not minted the id").write(w)
 		return
 	}
-	body, err := readBody(req.in.Body, req.routing.Contract.MaxBody, h.cfg.Bodies)
+	body, err := readBody(req.in, req.routing.Contract.MaxBody, h.cfg.Bodies)
 	if err != nil {
 		h.refuseBody(req, err).write(w)
 		return
--- a/traffic/retry.go
+++ b/traffic/retry.go
@@ -61,7 +61,7 @@
 	if req.in.ContentLength < 0 || req.in.ContentLength > replayLimit {
 		return true
 	}
-	body, err := readBody(req.in.Body, replayLimit, h.cfg.Bodies)
+	body, err := readBody(req.in, replayLimit, h.cfg.Bodies)
 	if err != nil {
 		h.refuseBody(req, err).write(w)
 		return false
