Measure goodput under overload beside baselines

go run ./bench/overload sends Poisson arrivals through the real handler to stand-in targets that do not heed cancellation.

--- /dev/null
+++ b/bench/overload/run.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/claim"
+	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/host"
+	"github.com/crocushinge/crocushinge/link"
+	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/route"
+	"github.com/crocushinge/crocushinge/service"
+	"github.com/crocushinge/crocushinge/traffic"
+)
+
+const (
+	serviceName = "checkout"
+	floodName   = "flood"
+	// accounts is how many accounts use the service besides the flooding one.
+	accounts = 9
+	// warmUp is the time before a measurement.
+	warmUp = time.Second
+	// unboundedSlots stands for a host that knows no slots.
+	unboundedSlots = 1 << 16
+	seed           = 7
+)
+
+// newHandler builds the real handler before stand-in targets.
+func newHandler(s scenario) *traffic.Handler {
+	net := make(network)
+	c := &contract.Contract{
+		Service: serviceName,
+		Routes:  []contract.Route{{Path: "/", Idempotent: true, Deadline: deadline}},
+		Queue:   contract.Queue{Length: 64, Wait: 400 * time.Millisecond},
+		MaxBody: 1 << 10,
+	}
+	for i := range targets {
+		address := fmt.Sprintf("target-%d", i)
+		net[address] = newStandIn()
+		spec := contract.Target{Name: address, Address: address, Slots: slots}
+		if s.unbounded {
+			spec.Slots = unboundedSlots
+		}
+		c.Targets = append(c.Targets, spec)
+	}
+	var list []caller.Account
+	for _, name := range names() {
+		list = append(list, caller.NewAccount(name, name))
+		c.Accounts = append(c.Accounts, name)
+	}
+	snap := &host.Snapshot{
+		Routes:   route.NewTable([]*contract.Contract{c}),
+		Accounts: caller.NewAccounts(list),
+		Services: map[string]*service.Routing{serviceName: service.New(c, service.Place{}, time.Now()).Routing()},
+		Ready:    true,
+	}
+	home := caller.NewHome("bench", 1)
+	store := &claim.Store{Table: memory.New()}
+	return traffic.NewHandler(traffic.Config{
+		Snapshot:  func() *host.Snapshot { return snap },
+		Home:      home,
+		Ledger:    caller.NewLedger(caller.DefaultLimits()),
+		Claims:    traffic.Claims{Store: store, Writer: claim.NewWriter(store), Log: claim.NewLog(store.Table, home)},
+		Bodies:    caller.NewMemory(1 << 20),
+		Observe:   func(link.Observation) {},
+		Ended:     func(host.RequestEnded) {},
+		Transport: net,
+	})
+}
+
+func names() []string {
+	out := []string{floodName}
+	for i := range accounts {
+		out = append(out, fmt.Sprint("account-", i))
+	}
+	return out
+}
+
+// run measures one scenario with Poisson arrivals that do not wait for
+// answers.
+func run(s scenario, length time.Duration) *result {
+	handler := newHandler(s)
+	rng := rand.New(rand.NewPCG(seed, seed))
+	r := &result{length: length, served: hdrhistogram.New(1, time.Minute.Microseconds(), 3)}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	began := time.Now()
+	for due := began; due.Before(began.Add(warmUp + length)); {
+		due = due.Add(time.Duration(rng.ExpFloat64() / (s.load * capacity) * float64(time.Second)))
+		time.Sleep(time.Until(due))
+		account := s.account(rng)
+		measured := due.After(began.Add(warmUp))
+		at := due
+		group.Go(func() {
+			outcome := ask(handler, s, account)
+			if measured {
+				mu.Lock()
+				defer mu.Unlock()
+				r.add(account, outcome, time.Since(at))
+			}
+		})
+	}
+	group.Wait()
+	return r
+}
+
+// account draws the account of an arrival.
+func (s scenario) account(rng *rand.Rand) string {
+	if rng.Float64() < s.flood {
+		return floodName
+	}
+	return fmt.Sprint("account-", rng.IntN(accounts))
+}
+
+// ask sends one request and returns its result.
+func ask(handler *traffic.Handler, s scenario, account string) string {
+	key := account
+	if s.shared {
+		key = floodName
+	}
+	req, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://bench/", http.NoBody)
+	req.Header.Set(traffic.HeaderKey, key)
+	w := &recorder{header: make(http.Header)}
+	handler.ServeHTTP(w, req)
+	return w.header.Get(traffic.HeaderResult)
+}
+
+func (r *result) add(account, outcome string, latency time.Duration) {
+	good := outcome == caller.Completed.String() && latency <= deadline
+	switch {
+	case good:
+		_ = r.served.RecordValue(latency.Microseconds())
+	case outcome == caller.NotRun.String():
+		r.refused++
+	default:
+		r.failed++
+	}
+	if account != floodName {
+		r.others++
+		if good {
+			r.othersRun++
+		}
+	}
+}
+
+// recorder keeps the head of an answer.
+type recorder struct{ header http.Header }
+
+// Header implements http.ResponseWriter.
+func (r *recorder) Header() http.Header { return r.header }
+
+// Write implements http.ResponseWriter.
+func (r *recorder) Write(p []byte) (int, error) { return len(p), nil }
+
+// WriteHeader implements http.ResponseWriter.
+func (r *recorder) WriteHeader(int) {}
+
+// Flush implements http.Flusher.
+func (r *recorder) Flush() {}
