Record the start of a host and who drained a target

Cause: the time line had no event for the start of a host, and an operator's drain named nobody. Change: the core records host-started at its first tick and operator-drained with the operator's name. The tool counts in singular and plural. Conclusion: TestTimelineNamesTheOperator reads both through the tool.

--- a/cmd/crocushinge/check.go
+++ b/cmd/crocushinge/check.go
@@ -61,11 +61,11 @@
 	}
 	err := show(cmd, c, func() {
 		if len(c.Findings) == 0 {
-			fmt.Fprintf(cmd.Root().Writer, "%d documents, no findings\n", c.Documents)
+			fmt.Fprintf(cmd.Root().Writer, "%s, no findings\n", count(c.Documents, "document"))
 			return
 		}
 		fmt.Fprintln(cmd.Root().Writer, c.Findings.Error())
-		fmt.Fprintf(cmd.Root().Writer, "%d findings, %d of them warnings\n", len(c.Findings), len(c.Findings.Warnings()))
+		fmt.Fprintf(cmd.Root().Writer, "%s, %s\n", count(len(c.Findings)-len(c.Findings.Warnings()), "fault"), count(len(c.Findings.Warnings()), "warning"))
 	})
 	if err == nil && c.Findings.Failed() {
 		return exitError{code: exitUsage, err: errors.New("the documents have faults; nothing was published")}
--- a/cmd/crocushinge/diff.go
+++ b/cmd/crocushinge/diff.go
@@ -52,7 +52,7 @@
 		return err
 	}
 	if len(differences) > 0 {
-		return exitError{code: exitDifferent, err: errors.Errorf("%d of %d documents differ from those in force", len(differences), len(files))}
+		return exitError{code: exitDifferent, err: errors.Errorf("%s not in force as in the files", count(len(differences), "document"))}
 	}
 	return nil
 }
--- a/cmd/crocushinge/documents.go
+++ b/cmd/crocushinge/documents.go
@@ -29,7 +29,7 @@
 		for _, doc := range answer.Documents {
 			printDocument(cmd, doc)
 		}
-		fmt.Fprintf(cmd.Root().Writer, "%d documents, revision %d\n", len(answer.Documents), answer.Revision)
+		fmt.Fprintf(cmd.Root().Writer, "%s, revision %d\n", count(len(answer.Documents), "document"), answer.Revision)
 	})
 }
 
--- a/cmd/crocushinge/fleet.go
+++ b/cmd/crocushinge/fleet.go
@@ -39,7 +39,7 @@
 	}
 	return show(cmd, s, func() {
 		out := cmd.Root().Writer
-		fmt.Fprintf(out, "host %s, incarnation %d, revision %d, ready %t, %d accounts\n", s.Host, s.Incarnation, s.Revision, s.Ready, s.Accounts)
+		fmt.Fprintf(out, "host %s, incarnation %d, revision %d, ready %t, %s\n", s.Host, s.Incarnation, s.Revision, s.Ready, count(s.Accounts, "account"))
 		fmt.Fprintf(out, "hosts in the directory: %s\n", strings.Join(s.Hosts, ", "))
 		for _, svc := range s.Services {
 			state := ""
--- a/cmd/crocushinge/main_test.go
+++ b/cmd/crocushinge/main_test.go
@@ -242,3 +242,35 @@
 	code, _ = runTool("crocushinge", "--api", "127.0.0.1:1", "--token", "x", "list")
 	is.Equal(code, exitFailure)
 }
+
+func TestTimelineNamesTheOperator(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.write("a.yaml", contractText("a", "/a", "bookshop"))
+	code, _ := f.tool("publish", f.dir)
+	is.Equal(code, exitOK)
+	f.awaitRevision(1)
+	code, out := f.tool("drain", "a", "one")
+	is.Equal(code, exitOK)
+	is.Equal(out, "a/one gets no more work\n")
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if code, out = f.tool("timeline", "--service", "a"); strings.Contains(out, "to=leaving") {
+			break
+		}
+	}
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, `operator-drained service=a target=one reason="by ana"`))
+	is.True(strings.Contains(out, "target-state-changed service=a target=one"))
+	is.True(!strings.Contains(out, "host-started")) // not of the service
+	_, out = f.tool("timeline")
+	is.True(strings.Contains(out, "one host-started"))
+	code, out = f.tool("timeline", "--since", "yesterday")
+	is.Equal(code, exitUsage)
+	is.True(strings.Contains(out, "yesterday is no time"))
+
+	code, out = f.tool("explain", "one.1.1.1")
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "No host has recorded an end of this request."))
+	code, _ = f.tool("explain", "no-id")
+	is.Equal(code, exitUsage)
+}
--- a/cmd/crocushinge/output.go
+++ b/cmd/crocushinge/output.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net"
+	"strconv"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -37,6 +38,14 @@
 	return cmd.Args().First(), nil
 }
 
+// count formats a number of things, for example "1 document".
+func count(n int, thing string) string {
+	if n == 1 {
+		return "1 " + thing
+	}
+	return strconv.Itoa(n) + " " + thing + "s"
+}
+
 // notSent reports whether a failed call ended before a connection was made, so
 // that the host cannot have seen it.
 func notSent(err error) bool {
--- a/cmd/crocushinge/publish.go
+++ b/cmd/crocushinge/publish.go
@@ -217,7 +217,7 @@
 		}
 	}
 	if rejected > 0 {
-		return exitError{code: exitRejected, err: errors.Errorf("%d proposals were rejected", rejected)}
+		return exitError{code: exitRejected, err: errors.Errorf("%s rejected", count(rejected, "proposal"))}
 	}
 	return nil
 }
--- a/daemon/api.go
+++ b/daemon/api.go
@@ -70,8 +70,7 @@
 		fail(ctx, http.StatusNotFound, errors.Errorf("no contract in force declares target %s", key))
 		return
 	}
-	d.control.send(ctx.Request().Context(), host.OperatorDrain{Target: key})
-	d.log.Info().Str("operator", operatorOf(ctx)).Str("target", key.String()).Msg("operator drains a target")
+	d.control.send(ctx.Request().Context(), host.OperatorDrain{Target: key, Operator: operatorOf(ctx)})
 	ctx.StatusCode(http.StatusAccepted)
 	reply(ctx, wire.Drain{Target: key.String()})
 }
--- a/host/core.go
+++ b/host/core.go
@@ -60,6 +60,8 @@
 	hostsChanged  bool
 	nextEntrySets time.Time
 
+	// started is set once the start of the host is recorded.
+	started bool
 	// dirty is set when the snapshot must be published again.
 	dirty bool
 
@@ -149,7 +151,7 @@
 	case RequestEnded:
 		c.requestEnded(now, ev)
 	case OperatorDrain:
-		c.drain(now, ev.Target)
+		c.drain(now, ev)
 	case ShutdownRequested:
 		c.shutdown(now)
 	}
@@ -168,6 +170,10 @@
 }
 
 func (c *Core) tick(now time.Time) {
+	if !c.started {
+		c.started = true
+		c.record(now, timeline.Event{Kind: timeline.HostStarted})
+	}
 	c.tickServices(now)
 	c.noticePause(now)
 	c.expireRounds(now)
@@ -298,8 +304,12 @@
 	})
 }
 
-func (c *Core) drain(now time.Time, key target.Key) {
+func (c *Core) drain(now time.Time, ev OperatorDrain) {
+	key := ev.Target
 	if s, ok := c.services[key.Service]; ok {
+		c.record(now, timeline.Event{
+			Kind: timeline.OperatorDrained, Service: key.Service, Target: key.Name, Reason: "by " + ev.Operator,
+		})
 		c.applyTransitions(now, s.Drain(key.Name, target.SignOperator, now))
 	}
 }
--- a/host/event.go
+++ b/host/event.go
@@ -96,7 +96,11 @@
 	}
 
 	// OperatorDrain asks that a target gets no more work.
-	OperatorDrain struct{ Target target.Key }
+	OperatorDrain struct {
+		Target target.Key
+		// Operator names who asked.
+		Operator string
+	}
 
 	// ShutdownRequested asks the host to leave the fleet.
 	ShutdownRequested struct{}
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -23,8 +23,10 @@
 	LinkRestored            Kind = "link-restored"
 	OutcomeUnknown          Kind = "outcome-unknown"
 	RequestEnded            Kind = "request-ended"
-	StoreLost               Kind = "store-lost"
-	StoreBack               Kind = "store-back"
+	// OperatorDrained events say who asked that a target gets no more work.
+	OperatorDrained Kind = "operator-drained"
+	StoreLost       Kind = "store-lost"
+	StoreBack       Kind = "store-back"
 )
 
 // Event is one change of state on one host.
