--- /dev/null
+++ b/caller/example_test.go
@@ -0,0 +1,33 @@
+package caller_test
+
+import (
+	"fmt"
+
+	"github.com/crocushinge/crocushinge/caller"
+)
+
+// A host mints an id, dispatches the request that carries it, and answers a
+// repeat from its ledger.
+func Example() {
+	home := caller.NewHome("host-a", 1)
+	ledger := caller.NewLedger(caller.DefaultLimits())
+	print := caller.NewFingerprint("POST", "reorders", "/reorders", []byte("ten sheets"))
+
+	id, err := caller.ParseRequestID(home.Mint().String())
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println("this host's own:", home.Owns(id))
+
+	record, verdict := ledger.Begin(home.Since(), "bookshop", id, print)
+	fmt.Println("dispatch:", verdict == caller.Dispatch)
+	record.End(caller.Outcome{Result: caller.Completed, Status: 201})
+
+	record, verdict = ledger.Begin(home.Since(), "bookshop", id, print)
+	fmt.Println("repeated:", verdict == caller.Repeated, record.Outcome().Result, record.Outcome().Status)
+	// Output:
+	// this host's own: true
+	// dispatch: true
+	// repeated: true completed 201
+}
