Show on how many hosts the newest revision is in force

Cause: an operator could not see whether a change was in force everywhere; the credentials file of the platform was looked for in the working directory, and token files beside the settings. All files that settings name start at the directory of the settings.

--- a/cmd/crocushinge/fleet.go
+++ b/cmd/crocushinge/fleet.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"strings"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/crocushinge/crocushinge/wire"
 )
@@ -33,13 +36,16 @@
 	if err != nil {
 		return err
 	}
-	var s wire.Status
-	if err := c.ask(ctx, question{method: http.MethodGet, path: "/v1/status"}, &s); err != nil {
+	if cmd.Bool("fleet") {
+		return fleetStatus(ctx, cmd, c)
+	}
+	s, err := c.status(ctx)
+	if err != nil {
 		return err
 	}
 	return show(cmd, s, func() {
 		out := cmd.Root().Writer
-		fmt.Fprintf(out, "host %s, incarnation %d, revision %d, ready %t, %s\n", s.Host, s.Incarnation, s.Revision, s.Ready, count(s.Accounts, "account"))
+		printHost(out, s)
 		fmt.Fprintf(out, "hosts in the directory: %s\n", strings.Join(s.Hosts, ", "))
 		for _, svc := range s.Services {
 			state := ""
@@ -50,3 +56,91 @@
 		}
 	})
 }
+
+func (c *client) status(ctx context.Context) (wire.Status, error) {
+	var s wire.Status
+	err := c.ask(ctx, question{method: http.MethodGet, path: "/v1/status"}, &s)
+	return s, err
+}
+
+func printHost(out io.Writer, s wire.Status) {
+	fmt.Fprintf(out, "host %s, incarnation %d, revision %d, ready %t, %s\n", s.Host, s.Incarnation, s.Revision, s.Ready, count(s.Accounts, "account"))
+}
+
+// statusConcurrency is how many hosts are asked at once.
+const statusConcurrency = 32
+
+// hostState is what one host answered.
+type hostState struct {
+	ID     string      `json:"id"`
+	Status wire.Status `json:"status"`
+	Error  string      `json:"error,omitempty"`
+}
+
+// fleetState is the result of the command status with --fleet.
+type fleetState struct {
+	// Newest is the newest revision that a host has in force.
+	Newest uint64      `json:"newest"`
+	Hosts  []hostState `json:"hosts"`
+	// InForce is how many hosts have the newest revision in force.
+	InForce int `json:"in_force"`
+}
+
+// askFleet asks a host, and all hosts that it takes to be alive, how they are.
+func (c *client) askFleet(ctx context.Context) (fleetState, error) {
+	first, err := c.status(ctx)
+	if err != nil {
+		return fleetState{}, err
+	}
+	state := fleetState{Hosts: []hostState{{ID: first.Host, Status: first}}}
+	for _, p := range first.Peers {
+		state.Hosts = append(state.Hosts, hostState{ID: p.ID})
+	}
+	var group errgroup.Group
+	group.SetLimit(statusConcurrency)
+	for i, p := range first.Peers {
+		h := &state.Hosts[i+1]
+		peer := &client{address: p.APIAddress, token: c.token, http: c.http}
+		group.Go(func() error {
+			s, err := peer.status(ctx)
+			if err != nil {
+				h.Error = err.Error()
+			}
+			h.Status = s
+			return nil
+		})
+	}
+	_ = group.Wait()
+	for _, h := range state.Hosts {
+		state.Newest = max(state.Newest, h.Status.Revision)
+	}
+	for _, h := range state.Hosts {
+		if h.Error == "" && h.Status.Revision == state.Newest {
+			state.InForce++
+		}
+	}
+	return state, nil
+}
+
+// fleetStatus shows on how many hosts the newest revision is in force.
+func fleetStatus(ctx context.Context, cmd *cli.Command, c *client) error {
+	state, err := c.askFleet(ctx)
+	if err != nil {
+		return err
+	}
+	err = show(cmd, state, func() {
+		out := cmd.Root().Writer
+		for _, h := range state.Hosts {
+			if h.Error != "" {
+				fmt.Fprintf(out, "host %s: %s\n", h.ID, h.Error)
+				continue
+			}
+			printHost(out, h.Status)
+		}
+		fmt.Fprintf(out, "revision %d is in force on %d of %s\n", state.Newest, state.InForce, count(len(state.Hosts), "host"))
+	})
+	if err == nil && state.InForce < len(state.Hosts) {
+		return exitError{code: exitDifferent, err: errors.New("the newest revision is not in force on every host that was asked")}
+	}
+	return err
+}
--- a/cmd/crocushinge/main.go
+++ b/cmd/crocushinge/main.go
@@ -82,7 +82,9 @@
 		}},
 		{Name: "resolve", Usage: "decide what became of a proposal whose result is unknown", ArgsUsage: "PROPOSAL", Action: resolve},
 		{Name: "drain", Usage: "give a target no more work", ArgsUsage: "SERVICE TARGET", Action: drain},
-		{Name: "status", Usage: "show how a host is", Action: status},
+		{Name: "status", Usage: "show how a host is", Action: status, Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "fleet", Usage: "ask all hosts which revision they have in force"},
+		}},
 		{Name: "timeline", Usage: "print the events of the whole fleet in order", Action: printTimeline, Flags: timelineFlags()},
 		{Name: "explain", Usage: "tell what happened to the request with ID", ArgsUsage: "ID", Action: explain, Flags: []cli.Flag{
 			&cli.StringFlag{Name: "since", Usage: "look at events since `TIME`: RFC 3339, or a time ago such as 90m", Value: "24h"},
--- a/cmd/crocushinge/main_test.go
+++ b/cmd/crocushinge/main_test.go
@@ -274,3 +274,32 @@
 	code, _ = f.tool("explain", "no-id")
 	is.Equal(code, exitUsage)
 }
+
+func TestStaleBaseIsAConflict(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.write("a.yaml", contractText("a", "/a", "bookshop"))
+	code, _ := f.tool("publish", f.dir)
+	is.Equal(code, exitOK)
+	c := &client{address: f.api, token: anaToken}
+	stale := planned{subject: "a", document: []byte(contractText("a", "/b", "bookshop")), proposal: "p2:a"}
+	r, err := c.propose(context.Background(), stale)
+	is.NoErr(err)
+	is.Equal(exitCode(resultsError([]publish.Result{r})), exitRejected)
+	var out bytes.Buffer
+	printResult(newCommand(&out, &out), r)
+	is.True(strings.HasPrefix(out.String(), "a: rejected (conflict): a holds version 1, published by ana at "))
+	is.True(strings.HasSuffix(out.String(), " in revision 1\n"))
+}
+
+func TestFleetStatus(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.write("a.yaml", contractText("a", "/a", "bookshop"))
+	code, _ := f.tool("publish", f.dir)
+	is.Equal(code, exitOK)
+	f.awaitRevision(1)
+	code, out := f.tool("status", "--fleet")
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "revision 1 is in force on 1 of 1 host\n"))
+}
--- a/daemon/api.go
+++ b/daemon/api.go
@@ -56,6 +56,12 @@
 	for _, id := range snap.Directory {
 		status.Hosts = append(status.Hosts, string(id.ID))
 	}
+	for _, id := range snap.Peers {
+		status.Peers = append(status.Peers, wire.DirectoryHost{
+			ID: string(id.ID), Zone: string(id.Zone), Address: id.Address, APIAddress: id.APIAddress,
+		})
+	}
+	slices.SortFunc(status.Peers, func(a, b wire.DirectoryHost) int { return strings.Compare(a.ID, b.ID) })
 	for name, r := range snap.Services {
 		s := wire.ServiceStatus{Service: name, Targets: len(r.Contract.Targets), Routed: len(r.Links), Panic: r.Panic}
 		status.Services = append(status.Services, s)
--- a/daemon/settings_check.go
+++ b/daemon/settings_check.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/netip"
+	"path/filepath"
 	"strconv"
 	"time"
 
@@ -99,7 +100,11 @@
 }
 
 func (c *settingsCheck) platform() {
-	for _, f := range c.settings.Platform.Check() {
+	p := &c.settings.Platform
+	if p.CredentialsFile != "" && !filepath.IsAbs(p.CredentialsFile) {
+		p.CredentialsFile = filepath.Join(c.dir, p.CredentialsFile)
+	}
+	for _, f := range p.Check() {
 		c.report("platform."+f.Field, "platform: "+f.Message, f.Fix)
 	}
 }
--- a/wire/api.go
+++ b/wire/api.go
@@ -33,11 +33,14 @@
 
 // Status tells an operator how a host is.
 type Status struct {
-	Host        string   `json:"host"`
-	Incarnation uint64   `json:"incarnation"`
-	Revision    uint64   `json:"revision"`
-	Ready       bool     `json:"ready"`
-	Hosts       []string `json:"hosts"`
+	Host        string `json:"host"`
+	Incarnation uint64 `json:"incarnation"`
+	Revision    uint64 `json:"revision"`
+	Ready       bool   `json:"ready"`
+	// Hosts are the ids of the hosts that callers are sent to.
+	Hosts []string `json:"hosts"`
+	// Peers are the other hosts that this one takes to be alive, sorted by id.
+	Peers []DirectoryHost `json:"peers"`
 	// Services are those in force, sorted by name.
 	Services []ServiceStatus `json:"services"`
 	// Accounts is the number of client accounts.
