Add a Go client for callers that never runs an order twice

Cause: without a balancer each caller has to ask the directory, keep its answer, fall over between hosts, and know when a repeat is safe. Change: client.Client does that. A non-idempotent request keeps its id until no copy of it was sent or the fleet answered "not run", which is final for an id; then it takes a new one. The headers of callers moved to wire, so that the client does not import the proxy. Conclusion: TestOrdersRunOnceUnderFaults places 160 orders on a virtual clock while hosts and targets are killed, replaced, paused, cut off or leave, and compares what the client was told with what the targets ran.

--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,170 @@
+package client_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/client"
+	"github.com/crocushinge/crocushinge/fleettest"
+	"github.com/crocushinge/crocushinge/publish"
+)
+
+// shop is a fleet with callers that place one order after the other.
+type shop struct {
+	*fleettest.Fleet
+	targets []*fleettest.Target
+	client  *client.Client
+
+	mu   sync.Mutex
+	told map[string]caller.Result
+}
+
+func inShop(t *testing.T, test func(*is.I, *shop)) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := fleettest.NewMemory(1)
+		network.Delay(2 * time.Millisecond)
+		s := &shop{Fleet: fleettest.New(fleettest.Config{Network: network, Log: zerolog.Nop()}), told: make(map[string]caller.Result)}
+		for i := range 3 {
+			target, err := fleettest.StartTarget(network, fmt.Sprint("t", i))
+			is.NoErr(err)
+			s.targets = append(s.targets, target)
+		}
+		for i := range 4 {
+			is.NoErr(s.Start(fmt.Sprint("h", i)))
+		}
+		time.Sleep(5 * time.Second)
+		result, err := s.Publish(t.Context(), "h0", "p", "prices", fleettest.Contract("prices", s.targets...), 0)
+		is.NoErr(err)
+		is.Equal(result.Status, publish.Accepted)
+		time.Sleep(5 * time.Second)
+		transport := &http.Transport{DialContext: network.At("shop").DialContext, MaxIdleConnsPerHost: 16}
+		s.client, err = client.New(client.Config{
+			Seeds: []string{s.Host("h0").Self().APIAddress, s.Host("h3").Self().APIAddress}, Service: "prices",
+			Zone: "lima-a", Key: fleettest.Key, Transport: transport,
+		})
+		is.NoErr(err)
+		test(is, s)
+		network.HealAll()
+		is.NoErr(s.Close())
+		for _, target := range s.targets {
+			is.NoErr(target.Close())
+		}
+		transport.CloseIdleConnections()
+		time.Sleep(2 * time.Minute)
+	})
+}
+
+// order places one order and notes what the client was told.
+func (s *shop) order(path string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	resp, _ := s.client.Do(ctx, client.Request{Method: http.MethodPost, Path: path, Body: []byte("ten sheets")})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told[path] = resp.Result
+}
+
+// runs counts the runs of each order.
+func (s *shop) runs() map[string]int {
+	runs := make(map[string]int)
+	for _, target := range s.targets {
+		for _, r := range target.Runs() {
+			if strings.HasPrefix(r.Path, "/prices/orders/") {
+				runs[r.Path]++
+			}
+		}
+	}
+	return runs
+}
+
+// Orders go on while hosts die, are replaced, pause and are cut off; none runs
+// twice, none that was told "completed" is missing, and none that was told
+// "not run" ran.
+func TestOrdersRunOnceUnderFaults(t *testing.T) {
+	for name, strike := range map[string]func(*shop){
+		"nothing":                func(*shop) {},
+		"host killed":            func(s *shop) { s.Kill("h1") },
+		"host replaced":          func(s *shop) { s.Kill("h0"); _ = s.Start("h0") },
+		"two killed":             func(s *shop) { s.Kill("h1"); time.Sleep(time.Second); s.Kill("h2") },
+		"answers to caller lost": func(s *shop) { s.Network.Cut("h0", "shop"); s.Network.Cut("h1", "shop") },
+		"caller cut off":         func(s *shop) { s.Network.Cut("shop", "h2"); s.Network.Cut("shop", "h3") },
+		"host paused":            func(s *shop) { s.Network.Pause("h2"); time.Sleep(8 * time.Second); s.Network.Resume("h2") },
+		"target paused":          func(s *shop) { s.Network.Pause("t1"); time.Sleep(8 * time.Second); s.Network.Resume("t1") },
+		"host leaves":            func(s *shop) { s.Stop("h1") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			inShop(t, func(is *is.I, s *shop) {
+				var orders sync.WaitGroup
+				for worker := range 4 {
+					orders.Go(func() {
+						for n := range 40 {
+							s.order(fmt.Sprintf("/prices/orders/%d-%d", worker, n))
+							time.Sleep(100 * time.Millisecond)
+						}
+					})
+				}
+				time.Sleep(time.Second)
+				strike(s)
+				time.Sleep(10 * time.Second)
+				s.Network.HealAll()
+				orders.Wait()
+				time.Sleep(10 * time.Second)
+				runs := s.runs()
+				completed := 0
+				for path, result := range s.told {
+					is.True(runs[path] <= 1)
+					is.True(result != caller.Completed || runs[path] == 1)
+					is.True(result != caller.NotRun || runs[path] == 0)
+					if result == caller.Completed {
+						completed++
+					}
+				}
+				is.Equal(len(s.told), 160)
+				is.True(completed >= 100)
+				if name == "nothing" || name == "host leaves" {
+					is.Equal(completed, 160)
+				}
+				t.Logf("%d of %d completed", completed, len(s.told))
+			})
+		})
+	}
+}
+
+func TestIdempotentRequestsFallOver(t *testing.T) {
+	inShop(t, func(is *is.I, s *shop) {
+		price := func() client.Response {
+			resp, err := s.client.Do(context.Background(), client.Request{Method: http.MethodGet, Path: "/prices/1", Idempotent: true})
+			is.NoErr(err)
+			return resp
+		}
+		is.Equal(price().Result, caller.Completed)
+		s.Kill("h0")
+		s.Kill("h1")
+		for range 10 {
+			is.Equal(price().Result, caller.Completed)
+			time.Sleep(3 * time.Second)
+		}
+	})
+}
+
+// A refusal that lies in the request itself is final.
+func TestRefusedRequestsAreNotRepeated(t *testing.T) {
+	inShop(t, func(is *is.I, s *shop) {
+		resp, err := s.client.Do(context.Background(), client.Request{Method: http.MethodPost, Path: "/nowhere"})
+		is.NoErr(err)
+		is.Equal(resp.Status, http.StatusNotFound)
+		is.Equal(resp.Result, caller.NotRun)
+	})
+}
--- a/fleettest/target.go
+++ b/fleettest/target.go
@@ -29,6 +29,7 @@
 	Target string
 	ID     string
 	Method string
+	Path   string
 	At     time.Time
 }
 
@@ -91,7 +92,7 @@
 		return
 	}
 	id := r.Header.Get(traffic.HeaderRequestID)
-	how := t.begin(Run{Target: t.Name, ID: id, Method: r.Method, At: time.Now()})
+	how := t.begin(Run{Target: t.Name, ID: id, Method: r.Method, Path: r.URL.Path, At: time.Now()})
 	defer t.end()
 	time.Sleep(how.Delay)
 	t.sign(w)
--- a/traffic/keyed.go
+++ b/traffic/keyed.go
@@ -12,10 +12,6 @@
 	"github.com/crocushinge/crocushinge/contract"
 )
 
-// HeaderIdempotencyKey carries a key of the caller's own. All requests with
-// one key run once at most, whichever host they reach and however late.
-const HeaderIdempotencyKey = "Idempotency-Key"
-
 const (
 	// claimTimeout limits the taking of a key.
 	claimTimeout = time.Second
