--- /dev/null
+++ b/publish/bench_test.go
@@ -0,0 +1,92 @@
+package publish
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/crocushinge/crocushinge/contract"
+)
+
+// fillTable writes 380 contracts with 20 targets and 15 routes each, and 26,000
+// accounts in 13 documents.
+func fillTable(b *testing.B, s *Store) {
+	b.Helper()
+	revision := uint64(0)
+	write := func(subject, text string) {
+		revision++
+		ch := contract.Change{
+			Revision: revision, Service: subject, Version: 1, Document: []byte(text),
+			Proposal: "fill:" + subject, Operator: "ana", At: s.Now(),
+		}
+		if err := s.write(context.Background(), ch); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for d := range 13 {
+		text := fmt.Sprintf("kind: accounts\nname: accounts-%d\naccounts:\n", d)
+		for i := range 2000 {
+			text += fmt.Sprintf("  - {name: account-%d, key-sha256: \"%064x\"}\n", d*2000+i, d*2000+i+1)
+		}
+		write(contract.AccountsSubject(fmt.Sprintf("accounts-%d", d)), text)
+	}
+	for n := range 380 {
+		write(fmt.Sprintf("service-%d", n), bigContract(n, 2))
+	}
+}
+
+// bigContract declares a contract whose deadlines have the given seconds.
+func bigContract(n, deadline int) string {
+	text := fmt.Sprintf("service: service-%d\nfloor: 60%%\naccounts: [account-%d]\ntargets:\n", n, n)
+	for i := range 20 {
+		text += fmt.Sprintf("  - {name: target-%d, address: \"10.%d.%d.%d:8080\", zone: lima-a}\n", i, n/200, n%200, i+1)
+	}
+	text += "routes:\n"
+	for i := range 15 {
+		text += fmt.Sprintf("  - {path: /service-%d/part-%d, methods: [GET], deadline: %ds}\n", n, i, deadline)
+	}
+	return text
+}
+
+// BenchmarkFullLoad reads and parses the whole configuration.
+func BenchmarkFullLoad(b *testing.B) {
+	s, _ := newStore()
+	fillTable(b, s)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, err := s.ChangesAfter(context.Background(), 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkPropose accepts one change beside all others, on a host that has
+// them in force.
+func BenchmarkPropose(b *testing.B) {
+	s, _ := newStore()
+	fillTable(b, s)
+	ctx := context.Background()
+	changes, revision, err := s.ChangesAfter(ctx, 0)
+	if err != nil {
+		b.Fatal(err)
+	}
+	view := View{Revision: revision, Changes: changes}
+	s.InForce = func(context.Context) (View, error) { return view, nil }
+	version := uint64(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		p := Proposal{
+			ID: fmt.Sprintf("p%d", version), Operator: "ana", Service: "service-7",
+			Document: []byte(bigContract(7, 2+int(version%2))), Base: version,
+		}
+		if r, err := s.Propose(ctx, p); err != nil || r.Status != Accepted {
+			b.Fatal(r, err)
+		}
+		version++
+		newer, last, err := s.ChangesAfter(ctx, view.Revision)
+		if err != nil {
+			b.Fatal(err)
+		}
+		view = View{Revision: last, Changes: merge(view.Changes, newer)}
+	}
+}
