Test a lying host together with one real failure

Change: a test in which the other host sees one failure.

Conclusion: with the rule taken out the new test fails.

--- a/target/pool_test.go
+++ b/target/pool_test.go
@@ -52,6 +52,16 @@
 	}
 }
 
+func TestOneHostAndOneFailureElsewhereBringNoVerdict(t *testing.T) {
+	is := is.New(t)
+	p := NewPool("a")
+	p.CountObservation(epoch)
+	c := newClaim(p, map[string]zone.ID{"liar": "a"})
+	c.add("liar", 100)
+	p.Add(Failing, rates.Failure(), threshold)
+	is.Equal(p.Judge(Failing, threshold, epoch), Disputed)
+}
+
 func TestOneZoneCannotBringAVerdictAlone(t *testing.T) {
 	is := is.New(t)
 	p := NewPool("a")
