Add bench/detect: detection time and false ejections beside two baselines

Cause: the detection had tests but no figure.

Change: a generator of observations on virtual time with a seed drives the services of one entry set, which exchange their reports, and the same stream drives two baselines that see everything at once. One table for the four services at their sizes.

The trace of the slowest trials shows why: a host that cuts its link disowns its evidence even when no peer contradicts it.

--- /dev/null
+++ b/bench/detect/deployment.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/service"
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+// requestRate is the requests a second to each target over the entry set.
+const requestRate = 20
+
+// deployment is a service at the size of its users.
+type deployment struct {
+	name    string
+	weight  contract.Weight
+	targets int
+	slots   int
+	// hosts is the size of the entry set for this load.
+	hosts int
+	zones []zone.ID
+	// oneWay is the distance between two zones.
+	oneWay time.Duration
+	// floor is the share of the slots that must stay, in percent.
+	floor int
+}
+
+var (
+	threeZones = []zone.ID{"a", "b", "c"}
+	fourZones  = []zone.ID{"a", "b", "c", "d"}
+)
+
+var deployments = []deployment{
+	{"catalogue", contract.WeightBalanced, 30, 4, 9, threeZones, 1500 * time.Microsecond, 70},
+	{"checkout", contract.WeightSafety, 6, 4, 3, threeZones, 1500 * time.Microsecond, 60},
+	{"viewer", contract.WeightDetection, 30, 2, 8, fourZones, time.Millisecond, 70},
+	{"release", contract.WeightBalanced, 8, 2, 3, fourZones, time.Millisecond, 60},
+}
+
+func (d deployment) hostZone(i int) zone.ID   { return d.zones[i%len(d.zones)] }
+func (d deployment) targetZone(i int) zone.ID { return d.zones[i%len(d.zones)] }
+
+func targetName(i int) string { return fmt.Sprintf("t%02d", i) }
+
+// contract returns the service's contract.
+func (d deployment) contract() *contract.Contract {
+	c := &contract.Contract{
+		Service: d.name,
+		Weight:  d.weight,
+		Floor:   contract.Floor{Percent: d.floor},
+		Health:  contract.Health{Path: "/health", Interval: probeInterval},
+	}
+	for i := range d.targets {
+		c.Targets = append(c.Targets, contract.Target{
+			Name:    targetName(i),
+			Address: fmt.Sprintf("10.0.0.%d:80", i),
+			Zone:    d.targetZone(i),
+			Slots:   d.slots,
+		})
+	}
+	return c
+}
+
+// places returns where the hosts of the entry set are.
+func (d deployment) places() []service.Place {
+	var zones []zone.Zone
+	var distances []zone.Distance
+	for i, a := range d.zones {
+		zones = append(zones, zone.Zone{ID: a, Region: "r"})
+		for _, b := range d.zones[i+1:] {
+			distances = append(distances, zone.Distance{A: a, B: b, OneWay: d.oneWay})
+		}
+	}
+	m := zone.NewMap(zones, distances)
+	var out []service.Place
+	for i := range d.hosts {
+		out = append(out, service.Place{Zone: d.hostZone(i), Zones: m})
+	}
+	return out
+}
--- a/service/path.go
+++ b/service/path.go
@@ -47,3 +47,10 @@
 	}
 	return total
 }
+
+// Sends reports whether this host sends new work to a target, panic routing
+// aside.
+func (s *Service) Sends(name string) bool {
+	m := s.byName[name]
+	return m != nil && m.target.TakesWork() && !m.path.IsCut()
+}
--- a/target/threshold.go
+++ b/target/threshold.go
@@ -46,3 +46,17 @@
 
 // OnProbation returns the threshold for a target on probation.
 func (h Threshold) OnProbation() Threshold { return h * probationShare }
+
+// WaldBound returns the mean number of requests that no test with the given
+// threshold can do without, for a target that fails the given share of its
+// requests where healthy ones fail minHealthyRate.
+func WaldBound(h Threshold, failures float64) float64 {
+	divergence := 0.0
+	if failures > 0 {
+		divergence += failures * math.Log(failures/minHealthyRate)
+	}
+	if failures < 1 {
+		divergence += (1 - failures) * math.Log((1-failures)/(1-minHealthyRate))
+	}
+	return float64(h) / divergence
+}
