Keep a cut link's evidence until peers contradict it; cut links sooner

Ruled out: the Poisson gaps between requests (730 ms at p99 for the 7 failures that weight safety needs).

Change: a cut keeps its evidence; it is taken back only once the peers deny it. A host cuts its link at 0.6 of the threshold. Other hosts, and other zones, must bring 0.29 of it (two failures). The tail of healthy latencies beyond p99.9 is taken to fall with the square. At the end of a service-wide disturbance hosts neither cut links nor doubt themselves on old evidence.

--- a/service/doubt.go
+++ b/service/doubt.go
@@ -10,6 +10,9 @@
 	// minDoubted is how many targets a host must see at fault, against the
 	// word of its peers, before it doubts itself.
 	minDoubted = 2
+	// staleTime is how long strong evidence of this host may be compared with
+	// what its peers report.
+	staleTime = time.Second
 	// doubtedShare is the share of the targets that it carries traffic to.
 	doubtedShare = 0.5
 )
@@ -51,11 +54,13 @@
 }
 
 // alone reports whether this host has much evidence against a member that its
-// peers deny.
+// peers deny. The evidence must be fresh, or from when the link was cut: at the
+// end of a disturbance that all hosts saw, some see it end first.
 func (s *Service) alone(m *member, now time.Time) bool {
 	p := m.target.Pool()
 	for k := range target.Suspicions {
-		if p.Own()[k] >= float64(s.threshold.OnProbation()) && p.OthersDeny(k, now) {
+		fresh := m.path.IsCut() || now.Sub(p.BadAt(k)) < staleTime
+		if fresh && p.Own()[k] >= float64(s.threshold.OnProbation()) && p.OthersDeny(k, now) {
 			return true
 		}
 	}
--- a/service/latencies.go
+++ b/service/latencies.go
@@ -50,8 +50,12 @@
 	math.Log(0.15 / 0.001),
 }
 
+// Beyond the last edge the tail of healthy latencies is taken to fall with
+// this power.
+const tailPower = 2
+
 // maxTailNats bounds what a latency far beyond the last edge adds.
-var maxTailNats = math.Log(8)
+var maxTailNats = math.Log(100)
 
 // latencies estimates how a service's latencies are distributed at present on
 // this host, over all of its targets. Latencies exclude the network's part.
@@ -166,7 +170,7 @@
 	}
 	nats := binNats[bin]
 	if bin == len(l.edges) {
-		nats += min(math.Log(float64(d)/float64(l.edges[bin-1])), maxTailNats)
+		nats += min(tailPower*math.Log(float64(d)/float64(l.edges[bin-1])), maxTailNats)
 	}
 	return nats
 }
--- a/service/path.go
+++ b/service/path.go
@@ -10,14 +10,18 @@
 // link, in nats.
 func (s *Service) linkThreshold(m *member, now time.Time) target.Threshold {
 	if m.path.OnTrial(now) {
-		return s.threshold.OnProbation()
+		return s.threshold.OnLink() * trialShare
 	}
-	return s.threshold
+	return s.threshold.OnLink()
 }
 
+// trialShare lowers the threshold of a link that was restored lately.
+const trialShare = 0.6
+
 // cutLink takes this host's link to a member out of use. The target keeps its
-// state. The links that stay must still carry the floor; a host that would cut
-// more has to doubt itself.
+// state, and the evidence stays: it may be the target after all, which the
+// peers' evidence then shows. The links that stay must still carry the floor;
+// a host that would cut more has to doubt itself.
 func (s *Service) cutLink(m *member, k target.Suspicion, now time.Time) {
 	if m.path.IsCut() {
 		return
@@ -27,10 +31,18 @@
 		return
 	}
 	m.path.Cut(now)
-	m.target.Pool().ResetOwn()
 	s.note(m, LinkCut, k.String()+" on this host's link only")
 }
 
+// blameLink takes back this host's evidence against a member behind a cut link
+// once the peers contradict it.
+func (s *Service) blameLink(m *member, now time.Time) {
+	if m.path.IsCut() && !m.path.Blamed() && s.alone(m, now) {
+		m.path.Blame()
+		m.target.Pool().ResetOwn()
+	}
+}
+
 func (s *Service) restoreLink(m *member, now time.Time) {
 	m.path.Restore(now)
 	m.target.Pool().ResetOwn()
--- a/service/report.go
+++ b/service/report.go
@@ -36,7 +36,7 @@
 	for _, m := range s.members {
 		n := m.target.Pool().News()
 		n.Leaving = m.target.SignedHere()
-		n.LinkCut = s.doubt.active || m.path.IsCut()
+		n.LinkCut = s.doubt.active || m.path.Blamed()
 		if !m.report.due(n, m.target.Pool().Hot(), now) {
 			continue
 		}
--- a/service/service.go
+++ b/service/service.go
@@ -134,6 +134,7 @@
 		s.advance(m, now)
 		s.watchOpen(m, now)
 		s.judge(m, now)
+		s.blameLink(m, now)
 	}
 	s.updateDoubt(now)
 	s.holdFloor(now)
--- a/target/pool.go
+++ b/target/pool.go
@@ -12,6 +12,8 @@
 	// hotLevel is the pooled evidence from which every host of the entry set
 	// tells all that it sees of the target, in nats.
 	hotLevel = 4
+	// strongNats is the evidence of one request that counts as strong, in nats.
+	strongNats = 2.5
 	// carryTime is how long after its last news a host counts as one that
 	// carries traffic to the target.
 	carryTime = 15 * time.Second
@@ -45,6 +47,8 @@
 	peers []*share
 	// cusum is the test over this host's own observations alone.
 	cusum LLR
+	// badAt is when this host last observed strong evidence.
+	badAt [Suspicions]time.Time
 	// frozen is set while the target takes no work, so that the evidence
 	// stays as it was when work ended.
 	frozen bool
@@ -64,16 +68,22 @@
 // Hot reports whether the evidence is worth telling the peers of at once.
 func (p *Pool) Hot() bool { return p.sum.Max() >= hotLevel }
 
+// BadAt returns when this host last observed strong evidence.
+func (p *Pool) BadAt(k Suspicion) time.Time { return p.badAt[k] }
+
 // CountObservation notes that this host carried a request to the target.
 func (p *Pool) CountObservation(now time.Time) {
 	p.own.observations++
 	p.own.carried = now
 }
 
-// Add counts evidence that this host observed. A host with nothing to report
+// Add counts evidence that this host observed at a time. A host with nothing to report
 // tells no more than its own CUSUM, which does not fall below zero; while the
 // pool is hot it tells all.
-func (p *Pool) Add(k Suspicion, nats float64, h Threshold) {
+func (p *Pool) Add(k Suspicion, nats float64, h Threshold, now time.Time) {
+	if nats >= strongNats {
+		p.badAt[k] = now
+	}
 	before := p.cusum[k]
 	p.cusum[k] = min(max(0, before+nats), float64(h))
 	step := p.cusum[k] - before
@@ -91,7 +101,7 @@
 		return
 	}
 	before := s.contribution[k]
-	after := min(max(before+nats, -otherHostsShare*float64(h)), float64(h))
+	after := min(max(before+nats, -denialShare*float64(h)), float64(h))
 	s.contribution[k] = after
 	p.sum[k] += after - before
 	if p.sum[k] <= 0 {
@@ -139,6 +149,11 @@
 	})
 }
 
+// LimitOwn bounds the evidence of this host's own observations, like Limit.
+func (p *Pool) LimitOwn(k Suspicion, level float64) {
+	p.cusum[k] = min(p.cusum[k], level)
+}
+
 // ResetOwn forgets what this host itself has brought.
 func (p *Pool) ResetOwn() {
 	for k := range Suspicions {
--- a/target/threshold.go
+++ b/target/threshold.go
@@ -9,21 +9,23 @@
 // Probabilities with which one request of a healthy target may complete a
 // false ejection (Wald's test with a negligible miss rate).
 const (
-	falseEjectionDetection = 1e-6
+	falseEjectionDetection = 2e-6
 	falseEjectionBalanced  = 1e-8
 	falseEjectionSafety    = 1e-10
 )
 
 // Shares of the threshold.
 const (
-	// otherHostsShare is what the hosts besides the one with the most
-	// evidence must bring.
-	otherHostsShare = 0.45
-	// otherZonesShare is what the hosts outside the zone with the most
-	// evidence must bring.
-	otherZonesShare = 0.3
+	// othersShare is what the hosts besides the one with the most evidence
+	// must bring, and the hosts outside the zone with the most evidence.
+	othersShare = 0.29
+	// denialShare bounds what one host may bring against a suspicion.
+	denialShare = 0.5
 	// probationShare is the threshold of a target on probation.
 	probationShare = 0.5
+	// linkShare is the threshold for the evidence of one host alone at which
+	// it cuts its link.
+	linkShare = 0.6
 	// probeShare bounds the evidence of probes.
 	probeShare = 0.5
 )
@@ -47,6 +49,10 @@
 // OnProbation returns the threshold for a target on probation.
 func (h Threshold) OnProbation() Threshold { return h * probationShare }
 
+// OnLink returns the threshold for the evidence of one host alone at which it
+// cuts its link.
+func (h Threshold) OnLink() Threshold { return h * linkShare }
+
 // WaldBound returns the mean number of requests that no test with the given
 // threshold can do without, for a target that fails the given share of its
 // requests where healthy ones fail minHealthyRate.
--- a/target/verdict.go
+++ b/target/verdict.go
@@ -27,11 +27,11 @@
 	if p.sum[k] < float64(h) {
 		return Unproved
 	}
-	if p.othersCarry(now) && p.sum[k]-p.topHost(k) < otherHostsShare*float64(h) {
+	if p.othersCarry(now) && p.sum[k]-p.topHost(k) < othersShare*float64(h) {
 		return Disputed
 	}
 	top, part := p.topZone(k)
-	if p.otherZonesCarry(top, now) && p.sum[k]-part < otherZonesShare*float64(h) {
+	if p.otherZonesCarry(top, now) && p.sum[k]-part < othersShare*float64(h) {
 		return Disputed
 	}
 	return Gray
