Let the only carrier of traffic eject instead of cutting its link

Cause: the embedding example failed after links were cut at 0.6 of the threshold: a host without peers cut its link first, after which no evidence came, so that the target was never ejected.

Change: a link is cut only while a peer carries traffic to the target, with a test. Ticks skip targets without evidence, and quantiles are estimated every 200 ms.

--- a/bench/detect/baseline.go
+++ b/bench/detect/baseline.go
@@ -46,8 +46,9 @@
 	if !p.sends(r.host, r.target) || p.inFlight[r.target] >= p.d.slots {
 		return 0, false
 	}
+	slot := p.inFlight[r.target]
 	p.inFlight[r.target]++
-	return 0, true
+	return slot, true
 }
 
 func (p *pooled) tick(at time.Duration)             { p.now = at }
--- a/bench/detect/deployment.go
+++ b/bench/detect/deployment.go
@@ -42,7 +42,18 @@
 func (d deployment) hostZone(i int) zone.ID   { return d.zones[i%len(d.zones)] }
 func (d deployment) targetZone(i int) zone.ID { return d.zones[i%len(d.zones)] }
 
-func targetName(i int) string { return fmt.Sprintf("t%02d", i) }
+// names holds the names of the targets of the largest deployment.
+var names = func() (out [maxTargets]string) {
+	for i := range out {
+		out[i] = fmt.Sprintf("t%02d", i)
+	}
+	return out
+}()
+
+// maxTargets is the size of the largest deployment.
+const maxTargets = 30
+
+func targetName(i int) string { return names[i] }
 
 // contract returns the service's contract.
 func (d deployment) contract() *contract.Contract {
--- a/bench/detect/ours.go
+++ b/bench/detect/ours.go
@@ -135,7 +135,7 @@
 			later = append(later, p)
 			continue
 		}
-		from := fmt.Sprint("h", p.from)
+		from := names[p.from]
 		for i, s := range o.hosts {
 			if i == p.from {
 				continue
--- a/service/doubt.go
+++ b/service/doubt.go
@@ -36,31 +36,42 @@
 		}
 		return
 	}
-	carried, disputed := 0, 0
+	disputed := 0
 	for _, m := range s.members {
-		switch {
-		case m.path.IsCut() || s.alone(m, now):
-			carried++
+		if m.path.IsCut() || s.alone(m, now) {
 			disputed++
-		case m.target.Pool().Carries(now):
-			carried++
 		}
 	}
-	if disputed < minDoubted || float64(disputed) < doubtedShare*float64(carried) {
+	if disputed < minDoubted || float64(disputed) < doubtedShare*float64(s.carried(now)) {
 		return
 	}
 	s.doubt.active = true
 	s.doubt.until = now.Add(s.doubt.damping.Strike(now))
 }
 
+// carried returns how many targets this host carries, or would carry, traffic
+// to.
+func (s *Service) carried(now time.Time) int {
+	n := 0
+	for _, m := range s.members {
+		if m.path.IsCut() || m.target.Pool().Carries(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // alone reports whether this host has much evidence against a member that its
 // peers deny. The evidence must be fresh, or from when the link was cut: at the
 // end of a disturbance that all hosts saw, some see it end first.
 func (s *Service) alone(m *member, now time.Time) bool {
 	p := m.target.Pool()
 	for k := range target.Suspicions {
+		if p.Own()[k] < float64(s.threshold.OnProbation()) {
+			continue
+		}
 		fresh := m.path.IsCut() || now.Sub(p.BadAt(k)) < staleTime
-		if fresh && p.Own()[k] >= float64(s.threshold.OnProbation()) && p.OthersDeny(k, now) {
+		if fresh && p.OthersDeny(k, now) {
 			return true
 		}
 	}
--- a/service/judge.go
+++ b/service/judge.go
@@ -42,7 +42,7 @@
 	t := m.target
 	h := s.thresholdOf(m)
 	verdict := t.Judge(k, h, now)
-	broken := t.Pool().Own()[k] >= float64(s.linkThreshold(m, now))
+	broken := s.linkSuspected(m, k, now)
 	if verdict == target.Unproved && !broken {
 		return
 	}
--- a/service/latencies.go
+++ b/service/latencies.go
@@ -17,6 +17,8 @@
 )
 
 const (
+	// edgesTime is the time between two estimates of the quantiles.
+	edgesTime = 200 * time.Millisecond
 	// halfLife is the time in which an observed latency loses half of its
 	// weight.
 	halfLife = 30 * time.Second
@@ -69,8 +71,9 @@
 	recent [recentSize]float64
 	next   int
 
-	edges [len(quantiles)]time.Duration
-	ready bool
+	edges       [len(quantiles)]time.Duration
+	ready       bool
+	nextRefresh time.Time
 }
 
 func newLatencies(now time.Time) *latencies {
@@ -95,8 +98,12 @@
 	l.next++
 }
 
-// Refresh brings the edges of the bins up to date.
+// Refresh brings the edges of the bins up to date, every edgesTime.
 func (l *latencies) Refresh(now time.Time) {
+	if now.Before(l.nextRefresh) {
+		return
+	}
+	l.nextRefresh = now.Add(edgesTime)
 	l.age(now)
 	weight := l.total / l.weight
 	l.ready = weight >= minSamples
--- a/service/observe.go
+++ b/service/observe.go
@@ -85,7 +85,7 @@
 // watchOpen counts the requests in flight whose answer is late already, before
 // their deadline ends them.
 func (s *Service) watchOpen(m *member, now time.Time) {
-	if !judged(m.target) || m.target.State() == target.Warming {
+	if m.link.InFlight() == 0 || !judged(m.target) || m.target.State() == target.Warming {
 		return
 	}
 	m.link.OpenSince(func(start time.Time) {
--- a/service/path.go
+++ b/service/path.go
@@ -15,6 +15,13 @@
 	return s.threshold.OnLink()
 }
 
+// linkSuspected reports whether this host's own evidence is enough to cut its
+// link. A host that alone carries traffic waits for the verdict on the target.
+func (s *Service) linkSuspected(m *member, k target.Suspicion, now time.Time) bool {
+	p := m.target.Pool()
+	return p.Own()[k] >= float64(s.linkThreshold(m, now)) && p.OthersCarry(now)
+}
+
 // trialShare lowers the threshold of a link that was restored lately.
 const trialShare = 0.6
 
--- a/service/service.go
+++ b/service/service.go
@@ -133,6 +133,9 @@
 	for _, m := range s.members {
 		s.advance(m, now)
 		s.watchOpen(m, now)
+		if m.target.Pool().Quiet() {
+			continue
+		}
 		s.judge(m, now)
 		s.blameLink(m, now)
 	}
@@ -144,6 +147,9 @@
 // advance moves a member's state along with time.
 func (s *Service) advance(m *member, now time.Time) {
 	t := m.target
+	if t.State() == target.Active && !m.path.IsCut() {
+		return
+	}
 	age := now.Sub(t.Since())
 	switch {
 	case t.State() == target.Warming && age >= warmUpTime:
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -198,3 +198,14 @@
 	s.ForgetPeer("b1", epoch)
 	is.Equal(sum(), 0.0)
 }
+
+func TestOnlyCarrierEjectsRatherThanCutsItsLink(t *testing.T) {
+	is := is.New(t)
+	e := newEntrySet(testContract(6, 12), 1)
+	e.second(healthy)
+	for range 3 {
+		e.second(failing("checkout-2"))
+	}
+	is.Equal(e.hosts[0].State("checkout-2"), target.Ejected)
+	is.Equal(e.count(LinkCut, target.Active), 0)
+}
--- a/target/pool.go
+++ b/target/pool.go
@@ -65,6 +65,9 @@
 // Own returns the evidence of this host's own observations alone.
 func (p *Pool) Own() LLR { return p.cusum }
 
+// Quiet reports whether there is no evidence at all.
+func (p *Pool) Quiet() bool { return p.sum == LLR{} && p.cusum == LLR{} }
+
 // Hot reports whether the evidence is worth telling the peers of at once.
 func (p *Pool) Hot() bool { return p.sum.Max() >= hotLevel }
 
--- a/target/verdict.go
+++ b/target/verdict.go
@@ -27,7 +27,7 @@
 	if p.sum[k] < float64(h) {
 		return Unproved
 	}
-	if p.othersCarry(now) && p.sum[k]-p.topHost(k) < othersShare*float64(h) {
+	if p.manyCarry(now) && p.sum[k]-p.topHost(k) < othersShare*float64(h) {
 		return Disputed
 	}
 	top, part := p.topZone(k)
@@ -53,8 +53,18 @@
 	return !s.disowned && s.observations > 0 && now.Sub(s.carried) < carryTime
 }
 
-// othersCarry reports whether at least two hosts carry traffic.
-func (p *Pool) othersCarry(now time.Time) bool {
+// OthersCarry reports whether a peer carries traffic to the target.
+func (p *Pool) OthersCarry(now time.Time) bool {
+	for _, s := range p.peers {
+		if s.carries(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// manyCarry reports whether at least two hosts carry traffic.
+func (p *Pool) manyCarry(now time.Time) bool {
 	n := 0
 	if p.own.carries(now) {
 		n++
