Wait for the longest request at a graceful shutdown

Cause: a stopping host waited 30 s for the requests in flight, whatever their routes allow, and dropped outcomes of callers' keys that the table had not taken yet. A second signal that arrived between the first and the handler for it was lost. Change: the wait follows the longest deadline in force, the writer of outcomes is drained for up to 10 s, and one channel takes both signals.

--- a/claim/writer.go
+++ b/claim/writer.go
@@ -35,6 +35,8 @@
 type Writer struct {
 	store *Store
 	queue chan settlement
+	// open counts the outcomes that the table has not decided on.
+	open atomic.Int64
 	// Dropped counts the outcomes for which the queue had no room.
 	Dropped atomic.Int64
 	// Refused counts the outcomes that the table refused for good.
@@ -52,6 +54,7 @@
 	s := settlement{key: key, claim: settled, done: make(chan struct{})}
 	select {
 	case w.queue <- s:
+		w.open.Add(1)
 		return s.done
 	default:
 		w.Dropped.Add(1)
@@ -60,7 +63,19 @@
 }
 
 // Len returns the number of outcomes that wait for the table.
-func (w *Writer) Len() int { return len(w.queue) }
+func (w *Writer) Len() int { return int(w.open.Load()) }
+
+// drainPoll is the time between two looks of Drain.
+const drainPoll = 20 * time.Millisecond
+
+// Drain waits up to limit until no outcome waits for the table.
+func (w *Writer) Drain(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for w.Len() > 0 && ctx.Err() == nil {
+		sleep(ctx, drainPoll)
+	}
+}
 
 // Run writes outcomes until ctx ends.
 func (w *Writer) Run(ctx context.Context) {
@@ -70,6 +85,7 @@
 			return
 		case s := <-w.queue:
 			w.settle(ctx, s)
+			w.open.Add(-1)
 		}
 	}
 }
--- a/cmd/crocushinged/main.go
+++ b/cmd/crocushinged/main.go
@@ -58,9 +58,8 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilSignal(ctx)
 	defer stop()
-	context.AfterFunc(ctx, exitOnSecondSignal)
 	if cmd.Bool("sample") {
 		for _, address := range sample.Addresses {
 			go func() {
@@ -73,11 +72,17 @@
 	return d.Run(ctx)
 }
 
-// exitOnSecondSignal ends the process at once when another signal arrives
-// during the graceful shutdown.
-func exitOnSecondSignal() {
-	again := make(chan os.Signal, 1)
-	signal.Notify(again, os.Interrupt, syscall.SIGTERM)
-	<-again
-	os.Exit(exitForced)
+// untilSignal returns a context that ends with the first signal. The second
+// one ends the process at once, also during the graceful shutdown.
+func untilSignal(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, stop := context.WithCancel(ctx)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		stop()
+		<-signals
+		os.Exit(exitForced)
+	}()
+	return ctx, stop
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -32,8 +32,6 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
-	// drainTime limits the work in flight at a graceful shutdown.
-	drainTime = 30 * time.Second
 )
 
 // Platform is the adapters to the platform that a daemon uses.
@@ -171,7 +169,8 @@
 	d.control.send(background, host.ShutdownRequested{})
 	d.linger(background)
 	close(d.closing)
-	err := shutdown(d.servers)
+	err := shutdown(d.servers, d.drainTime())
+	d.claims.Writer.Drain(background, settleTime)
 	d.farewell(background)
 	if serveErr := group.Wait(); err == nil {
 		err = serveErr
@@ -230,10 +229,10 @@
 	return mux
 }
 
-// shutdown ends the servers one after the other, waiting for the requests in
-// flight.
-func shutdown(servers []*server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
+// shutdown ends the servers one after the other, waiting up to limit for the
+// requests in flight.
+func shutdown(servers []*server, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	var first error
 	for _, s := range servers {
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -39,6 +39,29 @@
 	return traffic.Claims{Store: store, Writer: claim.NewWriter(store), Log: claim.NewLog(table, home)}
 }
 
+const (
+	// minDrainTime is the least time for the work in flight at a graceful
+	// shutdown.
+	minDrainTime = 30 * time.Second
+	// drainMargin is what a request may take beyond its deadline.
+	drainMargin = 5 * time.Second
+	// settleTime is how long a host that stops waits for the table to take
+	// the outcomes of callers' keys.
+	settleTime = 10 * time.Second
+)
+
+// drainTime limits the work in flight at a graceful shutdown. It is longer
+// than any request may take, so that none is cut.
+func (d *Daemon) drainTime() time.Duration {
+	limit := minDrainTime
+	for _, s := range d.control.snapshot.Load().Services {
+		for _, r := range s.Contract.Routes {
+			limit = max(limit, r.Deadline+drainMargin)
+		}
+	}
+	return limit
+}
+
 // startRequests starts the background work of callers' requests.
 func (d *Daemon) startRequests(ctx context.Context) {
 	d.background.Go(func() { d.sweepLedger(ctx) })
