--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,7 @@
 	Store   *memory.Platform
 
 	cfg   Config
+	reads atomic.Int64
 	mu    sync.Mutex
 	hosts map[string]*running
 	// zones holds the zone of each host that was ever started.
@@ -76,7 +78,7 @@
 	if f.cfg.LeaveTime > 0 {
 		opts = append(opts, daemon.WithLeaveTime(f.cfg.LeaveTime))
 	}
-	view := storeView{network: f.Network, place: name, store: f.Store}
+	view := storeView{network: f.Network, place: name, store: f.Store, reads: &f.reads}
 	d, err := daemon.New(settings, view.platform(), f.cfg.Log, opts...)
 	if err != nil {
 		return errors.Wrapf(err, "start %s", name)
@@ -175,6 +177,9 @@
 	return f.failed
 }
 
+// Reads returns the reads of the table by all hosts.
+func (f *Fleet) Reads() int64 { return f.reads.Load() }
+
 // All reports whether a condition holds for every host that runs.
 func (f *Fleet) All(holds func(*host.Snapshot) bool) bool {
 	for _, name := range f.Names() {
--- a/fleettest/network.go
+++ b/fleettest/network.go
@@ -25,6 +25,8 @@
 	places map[string]string
 	faults faults
 	conns  map[*conn]bool
+	// carried counts the bytes of each way.
+	carried map[way]uint64
 	// changed is closed and replaced when the faults change.
 	changed chan struct{}
 }
@@ -47,6 +49,7 @@
 		places:    make(map[string]string),
 		faults:    newFaults(rand.New(rand.NewPCG(seed, seed))),
 		conns:     make(map[*conn]bool),
+		carried:   make(map[way]uint64),
 		changed:   make(chan struct{}),
 	}
 }
@@ -155,6 +158,7 @@
 	if err := c.network.pass(c.closed, c.out); err != nil {
 		return 0, err
 	}
+	c.network.count(c.out, len(b))
 	return c.Conn.Write(b)
 }
 
@@ -167,6 +171,7 @@
 	if err := c.network.pass(c.closed, c.out.back()); err != nil {
 		return 0, err
 	}
+	c.network.count(c.out.back(), count)
 	return count, nil
 }
 
@@ -178,3 +183,23 @@
 	c.network.mu.Unlock()
 	return c.Conn.Close()
 }
+
+func (n *Network) count(w way, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.carried[w] += uint64(bytes)
+}
+
+// Bytes returns the bytes that were carried on the ways that match, without
+// the headers of TCP and IP.
+func (n *Network) Bytes(match func(from, to string) bool) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	total := uint64(0)
+	for w, bytes := range n.carried {
+		if match(w.from, w.to) {
+			total += bytes
+		}
+	}
+	return total
+}
--- a/fleettest/platform.go
+++ b/fleettest/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -18,6 +19,7 @@
 	network *Network
 	place   string
 	store   *memory.Platform
+	reads   *atomic.Int64
 }
 
 func (v storeView) platform() daemon.Platform {
@@ -34,6 +36,7 @@
 
 // Get implements platform.Table.
 func (v storeView) Get(ctx context.Context, key platform.Key) (platform.Item, error) {
+	v.reads.Add(1)
 	if err := v.reach(); err != nil {
 		return platform.Item{}, err
 	}
@@ -42,6 +45,7 @@
 
 // Query implements platform.Table.
 func (v storeView) Query(ctx context.Context, partition, after string, limit int) ([]platform.Item, error) {
+	v.reads.Add(1)
 	if err := v.reach(); err != nil {
 		return nil, err
 	}
