Count what callers are told

Ordinary idempotent successes are only counted, so there have to be counters: answers by result, aborted answers, retries, forwarded requests, the queue, the ledger, bodies in memory, and outcomes that wait for the table.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,6 +59,7 @@
 	ledger   *caller.Ledger
 	home     *caller.Home
 	claims   traffic.Claims
+	bodies   *caller.Memory
 	handler  *traffic.Handler
 	metrics  *metrics
 	// corrupt counts readings of items of the table that were left out.
@@ -121,6 +122,7 @@
 	d.control = newControl(core, d.ring)
 	d.control.effects = d
 	d.claims = newClaims(p.Table, d.home)
+	d.bodies = caller.NewMemory(bodyMemory)
 	d.handler = d.newHandler(network)
 	if d.metrics, err = newMetrics(d); err != nil {
 		return nil, err
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -31,12 +31,12 @@
 		provider: sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)),
 	}
 	meter := m.provider.Meter(meterName)
-	for _, c := range d.counters() {
+	for _, c := range append(d.counters(), d.requestCounters()...) {
 		if err := c.registerCounter(meter); err != nil {
 			return nil, err
 		}
 	}
-	for _, g := range d.gauges() {
+	for _, g := range append(d.gauges(), d.requestGauges()...) {
 		if err := g.registerGauge(meter); err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/daemon/request_metrics.go
@@ -0,0 +1,30 @@
+package daemon
+
+// requestCounters returns the counters of callers' requests.
+func (d *Daemon) requestCounters() []instrument {
+	c := d.handler.Counters()
+	return []instrument{
+		{"crocushinge.requests.completed", "Answers with the result completed.", c.Completed.Load},
+		{"crocushinge.requests.not_run", "Answers with the result not-run.", c.NotRun.Load},
+		{"crocushinge.requests.unknown", "Answers with the result unknown.", c.Unknown.Load},
+		{"crocushinge.requests.pending", "Answers with the result pending.", c.Pending.Load},
+		{"crocushinge.requests.cut", "Answers aborted because the target's answer was not whole.", c.Cut.Load},
+		{"crocushinge.requests.retries", "Attempts beyond the first of a request.", c.Retries.Load},
+		{"crocushinge.requests.forwarded", "Requests passed on to the home host of their id.", c.Forwarded.Load},
+		{"crocushinge.requests.unrecorded", "Ends of requests that are not on the time line because the control thread was behind.", d.control.unrecorded.Load},
+		{"crocushinge.outcomes.dropped", "Outcomes of ids given up because too many waited for the table.", d.claims.Log.Dropped},
+		{"crocushinge.claims.dropped", "Outcomes of callers' keys given up because too many waited for the table.", d.claims.Writer.Dropped.Load},
+		{"crocushinge.claims.refused", "Outcomes of callers' keys that the table refused for good.", d.claims.Writer.Refused.Load},
+	}
+}
+
+// requestGauges returns the gauges of callers' requests.
+func (d *Daemon) requestGauges() []instrument {
+	return []instrument{
+		{"crocushinge.requests.waiting", "Requests that wait for a slot.", d.handler.Waiting},
+		{"crocushinge.ledger.records", "Records of non-idempotent requests.", func() int64 { return int64(d.ledger.Len()) }},
+		{"crocushinge.ledger.answer_bytes", "Bytes of answers kept for repeats.", d.ledger.AnswerBytes},
+		{"crocushinge.bodies.bytes", "Bytes of request bodies held in memory.", d.bodies.Used},
+		{"crocushinge.claims.waiting", "Outcomes of callers' keys that wait for the table.", func() int64 { return int64(d.claims.Writer.Len()) }},
+	}
+}
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -24,7 +24,7 @@
 		Home:       d.home,
 		Ledger:     d.ledger,
 		Claims:     d.claims,
-		Bodies:     caller.NewMemory(bodyMemory),
+		Bodies:     d.bodies,
 		Observe:    d.control.observe,
 		Ended:      d.control.ended,
 		Transport:  traffic.NewTargets(network.DialContext),
--- a/traffic/admission.go
+++ b/traffic/admission.go
@@ -27,6 +27,16 @@
 	return s.(*serviceState)
 }
 
+// Waiting returns the number of requests that wait for a slot.
+func (h *Handler) Waiting() int64 {
+	var total int64
+	h.states.Range(func(_, s any) bool {
+		total += int64(s.(*serviceState).gate.Waiting())
+		return true
+	})
+	return total
+}
+
 // SnapshotChanged lets waiting requests use the newest snapshot. The control
 // thread calls it from a goroutine of its own after each publication.
 func (h *Handler) SnapshotChanged() {
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -20,6 +20,7 @@
 	}
 	ctx, cancel := context.WithDeadline(req.in.Context(), req.deadline())
 	defer cancel()
+	h.counters.Forwarded.Add(1)
 	resp, err := h.cfg.Peers.RoundTrip(h.toHost(ctx, req, home))
 	if err != nil {
 		h.homeless(w, req, "the home host of this id did not answer")
--- a/traffic/handler.go
+++ b/traffic/handler.go
@@ -63,7 +63,8 @@
 type Handler struct {
 	cfg Config
 	// states holds a *serviceState for each service.
-	states sync.Map
+	states   sync.Map
+	counters Counters
 }
 
 // NewHandler returns a handler that runs on the given settings.
@@ -93,14 +94,18 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	caller := newCallerWriter(w, r)
 	defer caller.finish()
+	whole := false
+	defer h.counters.count(caller.Header(), &whole)
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), caller.trace()))
 	req, refusal := h.admit(r)
 	if refusal != nil {
 		refusal.write(caller)
+		whole = true
 		return
 	}
 	caller.receive(req)
 	h.serve(caller, req)
+	whole = true
 }
 
 // serve serves an admitted request.
--- a/traffic/once.go
+++ b/traffic/once.go
@@ -144,6 +144,7 @@
 		if !state.retries.Spend() || !pause(ctx, caller.Backoff(len(tried), rand.Float64())) {
 			return a, err
 		}
+		h.counters.Retries.Add(1)
 		tried[a.link] = true
 	}
 }
--- a/traffic/retry.go
+++ b/traffic/retry.go
@@ -43,6 +43,7 @@
 		}
 		again := a != nil && (err != nil || d.worthRetry()) && retry+1 < maxAttempts && req.replayable()
 		if again && retries.Spend() && pause(ctx, caller.Backoff(retry, rand.Float64())) {
+			h.counters.Retries.Add(1)
 			tried[a.link] = true
 			continue
 		}
