Cut a failing link later than a slow one

Cause: the slowest trials of fails-all on the viewer: a host that had seen two failures cut its link, and the other host with a slot on the target had to bring the rest from half of the traffic.

Baselines run a quarter of the faults.

--- a/bench/detect/measure.go
+++ b/bench/detect/measure.go
@@ -21,14 +21,15 @@
 
 // method names a detector and makes new ones.
 type method struct {
-	name string
-	make func(deployment) detector
+	name     string
+	make     func(deployment) detector
+	baseline bool
 }
 
 var methods = []method{
-	{"crocushinge", func(d deployment) detector { return newOurs(d) }},
-	{"5 consecutive", func(d deployment) detector { return newConsecutive(d) }},
-	{"rate < mean-1.9s", func(d deployment) detector { return newSuccessRate(d) }},
+	{name: "crocushinge", make: func(d deployment) detector { return newOurs(d) }},
+	{name: "5 consecutive", make: func(d deployment) detector { return newConsecutive(d) }, baseline: true},
+	{name: "rate < mean-1.9s", make: func(d deployment) detector { return newSuccessRate(d) }, baseline: true},
 }
 
 // grayKind is a kind of fault.
@@ -123,7 +124,7 @@
 	var group errgroup.Group
 	group.SetLimit(o.workers)
 	for _, m := range methods {
-		results := make([]result, r.runs(o))
+		results := make([]result, r.runs(o, m))
 		for i := range results {
 			group.Go(func() error {
 				results[i] = r.run(m, o.seed+uint64(i))
@@ -139,15 +140,23 @@
 	_ = group.Wait()
 }
 
-// runs returns how many runs a row takes.
-func (r *row) runs(o options) int {
-	if r.gray != nil {
-		return o.trials
-	}
-	hours := o.hours
+// baselineShare divides the runs of a baseline, whose figures need less
+// resolution.
+const baselineShare = 4
+
+// runs returns how many runs a detector takes in a row.
+func (r *row) runs(o options, m method) int {
+	trials, hours := o.trials, o.hours
 	if r.d.weight == contract.WeightSafety {
 		hours = o.safetyHours
 	}
+	if m.baseline {
+		trials /= baselineShare
+		hours /= baselineShare
+	}
+	if r.gray != nil {
+		return max(1, trials)
+	}
 	return max(1, (hours+r.d.targets-1)/r.d.targets)
 }
 
--- a/service/judge.go
+++ b/service/judge.go
@@ -49,7 +49,7 @@
 	switch {
 	case s.serviceWide(m, k):
 		t.Pool().Limit(k, heldShare*float64(h))
-		t.Pool().LimitOwn(k, heldShare*float64(s.linkThreshold(m, now)))
+		t.Pool().LimitOwn(k, heldShare*float64(s.linkThreshold(m, k, now)))
 		s.withhold(m, HeldServiceWide)
 	case verdict == target.Gray && s.floorAllows(m):
 		s.move(m, target.Ejected, s.evidenceOf(m, k), now)
--- a/service/path.go
+++ b/service/path.go
@@ -8,18 +8,18 @@
 
 // linkThreshold returns the evidence of this host alone at which it blames its
 // link, in nats.
-func (s *Service) linkThreshold(m *member, now time.Time) target.Threshold {
+func (s *Service) linkThreshold(m *member, k target.Suspicion, now time.Time) target.Threshold {
 	if m.path.OnTrial(now) {
-		return s.threshold.OnLink() * trialShare
+		return s.threshold.OnLink(k) * trialShare
 	}
-	return s.threshold.OnLink()
+	return s.threshold.OnLink(k)
 }
 
 // linkSuspected reports whether this host's own evidence is enough to cut its
 // link. A host that alone carries traffic waits for the verdict on the target.
 func (s *Service) linkSuspected(m *member, k target.Suspicion, now time.Time) bool {
 	p := m.target.Pool()
-	return p.Own()[k] >= float64(s.linkThreshold(m, now)) && p.OthersCarry(now)
+	return p.Own()[k] >= float64(s.linkThreshold(m, k, now)) && p.OthersCarry(now)
 }
 
 // trialShare lowers the threshold of a link that was restored lately.
--- a/target/threshold.go
+++ b/target/threshold.go
@@ -23,9 +23,12 @@
 	denialShare = 0.5
 	// probationShare is the threshold of a target on probation.
 	probationShare = 0.5
-	// linkShare is the threshold for the evidence of one host alone at which
-	// it cuts its link.
-	linkShare = 0.6
+	// failingLinkShare and slowLinkShare are the thresholds for the evidence of
+	// one host alone at which it cuts its link. A host that cuts too soon
+	// brings no more evidence against a failing target; requests that hang
+	// on a slow one bring it slowly in any case.
+	failingLinkShare = 0.75
+	slowLinkShare    = 0.6
 	// probeShare bounds the evidence of probes.
 	probeShare = 0.5
 )
@@ -51,7 +54,12 @@
 
 // OnLink returns the threshold for the evidence of one host alone at which it
 // cuts its link.
-func (h Threshold) OnLink() Threshold { return h * linkShare }
+func (h Threshold) OnLink(k Suspicion) Threshold {
+	if k == Slow {
+		return h * slowLinkShare
+	}
+	return h * failingLinkShare
+}
 
 // WaldBound returns the mean number of requests that no test with the given
 // threshold can do without, for a target that fails the given share of its
