Take a peer's denial seriously only after a few good answers

Cause: the slowest hangs on the viewer (2.8 s): the last good answers of the other host before the fault counted as its denial, so that the first host took its evidence back.

Change: a denial takes 3 nats.

--- a/bench/detect/measure.go
+++ b/bench/detect/measure.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"os"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -97,7 +99,8 @@
 	return r.healthy.name
 }
 
-// measureAll runs every row that the options ask for.
+// measureAll runs every row that the options ask for. It tells of each on
+// standard error as soon as it is measured.
 func measureAll(o options) []row {
 	var rows []row
 	for _, d := range deployments {
@@ -113,6 +116,7 @@
 		if (o.service == "" || o.service == r.d.name) && (o.kind == "" || o.kind == r.kind()) {
 			r.measure(o)
 			out = append(out, r)
+			fmt.Fprintf(os.Stderr, "%s, %s: %s\n", r.d.name, r.kind(), cell(r, r.measurements[0]))
 		}
 	}
 	return out
--- a/target/verdict.go
+++ b/target/verdict.go
@@ -37,8 +37,12 @@
 	return Gray
 }
 
-// OthersDeny reports whether the peers that carry traffic to the target bring
-// evidence against the suspicion.
+// denialNats is the evidence against a suspicion that counts as a denial. It
+// takes a few good answers, so that the last ones before a fault do not count.
+const denialNats = 3
+
+// OthersDeny reports whether the peers that carry traffic to the target deny
+// the suspicion.
 func (p *Pool) OthersDeny(k Suspicion, now time.Time) bool {
 	rest := 0.0
 	for _, s := range p.peers {
@@ -46,7 +50,7 @@
 			rest += s.contribution[k]
 		}
 	}
-	return rest < 0
+	return rest <= -denialNats
 }
 
 func (s *share) carries(now time.Time) bool {
