--- a/traffic/once.go
+++ b/traffic/once.go
@@ -33,15 +33,17 @@
 	defer body.free()
 	print := caller.NewFingerprint(req.in.Method, req.match.Service, req.in.URL.RequestURI(), body.data)
 	record, verdict := h.cfg.Ledger.Begin(h.cfg.Home.Since(), req.account, req.id, print)
-	_, keyed := req.key()
-	switch {
-	case verdict != caller.Dispatch:
+	if verdict != caller.Dispatch {
 		h.answerVerdict(w, req, record, verdict)
-	case keyed:
+		return
+	}
+	// Holds when the handler ends without another outcome.
+	defer record.End(caller.Outcome{Result: caller.Unknown})
+	if _, keyed := req.key(); keyed {
 		h.runKeyed(w, req, record, print)
-	default:
-		h.run(w, req, record)
+		return
 	}
+	h.run(w, req, record)
 }
 
 // refuseBody refuses a request whose body could not be read.
@@ -97,7 +99,6 @@
 // run dispatches a request that the ledger has claimed. It goes on when the
 // caller goes away, so that a repeat learns the outcome.
 func (h *Handler) run(w http.ResponseWriter, req *request, record *caller.Record) {
-	defer record.End(caller.Outcome{Result: caller.Unknown})
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(req.in.Context()), req.deadline())
 	defer cancel()
 	a, err := h.dispatchOnce(ctx, req)
