Test the guards that no test noticed

Cause: with each of 33 guards of publication, contracts and time line taken out in turn, the tests stayed green for four: the check that the view is of the revision of the write, the repeat of a proposal after a lost answer, the hand-over of events to the outbox, and the order of accounts before contracts. Change: TestCrossCheckNeedsTheWholeLog, TestLostAnswerIsFollowedByTheSameProposal and TestEventsOfAHostOutliveIt notice the first three. The order is gone: a document that needs another is tried again after it in any case. Conclusion: all of the guards that are left turn a test red.

--- a/cmd/crocushinge/main_test.go
+++ b/cmd/crocushinge/main_test.go
@@ -6,6 +6,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -303,3 +305,31 @@
 	is.Equal(code, exitOK)
 	is.True(strings.Contains(out, "revision 1 is in force on 1 of 1 host\n"))
 }
+
+// TestLostAnswerIsFollowedByTheSameProposal puts a host in front that drops
+// connections after it has read the proposal.
+func TestLostAnswerIsFollowedByTheSameProposal(t *testing.T) {
+	for _, lost := range []int{1, sendAttempts} {
+		is := is.New(t)
+		var ids []string
+		host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			ids = append(ids, r.URL.Query().Get("proposal"))
+			if len(ids) <= lost {
+				panic(http.ErrAbortHandler)
+			}
+			_ = json.NewEncoder(w).Encode(publish.Result{Status: publish.Accepted, Service: "a"})
+		}))
+		c := &client{address: strings.TrimPrefix(host.URL, "http://"), token: anaToken}
+		r, err := c.propose(context.Background(), planned{subject: "a", document: []byte("x"), proposal: "p1:a"})
+		host.Close()
+		is.NoErr(err)
+		if lost == 1 {
+			is.Equal(r.Status, publish.Accepted)
+			is.Equal(ids, []string{"p1:a", "p1:a"})
+			continue
+		}
+		is.Equal(r.Status, publish.Undecided)
+		is.Equal(r.Proposal, "p1:a")
+		is.Equal(len(ids), sendAttempts)
+	}
+}
--- a/cmd/crocushinge/publish.go
+++ b/cmd/crocushinge/publish.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"net/url"
-	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
-	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/contract/contractfile"
 	"github.com/crocushinge/crocushinge/publish"
 )
@@ -85,8 +83,7 @@
 	return resultsError(p.Results)
 }
 
-// plan orders the documents that differ from those in force: accounts come
-// before the contracts that name them.
+// plan lists the documents that differ from those in force.
 func (p *publication) plan(files []*contractfile.File, now *inForce) []planned {
 	var plan []planned
 	for _, f := range files {
@@ -100,17 +97,13 @@
 			subject: subject, document: f.Data, base: current.Version, proposal: p.Proposal + ":" + subject,
 		})
 	}
-	sort.SliceStable(plan, func(i, j int) bool {
-		_, first := contract.AccountsName(plan[i].subject)
-		_, second := contract.AccountsName(plan[j].subject)
-		return first && !second
-	})
 	return plan
 }
 
 // handOver proposes the documents. One that is rejected for its findings is
-// tried again after the others, since a route may move between two documents of
-// one publication. It ends at the first result that is unknown.
+// tried again after the others, since it may need an account or a route that
+// another document of the publication defines or gives up. It ends at the first
+// result that is unknown.
 func (p *publication) handOver(ctx context.Context, c *client, plan []planned) error {
 	for len(plan) > 0 {
 		var again []planned
--- a/daemon/timeline_test.go
+++ b/daemon/timeline_test.go
@@ -161,6 +161,23 @@
 	store.Faults.Down(false)
 }
 
+func TestEventsOfAHostOutliveIt(t *testing.T) {
+	is := is.New(t)
+	store := memory.New()
+	t.Run("host", func(t *testing.T) { // ends with the shutdown
+		d := startDaemon(t, testSettings("one"), store)
+		eventually(t, "the host's start", func() bool { return d.archive.outbox.Len() > 0 })
+	})
+	events := readAll(t, testArchive(store), timeline.Filter{})
+	kinds := make(map[timeline.Kind]bool)
+	for _, e := range events {
+		is.Equal(e.Host, "one")
+		kinds[e.Kind] = true
+	}
+	is.True(kinds[timeline.HostStarted])
+	is.True(kinds[timeline.HostLeaving])
+}
+
 // TestFollowersDoNotHoldUpShutdown leaves a stream of events open. A shutdown
 // that waits for it to the end of drainTime fails in startDaemon's cleanup.
 func TestFollowersDoNotHoldUpShutdown(t *testing.T) {
--- a/publish/propose_test.go
+++ b/publish/propose_test.go
@@ -96,6 +96,25 @@
 	is.Equal(countChanges(t, table), 1)
 }
 
+// TestCrossCheckNeedsTheWholeLog hides a change that took the route, as a query
+// that is no snapshot may.
+func TestCrossCheckNeedsTheWholeLog(t *testing.T) {
+	is := is.New(t)
+	s, table := newStore()
+	ctx := context.Background()
+	mustAccept(t, s, proposal("p1", "other", 0))
+	changes, revision, err := s.ChangesAfter(ctx, 0)
+	is.NoErr(err)
+	s.InForce = func(context.Context) (View, error) { return View{Revision: revision, Changes: changes}, nil }
+	mustAccept(t, s, proposal("p2", "a", 0))
+	s.Table = gapTable{table, changeKey(2)}
+	p := proposal("p3", "b", 0)
+	p.Document = document("b", "/a")
+	_, err = s.Propose(ctx, p)
+	is.True(err != nil)
+	is.Equal(countChanges(t, table), 2)
+}
+
 func TestAccountInUseCannotBeRemoved(t *testing.T) {
 	is := is.New(t)
 	s, _ := newStore()
