--- a/traffic/dispatch.go
+++ b/traffic/dispatch.go
@@ -19,6 +19,8 @@
 	errDeadline = errors.New("the deadline passed before the request was sent")
 	// errCrossed means that the answer belongs to another request.
 	errCrossed = errors.New("the answer belongs to another request")
+	// errSwitched means that the target left HTTP without having been asked.
+	errSwitched = errors.New("the target switched to another protocol")
 )
 
 // attempt is one dispatch of a request to a target.
@@ -48,9 +50,10 @@
 	out := outbound(httptrace.WithClientTrace(ctx, conn.trace()), req, l.Address)
 	req.prepare(ctx, out)
 	resp, err := h.cfg.Transport.RoundTrip(out)
-	if err == nil && !req.ownAnswer(resp, conn) {
-		_ = resp.Body.Close()
-		err = errCrossed
+	if err == nil {
+		if err = req.checkAnswer(resp, conn); err != nil {
+			_ = resp.Body.Close()
+		}
 	}
 	if err != nil {
 		a.outcome = classify(ctx, err, conn)
@@ -84,6 +87,18 @@
 	}
 }
 
+// checkAnswer refuses an answer by its head.
+func (req *request) checkAnswer(resp *http.Response, conn *connUse) error {
+	switch {
+	case !req.ownAnswer(resp, conn):
+		return errCrossed
+	case resp.StatusCode < http.StatusOK:
+		return errSwitched
+	default:
+		return nil
+	}
+}
+
 // ownAnswer reports whether an answer can be this request's own. A target that
 // echoes the request id must echo the right one, and no answer can have been
 // received before its request was sent.
--- a/traffic/handler.go
+++ b/traffic/handler.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -96,14 +95,13 @@
 	defer caller.finish()
 	whole := false
 	defer h.counters.count(caller.Header(), &whole)
-	r = r.WithContext(httptrace.WithClientTrace(r.Context(), caller.trace()))
-	req, refusal := h.admit(r)
+	req, refusal := h.admit(caller.receive(r))
 	if refusal != nil {
 		refusal.write(caller)
 		whole = true
 		return
 	}
-	caller.receive(req)
+	caller.expect(req.deadline())
 	h.serve(caller, req)
 	whole = true
 }
--- a/traffic/http_test.go
+++ b/traffic/http_test.go
@@ -371,6 +371,8 @@
 	}
 	close(release)
 	group.Wait()
+	mu.Lock()
+	defer mu.Unlock()
 	is.Equal(len(conns), 2)
 }
 
@@ -390,5 +392,7 @@
 		resp.Body.Close()
 		is.Equal(resp.StatusCode, http.StatusOK)
 	}
+	mu.Lock()
+	defer mu.Unlock()
 	is.Equal(len(conns), 1)
 }
--- /dev/null
+++ b/traffic/stall_test.go
@@ -0,0 +1,122 @@
+package traffic
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocushinge/crocushinge/platform/memory"
+)
+
+// pipes is a network in memory whose connections hold no data: a write waits
+// for its read. It runs on a virtual clock.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	conn, ok := <-p
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+func (pipes) Close() error   { return nil }
+func (pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p pipes) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	p <- far
+	return near, nil
+}
+
+// stallBench runs a test with a connection to a host, and a target, on a
+// virtual clock.
+func stallBench(t *testing.T, target http.HandlerFunc, test func(t *testing.T, conn net.Conn)) {
+	synctest.Test(t, func(t *testing.T) {
+		callers, targets := make(pipes), make(pipes)
+		h := newHostCore(t, memory.New(), "a")
+		h.handler.cfg.Transport = NewTargets(targets.dial)
+		h.snapshot.Store(h.newSnapshot([]string{"target:80"}))
+		servers := []*http.Server{NewServer(h.handler), {Handler: target}}
+		go servers[0].Serve(callers)
+		go servers[1].Serve(targets)
+		conn, _ := callers.dial(t.Context(), "", "")
+		test(t, conn)
+		conn.Close()
+		close(callers)
+		close(targets)
+		for _, s := range servers {
+			s.Close()
+		}
+		h.handler.cfg.Transport.(*Targets).CloseIdleConnections()
+		// The server lingers for a while after it has closed a connection.
+		time.Sleep(time.Second)
+	})
+}
+
+func TestCallerThatStallsInTheHeadIsCutOff(t *testing.T) {
+	stallBench(t, echo, func(t *testing.T, conn net.Conn) {
+		is := is.New(t)
+		start := time.Now()
+		_, err := io.WriteString(conn, "GET /prices HTTP/1.1\r\nHost: shop\r\n")
+		is.NoErr(err)
+		_, err = io.ReadAll(conn)
+		is.NoErr(err)
+		is.Equal(time.Since(start), readHeaderTimeout)
+	})
+}
+
+func TestCallerThatStallsInTheBodyIsCutOff(t *testing.T) {
+	for _, test := range []struct {
+		path   string
+		length int
+		// waits is how long the host waits for the body.
+		waits time.Duration
+	}{
+		// The deadline of both routes is 5 s.
+		{"/prices", 1 << 16, 5 * time.Second},
+		{"/prices", 1 << 10, 5 * time.Second},
+		{"/orders", 1 << 16, 5 * time.Second},
+		// A refused request gets its answer at once.
+		{"/orders", 1 << 20, 0},
+		{"/nowhere", 1 << 10, 0},
+	} {
+		stallBench(t, echo, func(t *testing.T, conn net.Conn) {
+			is := is.New(t)
+			start := time.Now()
+			_, err := io.WriteString(conn, withKey("POST "+test.path, fmt.Sprint("Content-Length: ", test.length))+"abc")
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.True(resp.StatusCode >= http.StatusBadRequest)
+			is.True(resp.Header.Get(HeaderResult) != "completed")
+			is.True(resp.Close)
+			is.Equal(time.Since(start), test.waits)
+		})
+	}
+}
+
+func TestCallerThatReceivesNothingIsCutOff(t *testing.T) {
+	large := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 1<<20))
+	}
+	stallBench(t, large, func(t *testing.T, conn net.Conn) {
+		is := is.New(t)
+		_, err := io.WriteString(conn, withKey("GET /prices"))
+		is.NoErr(err)
+		time.Sleep(callerStall + time.Second)
+		// The host has closed the connection, also in the middle of a write.
+		data, err := io.ReadAll(conn)
+		is.NoErr(err)
+		is.Equal(len(data), 0)
+	})
+}
--- a/traffic/transport.go
+++ b/traffic/transport.go
@@ -85,6 +85,13 @@
 	return transport
 }
 
+// CloseIdleConnections closes the connections that carry no request.
+func (t *Targets) CloseIdleConnections() {
+	for _, transport := range *t.kinds.Load() {
+		transport.CloseIdleConnections()
+	}
+}
+
 func newTargetTransport(dial Dial, kind targetKind) *http.Transport {
 	t := NewPeerTransport(dial)
 	t.MaxConnsPerHost = kind.connections
--- a/traffic/writer.go
+++ b/traffic/writer.go
@@ -35,7 +35,7 @@
 	// mu orders interim answers and the beginning of the final one.
 	mu    sync.Mutex
 	begun bool
-	// body is the request's body once the request was admitted.
+	// body is the request's body, or nil.
 	body *callerBody
 }
 
@@ -103,13 +103,23 @@
 	}
 }
 
-// receive makes the reads of a request's body end by its deadline, and lets the
-// answer begin before the body has ended.
-func (w *callerWriter) receive(req *request) {
-	if req.in.Body != nil && req.in.Body != http.NoBody {
+// receive returns the request with a body that is read by this writer's rules,
+// and lets the answer begin before that body has ended: a caller that is
+// refused must not be able to hold its answer back.
+func (w *callerWriter) receive(r *http.Request) *http.Request {
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), w.trace()))
+	if r.Body != nil && r.Body != http.NoBody {
 		_ = w.control.EnableFullDuplex()
-		w.body = &callerBody{ReadCloser: req.in.Body, control: w.control, deadline: req.deadline()}
-		req.in.Body = w.body
+		w.body = &callerBody{ReadCloser: r.Body, control: w.control, deadline: time.Now().Add(callerStall)}
+		r.Body = w.body
+	}
+	return r
+}
+
+// expect makes the reads of the body end by a request's deadline.
+func (w *callerWriter) expect(deadline time.Time) {
+	if w.body != nil {
+		w.body.deadline = deadline
 	}
 }
 
