Compare two links that have a free slot, and ramp by passing over at random

Cause: a host of an entry set has no slot on most targets. A warming target at a tenth of the weight got next to nothing.

Ruled out: least outstanding (as bad as random at one slot a link); least latency times load over all links (as good, but it leaves the costlier targets without any request, and so without evidence).

Change: Pick walks the links in a random order and compares the first two with a free slot; targets on a ramp are passed over at random by their weight.

--- a/service/pick.go
+++ b/service/pick.go
@@ -7,42 +7,86 @@
 	"github.com/crocushinge/crocushinge/link"
 )
 
-// Pick takes a slot on the better of two random links. When both are full it
-// takes any free slot. It returns false when no untried link has one.
+// choices is how many links with a free slot Pick compares.
+const choices = 2
+
+// Pick takes a slot on the better of two random links that have one free. A
+// target that is warming or on probation is passed over at random, so that its
+// share of the work grows with its weight. It returns false when no untried
+// link has a free slot.
 func (r *Routing) Pick(rng *rand.Rand, now time.Time, tried map[*link.Link]bool) (*link.Link, int, bool) {
-	n := len(r.Links)
-	if n == 0 {
+	if len(r.Links) == 0 {
 		return nil, 0, false
 	}
-	first, second := rng.IntN(n), rng.IntN(n)
-	if r.cost(second, now) < r.cost(first, now) {
-		first, second = second, first
-	}
-	for _, i := range [...]int{first, second} {
-		if slot, ok := acquireUntried(r.Links[i], now, tried); ok {
+	w := newWalk(rng, len(r.Links))
+	if i := r.better(rng, w, now, tried); i >= 0 {
+		if slot, ok := r.Links[i].Acquire(now); ok {
 			return r.Links[i], slot, true
 		}
 	}
-	start := rng.IntN(n)
-	for i := range n {
-		l := r.Links[(start+i)%n]
-		if slot, ok := acquireUntried(l, now, tried); ok {
+	for k := range r.Links {
+		l := r.Links[w.at(k)]
+		if tried[l] {
+			continue
+		}
+		if slot, ok := l.Acquire(now); ok {
 			return l, slot, true
 		}
 	}
 	return nil, 0, false
 }
 
-func acquireUntried(l *link.Link, now time.Time, tried map[*link.Link]bool) (int, bool) {
-	if tried[l] {
-		return 0, false
+// better returns the index of the cheapest of the first links on the walk that
+// may take the request, or -1.
+func (r *Routing) better(rng *rand.Rand, w walk, now time.Time, tried map[*link.Link]bool) int {
+	best, found := -1, 0
+	for k := range r.Links {
+		i := w.at(k)
+		l := r.Links[i]
+		if tried[l] || l.InFlight() >= l.Limit() || !r.ramps[i].admits(rng, now) {
+			continue
+		}
+		if best < 0 || cost(l) < cost(r.Links[best]) {
+			best = i
+		}
+		found++
+		if found == choices {
+			break
+		}
+	}
+	return best
+}
+
+// admits reports whether a ramp lets a request through, at random by its
+// weight.
+func (r ramp) admits(rng *rand.Rand, now time.Time) bool {
+	return r.length == 0 || rng.Float64() < r.weight(now)
+}
+
+// cost is the expected wait on a link: its latency, but no less than the
+// network's part, times the requests ahead.
+func cost(l *link.Link) float64 {
+	latency := max(l.Latency(), l.RoundTrip(), 1)
+	return float64(latency) * float64(l.InFlight()+1)
+}
+
+// walk visits the numbers below n in a random order: from a random start in
+// steps that have no divisor in common with n.
+type walk struct{ start, step, n int }
+
+func newWalk(rng *rand.Rand, n int) walk {
+	step := 1 + rng.IntN(n)
+	for gcd(step, n) != 1 {
+		step = 1 + rng.IntN(n)
 	}
-	return l.Acquire(now)
+	return walk{start: rng.IntN(n), step: step, n: n}
 }
 
-// cost is the expected wait on a link: its latency times the requests ahead,
-// over the weight of its target.
-func (r *Routing) cost(i int, now time.Time) float64 {
-	l := r.Links[i]
-	return float64(l.Latency()+1) * float64(l.InFlight()+1) / r.ramps[i].weight(now)
+func (w walk) at(k int) int { return (w.start + k*w.step) % w.n }
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
 }
--- /dev/null
+++ b/service/pick_test.go
@@ -0,0 +1,156 @@
+package service
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/crocushinge/crocushinge/link"
+	"github.com/crocushinge/crocushinge/target"
+)
+
+// draw picks n times, freeing each slot at once, and counts by target.
+func draw(r *Routing, n int, now time.Time, after func(*link.Link)) map[string]int {
+	rng := rand.New(rand.NewPCG(1, 1))
+	counts := make(map[string]int)
+	for range n {
+		l, slot, ok := r.Pick(rng, now, nil)
+		if !ok {
+			continue
+		}
+		l.Release(slot)
+		if after != nil {
+			after(l)
+		}
+		counts[l.Target.Name]++
+	}
+	return counts
+}
+
+func TestTargetThatFailsFastDrawsNoMoreWork(t *testing.T) {
+	is := is.New(t)
+	s := New(testContract(6, 12), Place{}, epoch)
+	counts := draw(s.Routing(), 6000, epoch, func(l *link.Link) {
+		if l.Target.Name == "checkout-3" {
+			l.ObserveOutcome(link.Failed, time.Millisecond)
+			return
+		}
+		l.ObserveOutcome(link.Succeeded, 25*time.Millisecond)
+	})
+	is.True(counts["checkout-3"] < 300) // an even share is 1000
+}
+
+func TestNewHostSpreadsWorkOverAllTargets(t *testing.T) {
+	is := is.New(t)
+	s := New(testContract(6, 12), Place{}, epoch)
+	is.Equal(s.HealthySlots(), 24)
+	for name, n := range draw(s.Routing(), 6000, epoch, nil) {
+		is.Equal(s.State(name), target.Active)
+		is.True(n > 800 && n < 1200)
+	}
+}
+
+func TestWarmingTargetGetsAGrowingShare(t *testing.T) {
+	is := is.New(t)
+	s := New(testContract(5, 4), Place{}, epoch)
+	s.Apply(testContract(6, 4), epoch)
+	is.Equal(s.State("checkout-5"), target.Warming)
+	last := 0
+	for _, age := range []time.Duration{0, 4 * time.Second, 8 * time.Second, warmUpTime} {
+		n := draw(s.Routing(), 6000, epoch.Add(age), nil)["checkout-5"]
+		is.True(n > last)
+		last = n
+	}
+	is.True(last > 800)
+}
+
+func TestAllWarmingTargetsStillTakeWork(t *testing.T) {
+	is := is.New(t)
+	s := New(testContract(6, 4), Place{}, epoch)
+	moved := testContract(6, 4)
+	for i := range moved.Targets {
+		moved.Targets[i].Address += "0"
+	}
+	s.Apply(moved, epoch)
+	total := 0
+	for _, n := range draw(s.Routing(), 600, epoch, nil) {
+		total += n
+	}
+	is.Equal(total, 600)
+}
+
+func TestPickKeepsToTheSlotsOfTheHost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "targets")
+		members := rapid.IntRange(1, 5).Draw(t, "members")
+		s := New(testContract(n, 0), Place{}, epoch)
+		s.SetShare(members, 0)
+		r := s.Routing()
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		share := 0
+		for _, l := range r.Links {
+			share += l.Limit()
+		}
+		for i := range share {
+			if _, _, ok := r.Pick(rng, epoch, nil); !ok {
+				t.Fatalf("no slot found after %d of %d", i, share)
+			}
+		}
+		if _, _, ok := r.Pick(rng, epoch, nil); ok {
+			t.Fatal("more slots taken than this host's share")
+		}
+		for _, l := range r.Links {
+			if l.InFlight() != l.Limit() {
+				t.Fatalf("%d requests on %d slots", l.InFlight(), l.Limit())
+			}
+		}
+	})
+}
+
+func TestPickComparesLinksWithAFreeSlot(t *testing.T) {
+	is := is.New(t)
+	r := New(testContract(6, 0), Place{}, epoch).Routing()
+	for i, l := range r.Links {
+		l.ObserveOutcome(link.Succeeded, 25*time.Millisecond)
+		if i > 1 {
+			l.SetLimit(0)
+		}
+	}
+	r.Links[1].ObserveOutcome(link.Failed, time.Millisecond)
+	counts := draw(r, 100, epoch, nil)
+	is.Equal(counts["checkout-0"], 100)
+}
+
+func TestTriedLinksAreNotPickedAgain(t *testing.T) {
+	is := is.New(t)
+	r := New(testContract(3, 0), Place{}, epoch).Routing()
+	rng := rand.New(rand.NewPCG(1, 1))
+	tried := make(map[*link.Link]bool)
+	for range 3 {
+		l, _, ok := r.Pick(rng, epoch, tried)
+		is.True(ok)
+		is.True(!tried[l])
+		tried[l] = true
+	}
+	_, _, ok := r.Pick(rng, epoch, tried)
+	is.True(!ok)
+}
+
+func TestPanicRoutingUsesEveryTargetThatStays(t *testing.T) {
+	is := is.New(t)
+	s := New(testContract(6, 16), Place{}, epoch)
+	s.move(s.byName["checkout-0"], target.Ejected, "test", epoch)
+	s.move(s.byName["checkout-5"], target.Probation, "test", epoch)
+	is.Equal(len(s.Routing().Links), 5)
+	s.Drain("checkout-1", target.SignOperator, epoch)
+	s.Drain("checkout-2", target.SignOperator, epoch)
+	r := s.Routing()
+	is.True(r.Panic)                               // 12 slots and one on probation
+	is.Equal(s.State("checkout-0"), target.Active) // needed for the floor
+	is.Equal(len(r.Links), 4)
+	n := draw(r, 4000, epoch, nil)["checkout-5"]
+	is.True(n > 800 && n < 1200) // a full share
+}
--- a/service/routing.go
+++ b/service/routing.go
@@ -63,7 +63,7 @@
 	}
 	for _, m := range s.members {
 		if m.target.TakesWork() && !m.path.IsCut() {
-			r.add(m)
+			r.add(m, rampOf(m.target))
 		}
 	}
 	if len(r.Links) == 0 {
@@ -72,15 +72,16 @@
 	return r
 }
 
-func (r *Routing) add(m *member) {
+func (r *Routing) add(m *member, weight ramp) {
 	r.Links = append(r.Links, m.link)
-	r.ramps = append(r.ramps, rampOf(m.target))
+	r.ramps = append(r.ramps, weight)
 }
 
+// addAll adds every target that does not leave, with its full weight.
 func (r *Routing) addAll(members []*member) {
 	for _, m := range members {
 		if m.target.State() != target.Leaving {
-			r.add(m)
+			r.add(m, ramp{})
 		}
 	}
 }
