Bound what a question for the time line moves between hosts

Change: the filter and a limit go to the peers; one answer holds 50,000 events at most and says when there were more. A peer tells its oldest event apart from those selected, so that it is still known which batches need no reading. A host's name as target selects what it says of itself too. Explain asks for the request, its home host and its targets alone. Conclusion: TestPeerAnswersWithinLimitAndFilter asks a host as its peers do.

--- a/cmd/crocushinge/timeline.go
+++ b/cmd/crocushinge/timeline.go
@@ -49,25 +49,17 @@
 	return t, nil
 }
 
-// timelineQuery turns the flags into parameters of the API.
-func timelineQuery(cmd *cli.Command, now time.Time) (url.Values, error) {
-	q := url.Values{}
-	for _, name := range []string{"service", "target", "request"} {
-		if value := cmd.String(name); value != "" {
-			q.Set(name, value)
-		}
+// timelineFilter reads the flags.
+func timelineFilter(cmd *cli.Command, now time.Time) (timeline.Filter, error) {
+	f := timeline.Filter{Service: cmd.String("service"), Target: cmd.String("target"), Request: cmd.String("request")}
+	var err error
+	if f.Since, err = moment(cmd.String("since"), now); err != nil {
+		return f, err
 	}
-	for _, name := range []string{"since", "until"} {
-		if cmd.String(name) == "" {
-			continue
-		}
-		t, err := moment(cmd.String(name), now)
-		if err != nil {
-			return nil, err
-		}
-		q.Set(name, strconv.FormatInt(t.UnixMilli(), 10))
+	if until := cmd.String("until"); until != "" {
+		f.Until, err = moment(until, now)
 	}
-	return q, nil
+	return f, err
 }
 
 func printTimeline(ctx context.Context, cmd *cli.Command) error {
@@ -75,14 +67,14 @@
 	if err != nil {
 		return err
 	}
-	query, err := timelineQuery(cmd, time.Now())
+	f, err := timelineFilter(cmd, time.Now())
 	if err != nil {
 		return err
 	}
 	if cmd.Bool("follow") {
-		return followTimeline(ctx, cmd, c, query)
+		return followTimeline(ctx, cmd, c, f)
 	}
-	line, err := c.timeline(ctx, query)
+	line, err := c.gather(ctx, f)
 	if err != nil {
 		return err
 	}
@@ -94,25 +86,43 @@
 	})
 }
 
-func (c *client) timeline(ctx context.Context, query url.Values) (wire.Timeline, error) {
+// gather asks for the events that a filter selects.
+func (c *client) gather(ctx context.Context, f timeline.Filter) (wire.Timeline, error) {
 	var line wire.Timeline
-	err := c.ask(ctx, question{method: http.MethodGet, path: "/v1/timeline", query: query}, &line)
+	err := c.ask(ctx, question{method: http.MethodGet, path: "/v1/timeline", query: parameters(f)}, &line)
 	return line, err
 }
 
+// parameters turns a filter into parameters of the API.
+func parameters(f timeline.Filter) url.Values {
+	q := url.Values{}
+	for name, value := range map[string]string{"service": f.Service, "target": f.Target, "request": f.Request} {
+		if value != "" {
+			q.Set(name, value)
+		}
+	}
+	for name, t := range map[string]time.Time{"since": f.Since, "until": f.Until} {
+		if !t.IsZero() {
+			q.Set(name, strconv.FormatInt(t.UnixMilli(), 10))
+		}
+	}
+	return q
+}
+
 // printMissing says what the time line lacks.
 func printMissing(out io.Writer, line wire.Timeline) {
 	for _, m := range line.Missing {
 		fmt.Fprintf(out, "incomplete: %s did not answer: %s\n", m.Source, m.Error)
 	}
 	if line.Truncated {
-		fmt.Fprintln(out, "incomplete: too many batches; choose a shorter time by --since and --until")
+		fmt.Fprintln(out, "incomplete: too many events; choose a filter or a shorter time by --since and --until")
 	}
 }
 
 // followTimeline prints events as they happen, until the tool is interrupted
 // or the host ends the stream.
-func followTimeline(ctx context.Context, cmd *cli.Command, c *client, query url.Values) error {
+func followTimeline(ctx context.Context, cmd *cli.Command, c *client, f timeline.Filter) error {
+	query := parameters(f)
 	query.Set("follow", "1")
 	c.http.Timeout = 0
 	resp, err := c.send(ctx, question{method: http.MethodGet, path: "/v1/timeline", query: query})
@@ -168,15 +178,22 @@
 	if err != nil {
 		return err
 	}
-	line, err := c.timeline(ctx, url.Values{"since": {strconv.FormatInt(since.UnixMilli(), 10)}})
+	home := timeline.Home{Host: id.Host, Incarnation: id.Incarnation}
+	line, err := c.gather(ctx, timeline.Filter{Request: request, Since: since})
 	if err != nil {
 		return err
 	}
-	home := timeline.Home{Host: id.Host, Incarnation: id.Incarnation}
-	e := explanation{
-		Request: request, Sentences: timeline.Explain(request, home, line.Events),
-		Events: timeline.Filter{Request: request}.Select(line.Events),
+	own := line.Events
+	for _, f := range timeline.Context(home, own) {
+		f.Since = since
+		more, err := c.gather(ctx, f)
+		if err != nil {
+			return err
+		}
+		line.Events = timeline.Merge(line.Events, more.Events)
+		line.Truncated = line.Truncated || more.Truncated
 	}
+	e := explanation{Request: request, Sentences: timeline.Explain(request, home, line.Events), Events: own}
 	return show(cmd, e, func() {
 		for _, s := range e.Sentences {
 			fmt.Fprintln(cmd.Root().Writer, s)
--- a/daemon/api_timeline.go
+++ b/daemon/api_timeline.go
@@ -55,8 +55,8 @@
 	w := ctx.ResponseWriter()
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	encoder := json.NewEncoder(w)
-	err := d.follow(ctx.Request().Context(), after(f), func(events []timeline.Event) error {
-		for _, e := range f.Select(events) {
+	err := d.follow(ctx.Request().Context(), f, func(events []timeline.Event) error {
+		for _, e := range events {
 			if err := encoder.Encode(e); err != nil {
 				return err
 			}
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -117,17 +117,26 @@
 // Timeline implements fleetv1connect.FleetServiceHandler.
 func (s *fleetServer) Timeline(ctx context.Context, req *connect.Request[fleetv1.TimelineRequest], stream *connect.ServerStream[fleetv1.TimelineResponse]) error {
 	after := wire.StampFromProto(req.Msg.GetAfter())
-	for {
+	f := wire.FilterFromProto(req.Msg)
+	for first := true; ; first = false {
 		events, more := s.ring.After(after)
-		for _, e := range events {
-			data, err := wire.EncodeEvent(e)
-			if err != nil {
-				return err
+		// Read after the events, so that none of those from it on is missing.
+		oldest := s.ring.Oldest()
+		if len(events) > 0 {
+			after = events[len(events)-1].Stamp
+		}
+		events = f.Select(events)
+		if first {
+			resp := &fleetv1.TimelineResponse{Oldest: wire.StampToProto(oldest)}
+			if limit := req.Msg.GetLimit(); limit > 0 {
+				events, resp.Truncated = timeline.Newest(events, int(limit))
 			}
-			if err := stream.Send(&fleetv1.TimelineResponse{Event: data}); err != nil {
+			if err := stream.Send(resp); err != nil {
 				return err
 			}
-			after = e.Stamp
+		}
+		if err := sendEvents(stream, events); err != nil {
+			return err
 		}
 		if !req.Msg.GetFollow() {
 			return nil
@@ -142,6 +151,19 @@
 	}
 }
 
+func sendEvents(stream *connect.ServerStream[fleetv1.TimelineResponse], events []timeline.Event) error {
+	for _, e := range events {
+		data, err := wire.EncodeEvent(e)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(&fleetv1.TimelineResponse{Event: data}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // requireToken refuses requests without the bearer token.
 func requireToken(token string, next http.Handler) http.Handler {
 	want := []byte("Bearer " + token)
--- a/daemon/timeline_follow.go
+++ b/daemon/timeline_follow.go
@@ -7,6 +7,8 @@
 
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/timeline"
+	"github.com/crocushinge/crocushinge/wire"
+	fleetv1 "github.com/crocushinge/crocushinge/wire/gen/crocushinge/fleet/v1"
 )
 
 const (
@@ -22,6 +24,7 @@
 // follower merges the live events of all hosts.
 type follower struct {
 	daemon *Daemon
+	filter timeline.Filter
 	events chan timeline.Event
 	// streams are the peers whose events arrive at present.
 	mu      sync.Mutex
@@ -31,13 +34,15 @@
 	wait sync.WaitGroup
 }
 
-// follow hands the events after a stamp over in merged portions until ctx or
+// follow hands the selected events over in merged portions until ctx or
 // the process ends, or until f fails. An event that reaches this host later
 // than the window stands after newer ones.
-func (d *Daemon) follow(ctx context.Context, after timeline.Stamp, f func([]timeline.Event) error) error {
+func (d *Daemon) follow(ctx context.Context, filter timeline.Filter, f func([]timeline.Event) error) error {
+	after := wire.After(filter)
 	ctx, cancel := context.WithCancel(ctx)
 	fo := &follower{
 		daemon:  d,
+		filter:  filter,
 		events:  make(chan timeline.Event, followQueue),
 		streams: make(map[host.ID]bool),
 		last:    make(map[host.ID]timeline.Stamp),
@@ -74,9 +79,11 @@
 func (fo *follower) own(ctx context.Context, after timeline.Stamp) {
 	for {
 		events, more := fo.daemon.ring.After(after)
-		for _, e := range events {
+		for _, e := range fo.filter.Select(events) {
 			fo.hand(ctx, e)
-			after = e.Stamp
+		}
+		if len(events) > 0 {
+			after = events[len(events)-1].Stamp
 		}
 		select {
 		case <-more:
@@ -107,11 +114,21 @@
 // peer follows the events of one peer until its stream ends.
 func (fo *follower) peer(ctx context.Context, peer host.Identity, after timeline.Stamp) {
 	// A peer that is away is tried again at the next refresh.
-	_ = fo.daemon.peerEvents(ctx, peer, after, true, func(e timeline.Event) {
+	req := wire.FilterToProto(fo.filter)
+	req.After, req.Follow = wire.StampToProto(after), true
+	_ = fo.daemon.peerEvents(ctx, peer, req, func(resp *fleetv1.TimelineResponse) error {
+		if len(resp.GetEvent()) == 0 {
+			return nil
+		}
+		e, err := wire.DecodeEvent(resp.GetEvent())
+		if err != nil {
+			return err
+		}
 		fo.hand(ctx, e)
 		fo.mu.Lock()
 		fo.last[peer.ID] = e.Stamp
 		fo.mu.Unlock()
+		return nil
 	})
 	fo.mu.Lock()
 	fo.streams[peer.ID] = false
--- a/daemon/timeline_gather.go
+++ b/daemon/timeline_gather.go
@@ -21,24 +21,29 @@
 	gatherTimeout = 20 * time.Second
 )
 
+// maxEvents bounds the events of one answer, about 12 MB of memory.
+const maxEvents = 50_000
+
 // ringView is what one host holds in memory.
 type ringView struct {
 	host   host.Identity
 	events []timeline.Event
-	err    error
+	// oldest is the oldest event that the host holds, whether selected or not.
+	oldest    timeline.Stamp
+	truncated bool
+	err       error
 }
 
 // gather merges the events of this host, of its peers and of the object store.
 func (d *Daemon) gather(ctx context.Context, f timeline.Filter) wire.Timeline {
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
-	views := d.askPeers(ctx, after(f))
-	own, _ := d.ring.After(after(f))
-	views = append(views, ringView{host: d.self, events: own})
+	views := append(d.askPeers(ctx, f), d.ownView(f))
 	var out wire.Timeline
 	var lists [][]timeline.Event
 	for _, v := range views {
-		lists = append(lists, f.Select(v.events))
+		lists = append(lists, v.events)
+		out.Truncated = out.Truncated || v.truncated
 		if v.err != nil {
 			out.Missing = append(out.Missing, wire.MissingSource{Source: string(v.host.ID), Error: v.err.Error()})
 		}
@@ -47,24 +52,19 @@
 	if err != nil {
 		out.Missing = append(out.Missing, wire.MissingSource{Source: "object store", Error: err.Error()})
 	}
-	out.Truncated = stored.truncated
-	out.Events = timeline.Merge(append(lists, stored.lists...)...)
-	if out.Events == nil {
-		out.Events = []timeline.Event{}
-	}
+	events, truncated := timeline.Newest(timeline.Merge(append(lists, stored.lists...)...), maxEvents)
+	out.Truncated = out.Truncated || stored.truncated || truncated
+	out.Events = append([]timeline.Event{}, events...)
 	return out
 }
 
-// after returns the stamp before the first that the filter selects.
-func after(f timeline.Filter) timeline.Stamp {
-	if f.Since.IsZero() {
-		return timeline.Stamp{}
-	}
-	return timeline.Stamp{Wall: f.Since.UnixMilli() - 1, Logical: ^uint32(0)}
+func (d *Daemon) ownView(f timeline.Filter) ringView {
+	events, _ := d.ring.After(wire.After(f))
+	return ringView{host: d.self, events: f.Select(events), oldest: d.ring.Oldest()}
 }
 
 // covered returns the test for a batch whose events a host still holds in
-// memory: the host's oldest event is no later than the batch's first.
+// memory: the host's oldest event is earlier than the batch's first.
 func covered(views []ringView) func(wire.BatchName) bool {
 	type incarnation struct {
 		host   string
@@ -72,8 +72,8 @@
 	}
 	oldest := make(map[incarnation]int64)
 	for _, v := range views {
-		if len(v.events) > 0 {
-			oldest[incarnation{string(v.host.ID), v.host.Incarnation}] = v.events[0].Stamp.Wall
+		if v.err == nil && v.oldest.Wall > 0 {
+			oldest[incarnation{string(v.host.ID), v.host.Incarnation}] = v.oldest.Wall
 		}
 	}
 	return func(b wire.BatchName) bool {
@@ -83,12 +83,14 @@
 }
 
 // askPeers asks all peers for their events.
-func (d *Daemon) askPeers(ctx context.Context, after timeline.Stamp) []ringView {
+func (d *Daemon) askPeers(ctx context.Context, f timeline.Filter) []ringView {
 	peers := d.control.snapshot.Load().Peers
 	views := make([]ringView, 0, len(peers))
 	for _, id := range peers {
 		views = append(views, ringView{host: id})
 	}
+	req := wire.FilterToProto(f)
+	req.Limit = uint32(maxEvents/(len(peers)+1) + 1)
 	var group errgroup.Group
 	group.SetLimit(gatherConcurrency)
 	for i := range views {
@@ -96,7 +98,9 @@
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 			v := &views[i]
-			v.err = d.peerEvents(ctx, v.host, after, false, func(e timeline.Event) { v.events = append(v.events, e) })
+			v.err = d.peerEvents(ctx, v.host, req, func(resp *fleetv1.TimelineResponse) error {
+				return v.take(resp)
+			})
 			return nil
 		})
 	}
@@ -104,21 +108,33 @@
 	return views
 }
 
-// peerEvents hands the events of a peer over as they arrive. With follow it
-// goes on until ctx ends or the peer does.
-func (d *Daemon) peerEvents(ctx context.Context, peer host.Identity, after timeline.Stamp, follow bool, f func(timeline.Event)) error {
-	req := connect.NewRequest(&fleetv1.TimelineRequest{After: wire.StampToProto(after), Follow: follow})
-	stream, err := d.peers.to(peer.FleetAddress).Timeline(ctx, req)
+// take adds one message of a peer.
+func (v *ringView) take(resp *fleetv1.TimelineResponse) error {
+	if len(resp.GetEvent()) == 0 {
+		v.oldest = wire.StampFromProto(resp.GetOldest())
+		v.truncated = resp.GetTruncated()
+		return nil
+	}
+	e, err := wire.DecodeEvent(resp.GetEvent())
+	if err != nil {
+		return err
+	}
+	v.events = append(v.events, e)
+	return nil
+}
+
+// peerEvents hands the messages of a peer over as they arrive, to the end of
+// its stream.
+func (d *Daemon) peerEvents(ctx context.Context, peer host.Identity, req *fleetv1.TimelineRequest, f func(*fleetv1.TimelineResponse) error) error {
+	stream, err := d.peers.to(peer.FleetAddress).Timeline(ctx, connect.NewRequest(req))
 	if err != nil {
 		return errors.Wrapf(err, "time line of host %s", peer.ID)
 	}
 	defer stream.Close()
 	for stream.Receive() {
-		e, err := wire.DecodeEvent(stream.Msg().GetEvent())
-		if err != nil {
+		if err := f(stream.Msg()); err != nil {
 			return err
 		}
-		f(e)
 	}
 	return errors.Wrapf(stream.Err(), "time line of host %s", peer.ID)
 }
--- a/daemon/timeline_test.go
+++ b/daemon/timeline_test.go
@@ -94,7 +94,7 @@
 	is.True(errors.Is(err, errUnreadable)) // reported
 	is.Equal(len(timeline.Merge(got.lists...)), 5)
 
-	view := ringView{host: host.Identity{ID: "one", Incarnation: 7}, events: []timeline.Event{event(3000, timeline.HostStarted)}}
+	view := ringView{host: host.Identity{ID: "one", Incarnation: 7}, oldest: timeline.Stamp{Wall: 3000}}
 	var read []int64
 	_, err = a.read(ctx, timeline.Filter{}, func(b wire.BatchName) bool {
 		known := covered([]ringView{view})(b)
@@ -124,7 +124,7 @@
 	live := make(chan timeline.Event, 100)
 	done := make(chan error, 1)
 	go func() {
-		done <- first.follow(ctx, timeline.Stamp{}, func(events []timeline.Event) error {
+		done <- first.follow(ctx, timeline.Filter{}, func(events []timeline.Event) error {
 			for _, e := range events {
 				live <- e
 			}
@@ -161,6 +161,34 @@
 	store.Faults.Down(false)
 }
 
+// TestPeerAnswersWithinLimitAndFilter asks a host as its peers do.
+func TestPeerAnswersWithinLimitAndFilter(t *testing.T) {
+	is := is.New(t)
+	d := startDaemon(t, testSettings("one"), memory.New())
+	for _, id := range []string{"r1", "r2", "r3"} {
+		d.control.ended(host.RequestEnded{Request: id, Service: "checkout"})
+	}
+	eventually(t, "three events of the service", func() bool {
+		return len(d.ownView(timeline.Filter{Service: "checkout"}).events) == 3
+	})
+	ask := func(f timeline.Filter, limit uint32) ringView {
+		req := wire.FilterToProto(f)
+		req.Limit = limit
+		v := ringView{host: d.self}
+		is.NoErr(d.peerEvents(context.Background(), d.self, req, v.take))
+		return v
+	}
+	v := ask(timeline.Filter{Service: "checkout"}, 2)
+	is.True(v.truncated)
+	is.Equal(v.oldest, d.ring.Oldest())
+	is.Equal([]string{v.events[0].Request, v.events[1].Request}, []string{"r2", "r3"})
+	v = ask(timeline.Filter{Request: "r1"}, 2)
+	is.True(!v.truncated)
+	is.Equal(len(v.events), 1)
+	is.Equal(len(ask(timeline.Filter{Service: "checkout", Until: time.UnixMilli(1)}, 0).events), 0)
+	is.Equal(len(ask(timeline.Filter{Since: time.Now().Add(time.Hour)}, 0).events), 0)
+}
+
 func TestEventsOfAHostOutliveIt(t *testing.T) {
 	is := is.New(t)
 	store := memory.New()
--- a/timeline/explain.go
+++ b/timeline/explain.go
@@ -14,9 +14,8 @@
 	Incarnation uint64
 }
 
-// Explain tells in sentences what happened to one request. Events is the
-// merged line of the whole fleet; of the events of other requests it uses only
-// those that concern the home host or the target.
+// Explain tells in sentences what happened to one request. Events holds the
+// events of the request, and those that Context selects, from the whole fleet.
 func Explain(request string, home Home, events []Event) []string {
 	own := Filter{Request: request}.Select(events)
 	out := []string{fmt.Sprintf("Request %s belongs to incarnation %d of host %s; no other may dispatch it.",
@@ -33,6 +32,21 @@
 	return append(out, verdict(home, own, events))
 }
 
+// Context returns the filters of the events that Explain needs beside those of
+// the request itself: of its home host, and of the targets it was sent to.
+func Context(home Home, own []Event) []Filter {
+	filters := []Filter{{Target: home.Host}}
+	seen := make(map[Filter]bool)
+	for _, e := range own {
+		f := Filter{Service: e.Service, Target: e.Target}
+		if e.Target != "" && !seen[f] {
+			seen[f] = true
+			filters = append(filters, f)
+		}
+	}
+	return filters
+}
+
 // sentence tells one event of the request.
 func sentence(e Event) string {
 	to := ""
--- a/timeline/merge.go
+++ b/timeline/merge.go
@@ -9,6 +9,8 @@
 // Filter selects events. A field at its zero value selects all.
 type Filter struct {
 	Service string
+	// Target selects events about a target or a host of that name, and what
+	// that host records of itself.
 	Target  string
 	Request string
 	// Since and Until bound the physical part of the stamp, both included.
@@ -22,7 +24,7 @@
 	switch {
 	case f.Service != "" && f.Service != e.Service:
 		return false
-	case f.Target != "" && f.Target != e.Target:
+	case f.Target != "" && f.Target != e.Target && (!ofItself(e) || f.Target != e.Host):
 		return false
 	case f.Request != "" && f.Request != e.Request:
 		return false
@@ -32,6 +34,9 @@
 	return f.Until.IsZero() || !at.After(f.Until)
 }
 
+// ofItself reports whether an event is about the host that recorded it.
+func ofItself(e Event) bool { return e.Target == "" && e.Service == "" && e.Request == "" }
+
 // Select returns the events that the filter selects, in their order.
 func (f Filter) Select(events []Event) []Event {
 	var out []Event
@@ -77,3 +82,11 @@
 		cmp.Compare(a.Incarnation, b.Incarnation),
 	)
 }
+
+// Newest returns the last n events, and whether that left any out.
+func Newest(events []Event, n int) (newest []Event, truncated bool) {
+	if len(events) <= n {
+		return events, false
+	}
+	return events[len(events)-n:], true
+}
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -46,3 +46,14 @@
 	}
 	return out, r.wake
 }
+
+// Oldest returns the stamp of the oldest kept event; the zero stamp when there
+// is none.
+func (r *Ring) Oldest() Stamp {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.full {
+		return r.events[r.next].Stamp
+	}
+	return r.events[0].Stamp
+}
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -63,9 +63,21 @@
 	is.Equal(Filter{Service: "a"}.Select(events), events[:2])
 	is.Equal(Filter{Service: "a", Target: "one"}.Select(events), events[:1])
 	is.Equal(len(Filter{Request: "r1"}.Select(events)), 2)
+	host := []Event{{Host: "h", Kind: HostLeaving}, {Host: "x", Kind: HostLost, Target: "h"}, {Host: "h", Kind: HostLost, Target: "x"}}
+	is.Equal(Filter{Target: "h"}.Select(host), host[:2])
 	is.Equal(Filter{Since: time.UnixMilli(20), Until: time.UnixMilli(20)}.Select(events), events[1:2])
 }
 
+func TestRingKnowsItsOldestEvent(t *testing.T) {
+	is := is.New(t)
+	r := NewRing(3)
+	is.Equal(r.Oldest(), Stamp{})
+	for wall := range int64(5) {
+		r.Add(Event{Stamp: at(wall + 1)})
+		is.Equal(r.Oldest(), at(max(1, wall-1)))
+	}
+}
+
 func TestOutboxKeepsTheOldestAndCounts(t *testing.T) {
 	is := is.New(t)
 	o := NewOutbox(2)
--- a/wire/timeline.go
+++ b/wire/timeline.go
@@ -7,12 +7,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/timeline"
+	fleetv1 "github.com/crocushinge/crocushinge/wire/gen/crocushinge/fleet/v1"
 )
 
 // BatchPrefix begins the names of all batches of the time line in the object
@@ -116,12 +119,40 @@
 	return e, errors.Wrap(err, "decode event")
 }
 
+// FilterToProto encodes a filter for a peer. Since becomes the stamp before it.
+func FilterToProto(f timeline.Filter) *fleetv1.TimelineRequest {
+	req := &fleetv1.TimelineRequest{
+		After: StampToProto(After(f)), Service: f.Service, Target: f.Target, Request: f.Request,
+	}
+	if !f.Until.IsZero() {
+		req.Until = f.Until.UnixMilli()
+	}
+	return req
+}
+
+// FilterFromProto decodes a filter but for the beginning, which is req.After.
+func FilterFromProto(req *fleetv1.TimelineRequest) timeline.Filter {
+	f := timeline.Filter{Service: req.GetService(), Target: req.GetTarget(), Request: req.GetRequest()}
+	if req.GetUntil() > 0 {
+		f.Until = time.UnixMilli(req.GetUntil())
+	}
+	return f
+}
+
+// After returns the last stamp before all that a filter selects.
+func After(f timeline.Filter) timeline.Stamp {
+	if f.Since.IsZero() {
+		return timeline.Stamp{}
+	}
+	return timeline.Stamp{Wall: f.Since.UnixMilli() - 1, Logical: math.MaxUint32}
+}
+
 // Timeline is the merged time line of the fleet.
 type Timeline struct {
 	Events []timeline.Event `json:"events"`
 	// Missing are the sources that could not be asked.
 	Missing []MissingSource `json:"missing,omitempty"`
-	// Truncated is set when there were more batches than one answer holds.
+	// Truncated is set when there were more events than one answer holds.
 	Truncated bool `json:"truncated,omitempty"`
 }
 
