Send evidence of failures at the next tick

Change: Service.Urgent tells that a request failed or that a suspected target's evidence changed; the core then sends at the next tick. The rest waits for the regular 500 ms. A pool is hot from 5 nats, so that one failure alone makes no host tell everything; a denial takes 2.5 nats, since with 3 a sick host at 4 requests/s to each target took more than 4 s to doubt itself.

--- a/host/core.go
+++ b/host/core.go
@@ -212,7 +212,7 @@
 	if c.due(now, &c.nextPing, timing.PingInterval) {
 		c.pingNext(now)
 	}
-	if c.due(now, &c.nextReport, reportInterval) {
+	if c.evidenceUrgent() || c.due(now, &c.nextReport, reportInterval) {
 		c.sendReports(now)
 	}
 	if c.due(now, &c.nextSync, timing.syncPeriod(hosts)) {
--- a/host/evidence.go
+++ b/host/evidence.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// reportInterval is the least time between two messages of evidence to one
-	// peer. Shorter detects failing targets sooner and costs more messages; a
-	// sign that a target leaves does not wait for it.
+	// reportInterval is the time between two regular messages of evidence to
+	// one peer. A failed request, news of a suspected target, and a sign that
+	// a target leaves do not wait for it.
 	reportInterval = 500 * time.Millisecond
 	// maxReports bounds the reports in one message, and so the bytes a second.
 	maxReports = 64
@@ -20,6 +20,17 @@
 // EvidenceKey names one incarnation of a host as the source of evidence.
 func (id Identity) EvidenceKey() string { return fmt.Sprintf("%s/%d", id.ID, id.Incarnation) }
 
+// evidenceUrgent reports whether a service that this host fronts has evidence
+// that must not wait for the next regular message.
+func (c *Core) evidenceUrgent() bool {
+	for _, name := range c.names {
+		if c.entrySets[name].Rank(c.self.ID) >= 0 && c.services[name].Urgent() {
+			return true
+		}
+	}
+	return false
+}
+
 // sendReports tells the other hosts of each entry set what this host has seen
 // of the targets, in one message for each host.
 func (c *Core) sendReports(now time.Time) {
--- a/service/report.go
+++ b/service/report.go
@@ -47,6 +47,24 @@
 	return out
 }
 
+// Urgent reports whether peers should hear at once: a request failed, or what
+// is known of a suspected target has changed. The rest can wait for the next
+// regular exchange.
+func (s *Service) Urgent() bool {
+	for _, m := range s.members {
+		p := m.target.Pool()
+		if p.Quiet() {
+			continue
+		}
+		total, sent := p.Total(), m.report.sent.Total
+		failed := total[target.Failing]-sent[target.Failing] >= reportStep
+		if failed || p.Hot() && total != sent {
+			return true
+		}
+	}
+	return false
+}
+
 // RepeatReports makes everything due again, for a peer that has just joined
 // the entry set.
 func (s *Service) RepeatReports() {
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -209,3 +209,14 @@
 	is.Equal(e.hosts[0].State("checkout-2"), target.Ejected)
 	is.Equal(e.count(LinkCut, target.Active), 0)
 }
+
+func TestFailedRequestIsUrgentNews(t *testing.T) {
+	is := is.New(t)
+	e := newEntrySet(testContract(6, 12), 2)
+	e.second(healthy)
+	is.True(!e.hosts[0].Urgent())
+	e.observe(0, "checkout-2", link.Failed, time.Millisecond)
+	is.True(e.hosts[0].Urgent())
+	is.Equal(len(e.hosts[0].Reports(e.now)), 1)
+	is.True(!e.hosts[0].Urgent())
+}
--- a/target/pool.go
+++ b/target/pool.go
@@ -11,7 +11,7 @@
 const (
 	// hotLevel is the pooled evidence from which every host of the entry set
 	// tells all that it sees of the target, in nats.
-	hotLevel = 4
+	hotLevel = 5
 	// strongNats is the evidence of one request that counts as strong, in nats.
 	strongNats = 2.5
 	// carryTime is how long after its last news a host counts as one that
@@ -62,6 +62,10 @@
 // Sum returns the pooled evidence.
 func (p *Pool) Sum() LLR { return p.sum }
 
+// Total returns the running total of what this host has reported or will
+// report.
+func (p *Pool) Total() LLR { return p.own.total }
+
 // Own returns the evidence of this host's own observations alone.
 func (p *Pool) Own() LLR { return p.cusum }
 
--- a/target/verdict.go
+++ b/target/verdict.go
@@ -39,7 +39,7 @@
 
 // denialNats is the evidence against a suspicion that counts as a denial. It
 // takes a few good answers, so that the last ones before a fault do not count.
-const denialNats = 3
+const denialNats = 2.5
 
 // OthersDeny reports whether the peers that carry traffic to the target deny
 // the suspicion.
