--- /dev/null
+++ b/traffic/handler_bench_test.go
@@ -0,0 +1,40 @@
+package traffic
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/crocushinge/crocushinge/platform/memory"
+)
+
+// instant answers every request at once.
+type instant struct{}
+
+func (instant) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{
+		StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, ContentLength: 5,
+		Header: http.Header{"Content-Type": {"text/plain"}},
+		Body:   io.NopCloser(strings.NewReader("sheet")),
+	}, nil
+}
+
+// BenchmarkIdempotentRequest measures the handler alone, without the client and
+// the server of net/http.
+func BenchmarkIdempotentRequest(b *testing.B) {
+	h := newHostCore(b, memory.New(), "a")
+	h.handler.cfg.Transport = instant{}
+	h.snapshot.Store(h.newSnapshot([]string{"target:80"}))
+	r := httptest.NewRequest(http.MethodGet, "/prices/1", nil)
+	r.Header.Set(HeaderKey, testKey)
+	b.ReportAllocs()
+	for b.Loop() {
+		w := httptest.NewRecorder()
+		h.handler.ServeHTTP(w, r)
+		if w.Code != http.StatusOK {
+			b.Fatal(w.Code, w.Body)
+		}
+	}
+}
--- a/traffic/harness_test.go
+++ b/traffic/harness_test.go
@@ -67,7 +67,7 @@
 }
 
 // newHostCore returns a host without a listener.
-func newHostCore(t *testing.T, store platform.Table, id string) *testHost {
+func newHostCore(t testing.TB, store platform.Table, id string) *testHost {
 	t.Helper()
 	h := &testHost{home: caller.NewHome(id, 7), ledger: caller.NewLedger(caller.DefaultLimits())}
 	claims := &claim.Store{Table: store}
