Compress answers between hosts from 4 KB only

A profile of 48 hosts at rest: 16% of the processor time went into gzip of answers of some 300 bytes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
@@ -225,7 +226,10 @@
 }
 
 func (d *Daemon) fleetHandler() http.Handler {
-	path, handler := fleetv1connect.NewFleetServiceHandler(&fleetServer{control: d.control, peers: d.peers, ring: d.ring, closing: d.closing})
+	path, handler := fleetv1connect.NewFleetServiceHandler(
+		&fleetServer{control: d.control, peers: d.peers, ring: d.ring, closing: d.closing},
+		connect.WithCompressMinBytes(compressFrom),
+	)
 	mux := http.NewServeMux()
 	mux.Handle(path, requireToken(d.settings.FleetToken, handler))
 	return mux
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -19,6 +19,10 @@
 // callTimeout limits one call to a peer or to the platform.
 const callTimeout = 2 * time.Second
 
+// compressFrom is the size from which an answer to another host is compressed,
+// in bytes. Below it, the processor time is worth more than the bytes.
+const compressFrom = 4 << 10
+
 // authorizationHeader carries the fleet's or an operator's token.
 const authorizationHeader = "Authorization"
 
