--- a/host/news_test.go
+++ b/host/news_test.go
@@ -126,3 +126,15 @@
 		is.True(reads <= pollBudget)
 	}
 }
+
+func TestOlderAnswerChangesNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3)
+	c.publish(entryContract("catalogue", 3, 1))
+	older := c.readStore(0)
+	c.publish(entryContract("checkout", 3, 1))
+	c.run(10 * time.Second)
+	is.True(c.revisionEverywhere(2))
+	c.handle("h01", older)
+	is.Equal(c.nodes["h01"].core.Revision(), uint64(2))
+}
