Keep floods of ended requests off the control thread

Cause: each end of a non-idempotent request became an event in the queue that heartbeats and configuration use; an overload that refuses thousands a second would fill that queue, the time line and the control thread's budget. Change: ends of requests have a queue of their own and a bound of 20 a second after the first 200; unknown outcomes have the same again.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -6,6 +6,9 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
+	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/timeline"
@@ -27,11 +30,16 @@
 	events   chan host.Event
 	calls    chan func(*host.Core)
 	observed chan link.Observation
+	// endings are kept apart from events, so that a flood of them holds up
+	// nothing else.
+	endings chan host.RequestEnded
+	// endedLimit and unknownLimit bound the rate of endings.
+	endedLimit, unknownLimit *rate.Limiter
 	// published holds a token after a snapshot was published.
 	published chan struct{}
 	dropped   atomic.Int64
-	// unrecorded counts ended requests that are not on the time line because
-	// the control thread was behind.
+	// unrecorded counts ended requests that are not on the time line, because
+	// there were too many or the control thread was behind.
 	unrecorded atomic.Int64
 	effects    effector
 }
@@ -57,7 +65,11 @@
 		events:    make(chan host.Event, eventQueue),
 		calls:     make(chan func(*host.Core)),
 		observed:  make(chan link.Observation, observationQueue),
+		endings:   make(chan host.RequestEnded, endedBurst),
 		published: make(chan struct{}, 1),
+
+		endedLimit:   rate.NewLimiter(endedRate, endedBurst),
+		unknownLimit: rate.NewLimiter(endedRate, endedBurst),
 	}
 	// Traffic and the API may ask before the control thread runs.
 	c.snapshot.Store(core.Snapshot())
@@ -74,11 +86,26 @@
 	}
 }
 
-// ended hands the end of a request over without blocking. When the control
-// thread is behind, the event is dropped and counted.
+// endedRate and endedBurst bound the ends of requests on the time line, in
+// events a second. Unknown outcomes have the same again for themselves.
+const (
+	endedRate  = 20
+	endedBurst = 200
+)
+
+// ended hands the end of a request over without blocking. When there are too
+// many, or the control thread is behind, the event is dropped and counted.
 func (c *control) ended(e host.RequestEnded) {
+	limit := c.endedLimit
+	if e.Result == caller.Unknown {
+		limit = c.unknownLimit
+	}
+	if !limit.Allow() {
+		c.unrecorded.Add(1)
+		return
+	}
 	select {
-	case c.events <- e:
+	case c.endings <- e:
 	default:
 		c.unrecorded.Add(1)
 	}
@@ -131,6 +158,8 @@
 			c.handle(host.Tick{})
 		case ev := <-c.events:
 			c.handle(ev)
+		case ev := <-c.endings:
+			c.handle(ev)
 		case f := <-c.calls:
 			f(c.core)
 		case o := <-c.observed:
