Say "not run" of no id that could run later

Cause: two refusals were not final. An id that expires later than any minted one was refused as "not run", and becomes valid with time. A copy of an idempotent request was told "not run" under an id that another copy could still run under. Change: a forged id is answered "unknown". Each copy of an idempotent request gets an id of its own. Conclusion: TestForgedIDIsNotSaidNotToRun and TestCopiesOfIdempotentRequestsHaveIDsOfTheirOwn.

--- a/traffic/handler.go
+++ b/traffic/handler.go
@@ -145,7 +145,7 @@
 	if f := screenBody(r, routing.Contract); f != nil {
 		return nil, h.refuseEarly(r, account, f.status, f.message)
 	}
-	id, err := h.requestID(r)
+	id, err := h.requestID(r, match.Route.Idempotent)
 	if err != nil {
 		return nil, refuse(http.StatusBadRequest, err.Error())
 	}
@@ -162,10 +162,12 @@
 	}, nil
 }
 
-// requestID returns the id that the caller sent, or a new one.
-func (h *Handler) requestID(r *http.Request) (caller.RequestID, error) {
+// requestID returns the id that the caller sent, or a new one. Each copy of an
+// idempotent request has an id of its own: "not run" is said of one copy, and
+// another may still run.
+func (h *Handler) requestID(r *http.Request, idempotent bool) (caller.RequestID, error) {
 	text := r.Header.Get(HeaderRequestID)
-	if text == "" {
+	if text == "" || idempotent {
 		return h.cfg.Home.Mint(), nil
 	}
 	return caller.ParseRequestID(text)
--- a/traffic/once.go
+++ b/traffic/once.go
@@ -21,7 +21,8 @@
 		return
 	}
 	if h.cfg.Home.Forged(req.id) {
-		refuse(http.StatusBadRequest, "this host has not minted the id").write(w)
+		// It could become valid later, so "not run" would not be final.
+		answer(http.StatusBadRequest, caller.Unknown, "this host has not minted the id").write(w)
 		return
 	}
 	body, err := readBody(req.in, req.routing.Contract.MaxBody, h.cfg.Bodies)
--- a/traffic/once_test.go
+++ b/traffic/once_test.go
@@ -216,3 +216,15 @@
 	is.True(ok)
 	is.True(ms <= time.Second-2*hopReserve)
 }
+
+// An id that no host has minted yet may become valid, so that its refusal is
+// not final.
+func TestForgedIDIsNotSaidNotToRun(t *testing.T) {
+	is := is.New(t)
+	tg := newTarget(t, echo)
+	h := newTestHost(t, "a", tg.address())
+	forged := h.home.Mint()
+	forged.Expires += time.Hour
+	is.Equal(h.order(forged.String(), "ten sheets").result, "unknown")
+	is.Equal(tg.runs.Load(), int64(0))
+}
--- a/traffic/retry_test.go
+++ b/traffic/retry_test.go
@@ -97,3 +97,18 @@
 	<-canceled
 	is.Equal(tg.runs.Load(), int64(1))
 }
+
+// Copies of an idempotent request may each run or not, so that none may be told
+// of by the id of another.
+func TestCopiesOfIdempotentRequestsHaveIDsOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	ids := make(chan string, 2)
+	tg := newTarget(t, func(_ http.ResponseWriter, r *http.Request) { ids <- r.Header.Get(HeaderRequestID) })
+	h := newTestHost(t, "a", tg.address())
+	id := h.home.Prefix() + "x"
+	for range cap(ids) {
+		is.Equal(h.ask(t.Context(), http.MethodGet, "/prices", id, "").result, "completed")
+	}
+	first, second := <-ids, <-ids
+	is.True(first != second)
+}
