Relay no headers of an answer that is not a host's

Cause: the headers of whatever answered at the home host's address were copied before it was checked for a result; its Content-Length then contradicted the "unknown" that the caller got, so that the answer arrived cut. Before: TestStrangerInPlaceOfTheHomeHost fails. After: it passes.

--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -83,11 +83,11 @@
 // relay passes another host's answer on. A broken answer aborts the connection
 // to the caller, so that it cannot be taken for a whole one.
 func relay(w http.ResponseWriter, resp *http.Response) {
-	copyHeaders(w.Header(), resp.Header)
 	if _, ok := caller.ParseResult(resp.Header.Get(HeaderResult)); !ok {
 		answer(http.StatusBadGateway, caller.Unknown, "the home host gave no result").write(w)
 		return
 	}
+	copyHeaders(w.Header(), resp.Header)
 	w.WriteHeader(resp.StatusCode)
 	if err := copyBody(w, resp.Body); err != nil {
 		panic(http.ErrAbortHandler)
--- a/traffic/once_test.go
+++ b/traffic/once_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/host"
 )
 
 // The transport of net/http repeats some requests on its own when a reused
@@ -228,3 +229,20 @@
 	is.Equal(h.order(forged.String(), "ten sheets").result, "unknown")
 	is.Equal(tg.runs.Load(), int64(0))
 }
+
+// Something else answers at the address of the home host.
+func TestStrangerInPlaceOfTheHomeHost(t *testing.T) {
+	is := is.New(t)
+	stranger := newTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "4")
+		_, _ = io.WriteString(w, "boo!")
+	})
+	h := newTestHost(t, "a")
+	home := caller.NewHome("c", 7)
+	h.snapshot.Load().Peers["c"] = host.Identity{ID: "c", Incarnation: 7, Address: stranger.address()}
+	r := h.order(home.Prefix()+"x", "ten sheets")
+	is.NoErr(r.err)
+	is.Equal(r.status, http.StatusBadGateway)
+	is.Equal(r.result, "unknown")
+	is.Equal(r.body, "the home host gave no result\n")
+}
