--- a/traffic/answer_test.go
+++ b/traffic/answer_test.go
@@ -34,6 +34,7 @@
 		"no length, HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\nabcde",
 		"cut head":            "HTTP/1.1 200 OK\r\nContent-Le",
 		"long, short body":    fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long)+1, long),
+		"long, cut chunk":     fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n5\r\nab", len(long), long),
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
