Pass idempotent requests on to a host of the entry set

A host outside the set served with one slot a target and without the set's evidence: its own pings to the targets were all that it knew. TestHostOutsideTheSetForwards fails without it.

--- a/fleettest/promises_test.go
+++ b/fleettest/promises_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -250,3 +251,39 @@
 		f.check(ran == len(c.Told()) && ran > 50, "%d of %d requests ran", ran, len(c.Told()))
 	})
 }
+
+// A host outside the entry set passes an idempotent request on to the set, and
+// serves it itself while no host of the set answers.
+func TestHostOutsideTheSetForwards(t *testing.T) {
+	inBubble(t, 6, 3, func(f *testFleet) {
+		outside, inside := f.frontsOrNot()
+		c := f.caller("shop")
+		told := f.get(c, outside)
+		f.check(told.Status == http.StatusOK, "%+v", told)
+		f.check(f.carried(outside) == 0, "%s went to a target itself", outside)
+		for _, name := range inside {
+			f.Network.Cut(outside, name)
+		}
+		told = f.get(c, outside)
+		f.check(f.carried(outside) > 0, "%s did not serve", outside)
+		f.check(told.Status == http.StatusOK && told.Result == caller.Completed, "the set is cut off: %+v", told)
+	})
+}
+
+// frontsOrNot returns a host outside the entry set of the service, and those
+// inside.
+func (f *testFleet) frontsOrNot() (outside string, inside []string) {
+	for _, name := range f.Names() {
+		if f.Host(name).Snapshot().Fronts("prices") {
+			inside = append(inside, name)
+		} else {
+			outside = name
+		}
+	}
+	return outside, inside
+}
+
+// carried returns the bytes that a host has sent to the targets.
+func (f *testFleet) carried(name string) uint64 {
+	return f.Network.Bytes(func(from, to string) bool { return from == name && strings.HasPrefix(to, "t") })
+}
--- a/traffic/handler.go
+++ b/traffic/handler.go
@@ -112,7 +112,9 @@
 	if req.match.Route.Idempotent {
 		ctx, cancel := context.WithDeadline(req.in.Context(), req.deadline())
 		defer cancel()
-		h.serveIdempotent(ctx, w, req)
+		if !h.forwardToSet(ctx, w, req) {
+			h.serveIdempotent(ctx, w, req)
+		}
 		return
 	}
 	h.serveOnce(w, req)
