Say what a publication had handed over when it fails half-way

Cause: when a host or the table went away between two documents, the tool printed the error alone, though the first document had been accepted; warnings were shown by a dry run only. Change: results are printed in any case, followed by the documents that were not handed over; warnings go to the standard error. Conclusion: TestPublicationThatFailsHalfWaySaysWhatIsDone. The archive's interval is a constant, and the test of published accounts reads the table at once instead of at the next poll.

--- a/cmd/crocushinge/exit.go
+++ b/cmd/crocushinge/exit.go
@@ -5,7 +5,8 @@
 // Exit codes of the tool; docs/operate/exit-codes.md lists them.
 const (
 	exitOK = 0
-	// exitFailure: the command could not be carried out, and changed nothing.
+	// exitFailure: the command could not be carried out, and changed nothing
+	// but what it lists.
 	exitFailure = 1
 	// exitUsage: the command line or a document has faults.
 	exitUsage = 2
--- a/cmd/crocushinge/main_test.go
+++ b/cmd/crocushinge/main_test.go
@@ -20,6 +20,7 @@
 	"github.com/crocushinge/crocushinge/daemon"
 	"github.com/crocushinge/crocushinge/platform/memory"
 	"github.com/crocushinge/crocushinge/publish"
+	"github.com/crocushinge/crocushinge/wire"
 )
 
 const anaToken = "of-ana"
@@ -333,3 +334,29 @@
 		is.Equal(len(ids), sendAttempts)
 	}
 }
+
+// TestPublicationThatFailsHalfWaySaysWhatIsDone has a host whose table goes
+// away after the first document.
+func TestPublicationThatFailsHalfWaySaysWhatIsDone(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.write("a.yaml", contractText("a", "/a", "bookshop"))
+	f.write("b.yaml", contractText("b", "/b", "bookshop"))
+	f.write("c.yaml", contractText("c", "/c", "bookshop"))
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/v1/documents":
+			_ = json.NewEncoder(w).Encode(wire.Documents{KnownAccounts: []string{"bookshop"}})
+		case "/v1/documents/a":
+			_ = json.NewEncoder(w).Encode(publish.Result{Status: publish.Accepted, Service: "a", Version: 1, Revision: 1})
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_ = json.NewEncoder(w).Encode(wire.Failure{Error: "platform unavailable"})
+		}
+	}))
+	defer host.Close()
+	code, out := runTool("crocushinge", "--api", strings.TrimPrefix(host.URL, "http://"), "--token", anaToken, "publish", f.dir)
+	is.Equal(code, exitFailure)
+	is.Equal(out, "a: accepted, version 1, revision 1\n1 handed over, 0 unchanged\nnot handed over: b, c\n"+
+		"hand over b: 503 Service Unavailable: platform unavailable\n")
+}
--- a/cmd/crocushinge/publish.go
+++ b/cmd/crocushinge/publish.go
@@ -39,6 +39,9 @@
 	// Unchanged are the subjects whose document is in force already.
 	Unchanged []string         `json:"unchanged"`
 	Results   []publish.Result `json:"results"`
+	// Rest are the subjects that were not handed over, because the publication
+	// ended before.
+	Rest []string `json:"rest,omitempty"`
 	// Planned are the subjects that a dry run would hand over.
 	Planned []string `json:"planned,omitempty"`
 }
@@ -74,15 +77,33 @@
 		}
 		return show(cmd, p, func() { p.printPlan(cmd, findings.Warnings().Error()) })
 	}
-	if err := p.handOver(ctx, c, plan); err != nil {
-		return err
+	if warnings := findings.Warnings(); len(warnings) > 0 {
+		fmt.Fprintln(cmd.Root().ErrWriter, warnings.Error())
 	}
+	handErr := p.handOver(ctx, c, plan)
+	p.noteRest(plan)
 	if err := show(cmd, p, func() { p.print(cmd) }); err != nil {
 		return err
 	}
+	if handErr != nil {
+		return handErr
+	}
 	return resultsError(p.Results)
 }
 
+// noteRest notes the documents that have no result.
+func (p *publication) noteRest(plan []planned) {
+	done := make(map[string]bool, len(p.Results))
+	for _, r := range p.Results {
+		done[r.Service] = true
+	}
+	for _, item := range plan {
+		if !done[item.subject] {
+			p.Rest = append(p.Rest, item.subject)
+		}
+	}
+}
+
 // plan lists the documents that differ from those in force.
 func (p *publication) plan(files []*contractfile.File, now *inForce) []planned {
 	var plan []planned
@@ -111,7 +132,7 @@
 		for _, item := range plan {
 			r, err := c.propose(ctx, item)
 			if err != nil {
-				return errors.Wrapf(err, "%d of %d documents handed over, then %s", len(p.Results), len(p.Results)+len(plan), item.subject)
+				return errors.Wrapf(err, "hand over %s", item.subject)
 			}
 			if r.Reason == publish.ReasonFindings {
 				again, held = append(again, item), append(held, r)
@@ -177,6 +198,9 @@
 		printResult(cmd, r)
 	}
 	fmt.Fprintf(cmd.Root().Writer, "%d handed over, %d unchanged\n", len(p.Results), len(p.Unchanged))
+	if len(p.Rest) > 0 {
+		fmt.Fprintf(cmd.Root().Writer, "not handed over: %s\n", strings.Join(p.Rest, ", "))
+	}
 }
 
 // printResult prints one result and, when it is unknown, how to resolve it.
--- a/daemon/accounts_test.go
+++ b/daemon/accounts_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/platform/memory"
 	"github.com/crocushinge/crocushinge/publish"
 )
@@ -33,6 +34,7 @@
 		})
 		is.NoErr(err)
 		is.Equal(r.Status, publish.Accepted)
+		d.readConfiguration(host.ReadConfiguration{After: revision - 1})
 		eventually(t, "the change in force", func() bool { return d.control.snapshot.Load().Revision == revision })
 	}
 	shops := func(names ...string) []byte {
--- a/daemon/timeline_archive.go
+++ b/daemon/timeline_archive.go
@@ -29,11 +29,10 @@
 // archive writes the events of this host to the object store, so that they
 // last when the host is replaced.
 type archive struct {
-	objects  platform.Objects
-	self     host.Identity
-	outbox   *timeline.Outbox
-	log      zerolog.Logger
-	interval time.Duration
+	objects platform.Objects
+	self    host.Identity
+	outbox  *timeline.Outbox
+	log     zerolog.Logger
 
 	number uint64
 	// failed is the batch whose write failed or is in doubt; the same object is
@@ -52,15 +51,14 @@
 
 func newArchive(objects platform.Objects, self host.Identity, log zerolog.Logger) *archive {
 	return &archive{
-		objects: objects, self: self, log: log, interval: archiveInterval,
-		outbox: timeline.NewOutbox(outboxCapacity),
+		objects: objects, self: self, log: log, outbox: timeline.NewOutbox(outboxCapacity),
 	}
 }
 
 // run writes a batch each interval until ctx ends, and a last one then.
 func (a *archive) run(ctx context.Context) {
 	// A random start keeps hosts that were started together apart.
-	next := time.NewTimer(time.Duration(rand.Int64N(int64(a.interval))))
+	next := time.NewTimer(time.Duration(rand.Int64N(int64(archiveInterval))))
 	defer next.Stop()
 	for {
 		select {
@@ -69,7 +67,7 @@
 			return
 		case <-next.C:
 			a.flush(ctx)
-			next.Reset(a.interval)
+			next.Reset(archiveInterval)
 		}
 	}
 }
