--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -68,9 +68,11 @@
 	operators []operator
 	// refusedOperators counts API requests without a valid operator token.
 	refusedOperators atomic.Int64
-	servers          []*server
-	leaveTime        time.Duration
-	background       sync.WaitGroup
+	// refusedPeers counts calls between hosts without the fleet's token.
+	refusedPeers atomic.Int64
+	servers      []*server
+	leaveTime    time.Duration
+	background   sync.WaitGroup
 	// ctx ends when the process has finished its work in flight.
 	ctx context.Context
 }
@@ -231,7 +233,7 @@
 		connect.WithCompressMinBytes(compressFrom),
 	)
 	mux := http.NewServeMux()
-	mux.Handle(path, requireToken(d.settings.FleetToken, handler))
+	mux.Handle(path, d.requireFleetToken(handler))
 	return mux
 }
 
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -168,11 +168,12 @@
 	return nil
 }
 
-// requireToken refuses requests without the bearer token.
-func requireToken(token string, next http.Handler) http.Handler {
-	want := []byte("Bearer " + token)
+// requireFleetToken refuses calls that do not come from a host of the fleet.
+func (d *Daemon) requireFleetToken(next http.Handler) http.Handler {
+	want := []byte("Bearer " + d.settings.FleetToken)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if subtle.ConstantTimeCompare([]byte(r.Header.Get(authorizationHeader)), want) != 1 {
+			d.refusedPeers.Add(1)
 			http.Error(w, errFleetToken.Error(), http.StatusUnauthorized)
 			return
 		}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -57,6 +57,7 @@
 		{"crocushinge.observations.dropped", "Observations dropped because the control thread was behind.", d.control.dropped.Load},
 		{"crocushinge.configuration.unreadable", "Readings of items of the table that were left out because they cannot be decoded.", d.corrupt.Load},
 		{"crocushinge.operator.refused", "API requests refused for a missing or wrong operator token.", d.refusedOperators.Load},
+		{"crocushinge.peer.refused", "Calls between hosts refused for a missing or wrong fleet token.", d.refusedPeers.Load},
 		{"crocushinge.timeline.batches", "Batches of events written to the object store.", d.archive.written.Load},
 		{"crocushinge.timeline.batch.failures", "Writes of batches that failed or are in doubt.", d.archive.failure.Load},
 		{"crocushinge.timeline.dropped", "Events that were not kept for the object store because too many waited.", d.archive.outbox.Dropped},
--- a/traffic/counters.go
+++ b/traffic/counters.go
@@ -18,6 +18,9 @@
 	Retries atomic.Int64
 	// Forwarded counts the requests passed on to the home host of their id.
 	Forwarded atomic.Int64
+	// Denied counts the requests with missing or wrong credentials, and those
+	// of an account that may not use the service.
+	Denied atomic.Int64
 }
 
 // Counters returns the counters of the handler.
--- a/traffic/handler.go
+++ b/traffic/handler.go
@@ -179,6 +179,9 @@
 // caller brought an id, "not run" is said only after the id was barred from
 // ever running here; of an id of another home nothing certain is known.
 func (h *Handler) refuseEarly(r *http.Request, account string, status int, message string) *refusal {
+	if status == http.StatusUnauthorized || status == http.StatusForbidden {
+		h.counters.Denied.Add(1)
+	}
 	text := r.Header.Get(HeaderRequestID)
 	if text == "" {
 		return refuse(status, message)
