--- a/traffic/stall_test.go
+++ b/traffic/stall_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -120,3 +121,18 @@
 		is.Equal(len(data), 0)
 	})
 }
+
+// A transport may read a body for longer than the handler runs; net/http must
+// not see that.
+func TestBodyIsNotReadAfterTheHandlerHasReturned(t *testing.T) {
+	is := is.New(t)
+	w := newCallerWriter(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+	r := w.receive(httptest.NewRequest(http.MethodPost, "/", strings.NewReader("abc")))
+	buf := make([]byte, 1)
+	n, err := r.Body.Read(buf)
+	is.NoErr(err)
+	is.Equal(n, 1)
+	w.finish()
+	_, err = r.Body.Read(buf)
+	is.Equal(err, http.ErrBodyReadAfterClose)
+}
