--- a/fleettest/faults.go
+++ b/fleettest/faults.go
@@ -70,8 +70,8 @@
 	n.change(func(f *faults) { clear(f.cuts) })
 }
 
-// Pause holds everything from and to a place until Resume, like a process that
-// is stopped.
+// Pause holds everything from and to a place until Resume. The place goes on
+// computing; its timers run out meanwhile.
 func (n *Network) Pause(place string) {
 	n.change(func(f *faults) { f.paused[place] = true })
 }
--- a/host/directory.go
+++ b/host/directory.go
@@ -58,3 +58,32 @@
 	})
 	return hosts[:min(directoryChoice, len(hosts))]
 }
+
+// directory lists the hosts that callers may use, sorted by id. When fewer
+// than minEntryHosts are well, it lists the sick and suspected ones too: a
+// caller is better off with a doubtful choice than with none. A host that does
+// not know the configuration yet lists none.
+func (c *Core) directory() []Identity {
+	if !c.ready {
+		return nil
+	}
+	out := c.hostsFor(func(p *Peer) bool { return p.Usable() }, !c.self.Sick)
+	if len(out) < minEntryHosts {
+		out = c.hostsFor(func(p *Peer) bool { return p.State != PeerGone && !p.Identity.Leaving }, !c.news.stale)
+	}
+	return out
+}
+
+func (c *Core) hostsFor(include func(*Peer) bool, self bool) []Identity {
+	var out []Identity
+	if self && !c.self.Leaving && !c.replaced {
+		out = append(out, c.self)
+	}
+	for _, p := range c.peers {
+		if include(p) {
+			out = append(out, p.Identity)
+		}
+	}
+	slices.SortFunc(out, byID)
+	return out
+}
