--- a/service/judge.go
+++ b/service/judge.go
@@ -29,7 +29,7 @@
 // judge acts on the evidence against a member.
 func (s *Service) judge(m *member, now time.Time) {
 	for k := range target.Suspicions {
-		if judged(m.target) {
+		if m.target.TakesWork() {
 			s.judgeSuspicion(m, k, now)
 		}
 	}
@@ -91,7 +91,7 @@
 func (s *Service) serviceWide(m *member, k target.Suspicion) bool {
 	others, suspected := 0, 0
 	for _, other := range s.members {
-		if other == m || !judged(other.target) {
+		if other == m || !other.target.TakesWork() {
 			continue
 		}
 		others++
--- a/service/observe.go
+++ b/service/observe.go
@@ -14,7 +14,8 @@
 // refreshTime is the time between two estimates of the failure rate.
 const refreshTime = time.Second
 
-// Observe counts an observation and returns the transitions it causes.
+// Observe counts an observation and returns the transitions it causes. What
+// ends on a target that takes no new work any more is no evidence.
 func (s *Service) Observe(o link.Observation) []Transition {
 	m, ok := s.byName[o.Target.Name]
 	if !ok {
@@ -23,7 +24,7 @@
 	if o.Leaving {
 		s.sign(m, target.SignHeader, o.At)
 	}
-	if judged(m.target) {
+	if m.target.TakesWork() {
 		s.countOutcome(m, o)
 		s.countLatency(m, o)
 		s.judge(m, o.At)
@@ -32,9 +33,6 @@
 	return s.take()
 }
 
-// judged reports whether evidence about a target is of use now.
-func judged(t *target.Target) bool { return t.TakesWork() }
-
 // countOutcome counts whether the request failed.
 func (s *Service) countOutcome(m *member, o link.Observation) {
 	switch o.Outcome {
@@ -85,7 +83,7 @@
 // watchOpen counts the requests in flight whose answer is late already, before
 // their deadline ends them.
 func (s *Service) watchOpen(m *member, now time.Time) {
-	if m.link.InFlight() == 0 || !judged(m.target) || m.target.State() == target.Warming {
+	if m.link.InFlight() == 0 || !m.target.TakesWork() || m.target.State() == target.Warming {
 		return
 	}
 	m.link.OpenSince(func(start time.Time) {
--- a/service/probe.go
+++ b/service/probe.go
@@ -48,7 +48,7 @@
 	case p.Passed:
 		s.countCleanProbe(m, now)
 	}
-	if judged(m.target) {
+	if m.target.TakesWork() {
 		m.target.AddProbe(p.Passed, s.threshold)
 		s.judge(m, now)
 	}
