Count probes only on a host that carries work to the target

The host that probes a target often has none of its slots, so that no success of work cleared the evidence of failed probes, and its threshold stayed halved.

--- a/target/pool_test.go
+++ b/target/pool_test.go
@@ -142,3 +142,15 @@
 	}
 	is.Equal(tg.Judge(Failing, threshold, epoch), Unproved)
 }
+
+func TestProbesDoNotCountOnAHostWithoutWork(t *testing.T) {
+	is := is.New(t)
+	tg := New("checkout", contract.Target{Name: "checkout-1"}, "a", Active, epoch)
+	for range 1000 {
+		tg.AddProbe(false, threshold)
+	}
+	c := newClaim(tg.Pool(), map[string]zone.ID{"b1": "b", "c1": "c"})
+	c.add("b1", float64(threshold)/3)
+	c.add("c1", float64(threshold)/3)
+	is.Equal(tg.Judge(Failing, threshold, epoch), Unproved)
+}
--- a/target/target.go
+++ b/target/target.go
@@ -159,9 +159,10 @@
 func (t *Target) ClearProbes() { t.probes = 0 }
 
 // Judge weighs the evidence for a suspicion. Probes lower the threshold for
-// Failing.
+// Failing on a host that carries work to the target: on another host no
+// success of work would clear what a misleading health endpoint says.
 func (t *Target) Judge(k Suspicion, h Threshold, now time.Time) Verdict {
-	if k == Failing {
+	if k == Failing && t.pool.Carries(now) {
 		h -= Threshold(t.probes)
 	}
 	return t.pool.Judge(k, h, now)
