Tell hosts that carry traffic from outside the set of signs too

TestLeavingTargetGetsNoNewWork was red in 1 of 3 runs of its package: a host outside the entry set, home of a non-idempotent request, sent a leaving target one more. Reports went to members only. Hosts that carried traffic to a service in the last minute now exchange reports with its set; a new one is told all.

--- a/host/core.go
+++ b/host/core.go
@@ -45,7 +45,11 @@
 	names []string
 	// signed holds the services of which this host has told its peers that a
 	// target leaves.
-	signed   map[string]bool
+	signed map[string]bool
+	// carried is when this host last carried traffic to a service, and carriers
+	// who else did outside its entry set.
+	carried  map[string]time.Time
+	carriers map[string]map[ID]time.Time
 	ticks    int
 	changes  []contract.Change
 	routes   *route.Table
@@ -99,6 +103,8 @@
 		rounds:    make(map[ID]*pingRound),
 		entrySets: make(map[string]EntrySet),
 		signed:    make(map[string]bool),
+		carried:   make(map[string]time.Time),
+		carriers:  make(map[string]map[ID]time.Time),
 		routes:    route.NewTable(nil),
 		accounts:  caller.NewAccounts(cfg.Accounts),
 		dirty:     true,
@@ -171,6 +177,7 @@
 func (c *Core) observe(now time.Time, list []link.Observation) {
 	for _, o := range list {
 		if s, ok := c.services[o.Target.Service]; ok {
+			c.carried[o.Target.Service] = now
 			c.applyTransitions(now, s.Observe(o))
 		}
 	}
--- a/host/evidence.go
+++ b/host/evidence.go
@@ -15,6 +15,9 @@
 	reportInterval = 500 * time.Millisecond
 	// maxReports bounds the reports in one message, and so the bytes a second.
 	maxReports = 64
+	// carrierTime is how long a host outside an entry set that carried traffic
+	// to the service exchanges reports with the set.
+	carrierTime = time.Minute
 )
 
 // EvidenceKey names one incarnation of a host as the source of evidence.
@@ -37,13 +40,13 @@
 	outbox := make(map[ID][]service.Report)
 	for _, name := range c.names {
 		set := c.entrySets[name]
-		if set.Rank(c.self.ID) < 0 && !c.signed[name] {
+		if set.Rank(c.self.ID) < 0 && !c.signed[name] && now.Sub(c.carried[name]) > carrierTime {
 			continue
 		}
 		reports := c.services[name].Reports(now)
-		for _, m := range set.Members {
-			if p := c.peers[m.ID]; p != nil && p.State != PeerGone && len(reports) > 0 {
-				outbox[m.ID] = append(outbox[m.ID], reports...)
+		for _, id := range c.reportTo(now, set) {
+			if p := c.peers[id]; p != nil && p.State != PeerGone && len(reports) > 0 {
+				outbox[id] = append(outbox[id], reports...)
 			}
 		}
 	}
@@ -54,6 +57,37 @@
 	}
 }
 
+// reportTo returns the hosts that exchange reports about a service: its entry
+// set, and hosts outside it that carried traffic to it lately.
+func (c *Core) reportTo(now time.Time, set EntrySet) []ID {
+	var out []ID
+	for _, m := range set.Members {
+		out = append(out, m.ID)
+	}
+	for id, at := range c.carriers[set.Service] {
+		if now.Sub(at) <= carrierTime && set.Rank(id) < 0 {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// noteCarrier notes that a host outside the entry set reports on a service. A
+// new one is told everything.
+func (c *Core) noteCarrier(now time.Time, id ID, s *service.Service) {
+	name := s.Contract.Service
+	if c.entrySets[name].Rank(id) >= 0 || c.entrySets[name].Rank(c.self.ID) < 0 {
+		return
+	}
+	if c.carriers[name] == nil {
+		c.carriers[name] = make(map[ID]time.Time)
+	}
+	if now.Sub(c.carriers[name][id]) > carrierTime {
+		s.RepeatReports()
+	}
+	c.carriers[name][id] = now
+}
+
 // reportsHeard takes in a peer's evidence. That of an incarnation which is not
 // known, or gone, does not count.
 func (c *Core) reportsHeard(now time.Time, ev ReportsHeard) {
@@ -64,6 +98,7 @@
 	key := ev.From.EvidenceKey()
 	for _, r := range ev.Reports {
 		if s, ok := c.services[r.Target.Service]; ok {
+			c.noteCarrier(now, p.Identity.ID, s)
 			c.applyTransitions(now, s.ObserveReport(key, r, now))
 		}
 	}
