Ready documents in one place for diff and publish

The two commands began with the same 20 lines: argument, client, what is in force, checks, report. ready does it for both; behaviour stays as it is.

--- a/cmd/crocushinge/check.go
+++ b/cmd/crocushinge/check.go
@@ -121,3 +121,37 @@
 	}
 	return files, findings, nil
 }
+
+// readied is a collection of documents without faults, beside what is in
+// force.
+type readied struct {
+	client   *client
+	now      *inForce
+	files    []*contractfile.File
+	warnings finding.List
+}
+
+// ready collects the documents that the command names and checks them against
+// what is in force. Faults are printed and end the command.
+func ready(ctx context.Context, cmd *cli.Command) (*readied, error) {
+	dir, err := argument(cmd, "a directory or a file")
+	if err != nil {
+		return nil, err
+	}
+	c, err := newClient(cmd)
+	if err != nil {
+		return nil, err
+	}
+	now, err := readInForce(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	files, findings, err := checkAgainst(dir, now)
+	if err != nil {
+		return nil, err
+	}
+	if findings.Failed() {
+		return nil, report(cmd, checked{Documents: len(files), Findings: findings})
+	}
+	return &readied{client: c, now: now, files: files, warnings: findings.Warnings()}, nil
+}
--- a/cmd/crocushinge/diff.go
+++ b/cmd/crocushinge/diff.go
@@ -20,28 +20,13 @@
 }
 
 func diff(ctx context.Context, cmd *cli.Command) error {
-	dir, err := argument(cmd, "a directory or a file")
+	r, err := ready(ctx, cmd)
 	if err != nil {
 		return err
 	}
-	c, err := newClient(cmd)
-	if err != nil {
-		return err
-	}
-	now, err := readInForce(ctx, c)
-	if err != nil {
-		return err
-	}
-	files, findings, err := checkAgainst(dir, now)
-	if err != nil {
-		return err
-	}
-	if findings.Failed() {
-		return report(cmd, checked{Documents: len(files), Findings: findings})
-	}
 	differences := []difference{}
-	for _, f := range files {
-		current := now.bySubject[f.Document.Subject()]
+	for _, f := range r.files {
+		current := r.now.bySubject[f.Document.Subject()]
 		if current.Text != string(f.Data) {
 			differences = append(differences, difference{
 				Subject: f.Document.Subject(), Version: current.Version, Lines: compare(current.Text, string(f.Data)),
--- a/cmd/crocushinge/publish.go
+++ b/cmd/crocushinge/publish.go
@@ -47,40 +47,25 @@
 }
 
 func publishAll(ctx context.Context, cmd *cli.Command) error {
-	dir, err := argument(cmd, "a directory or a file")
+	r, err := ready(ctx, cmd)
 	if err != nil {
 		return err
 	}
-	c, err := newClient(cmd)
-	if err != nil {
-		return err
-	}
-	now, err := readInForce(ctx, c)
-	if err != nil {
-		return err
-	}
-	files, findings, err := checkAgainst(dir, now)
-	if err != nil {
-		return err
-	}
-	if findings.Failed() {
-		return report(cmd, checked{Documents: len(files), Findings: findings})
-	}
 	p := publication{Proposal: cmd.String("proposal"), Unchanged: []string{}, Results: []publish.Result{}}
 	if p.Proposal == "" {
 		p.Proposal = uuid.NewString()
 	}
-	plan := p.plan(files, now)
+	plan := p.plan(r.files, r.now)
 	if cmd.Bool("dry-run") {
 		for _, item := range plan {
 			p.Planned = append(p.Planned, item.subject)
 		}
-		return show(cmd, p, func() { p.printPlan(cmd, findings.Warnings().Error()) })
+		return show(cmd, p, func() { p.printPlan(cmd, r.warnings.Error()) })
 	}
-	if warnings := findings.Warnings(); len(warnings) > 0 {
-		fmt.Fprintln(cmd.Root().ErrWriter, warnings.Error())
+	if len(r.warnings) > 0 {
+		fmt.Fprintln(cmd.Root().ErrWriter, r.warnings.Error())
 	}
-	handErr := p.handOver(ctx, c, plan)
+	handErr := p.handOver(ctx, r.client, plan)
 	p.noteRest(plan)
 	if err := show(cmd, p, func() { p.print(cmd) }); err != nil {
 		return err
