Keep an HTTP/2 caller's connection when a body is refused

The handler sets 'Connection: close' when it answers before the body has ended; the comment said that HTTP/2 drops it, but the server of net/http takes it for the wish to end the connection, and requests that cannot be sent again fail in the race with the GOAWAY. Ruled out: the test's own client, which may not send a streamed body twice. Change: the header is set for HTTP/1 only.

--- a/traffic/writer.go
+++ b/traffic/writer.go
@@ -31,6 +31,8 @@
 	header  http.Header
 	// interim is set when the caller's protocol has interim answers.
 	interim bool
+	// http1 is set when a connection carries one request after the other.
+	http1 bool
 
 	// mu orders interim answers and the beginning of the final one.
 	mu    sync.Mutex
@@ -47,6 +49,7 @@
 		control:        http.NewResponseController(w),
 		header:         make(http.Header),
 		interim:        r.ProtoAtLeast(1, 1),
+		http1:          r.ProtoMajor == 1,
 	}
 }
 
@@ -74,9 +77,11 @@
 	for name, values := range w.header {
 		header[name] = values
 	}
-	if w.body != nil && !w.body.ended.Load() {
+	if w.http1 && w.body != nil && !w.body.ended.Load() {
 		// What is left of the body must not be taken for the next request.
-		// HTTP/2 keeps bodies apart and drops this header.
+		// HTTP/2 keeps bodies apart; there the server of net/http would take
+		// this header for the wish to end the connection, and with it the
+		// other requests on it that cannot be sent again.
 		header.Set("Connection", "close")
 	}
 	w.extend()
