--- a/bench/capacity/control.go
+++ b/bench/capacity/control.go
@@ -4,15 +4,16 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/platform"
 	"github.com/crocushinge/crocushinge/service"
-	"github.com/crocushinge/crocushinge/target"
 	"github.com/crocushinge/crocushinge/wire"
 	fleetv1 "github.com/crocushinge/crocushinge/wire/gen/crocushinge/fleet/v1"
 )
@@ -83,7 +84,6 @@
 	revision uint64
 	snapshot *host.Snapshot
 	used     usage
-	seq      uint64
 }
 
 func newCore(size Size) *host.Core {
@@ -174,7 +174,6 @@
 		if d.rng.Float64() < pings {
 			d.hearPing()
 		}
-		d.hearReports()
 		for len(d.queue) > 0 {
 			ev := d.queue[0]
 			d.queue = d.queue[1:]
@@ -225,20 +224,6 @@
 	return out
 }
 
-// hearReports takes in as many reports as the host sent in the same step: in
-// an entry set of equals, each hears what each sends.
-func (d *driver) hearReports() {
-	for i, ev := range d.queue {
-		if echo, ok := ev.(host.ReportsHeard); ok {
-			for j := range echo.Reports {
-				d.seq++
-				echo.Reports[j].News.Sequence = d.seq
-			}
-			d.queue[i] = echo
-		}
-	}
-}
-
 func (d *driver) isAway(id host.ID) bool { return d.away && d.day.away(d.size, d.index[id]) }
 
 // handle feeds one event, counts the effects and answers them.
@@ -278,7 +263,7 @@
 		d.exchange(reportsSize(e.Reports))
 		d.used.received++
 		d.used.receivedBytes += float64(reportsSize(e.Reports))
-		d.queue = append(d.queue, host.ReportsHeard{From: e.To, Reports: copyReports(e.Reports)})
+		d.queue = append(d.queue, host.ReportsHeard{From: e.To, Reports: d.reportsOf(e.To.ID, e.Reports)})
 	case host.ReadConfiguration:
 		d.used.reads++
 		d.queue = append(d.queue, host.ConfigurationRead{Revision: e.After, FromStore: true, Err: d.storeErr()})
@@ -308,8 +293,19 @@
 	return platform.ErrUnavailable
 }
 
-func copyReports(list []service.Report) []service.Report {
-	return append([]service.Report(nil), list...)
+// reportsOf returns what a peer of the entry set reports while this host
+// reports the given list: as much, but of its own requests. Each peer's
+// evidence about a target is this host's evidence about another one of the same
+// service, so that the hosts do not all seem to see the same chance events.
+func (d *driver) reportsOf(peer host.ID, list []service.Report) []service.Report {
+	out := slices.Clone(list)
+	for i := range out {
+		key := &out[i].Target
+		targets := d.snapshot.Services[key.Service].Contract.Targets
+		at := slices.IndexFunc(targets, func(t contract.Target) bool { return t.Name == key.Name })
+		key.Name = targets[(at+1+d.index[peer]%(len(targets)-1))%len(targets)].Name
+	}
+	return out
 }
 
 func messageSize(m host.Message) int { return proto.Size(wire.MessageToProto(m)) }
@@ -328,6 +324,3 @@
 	}
 	return u
 }
-
-// unused keeps the target package's key type in reach of the helpers above.
-var _ = target.Key{}
