--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -172,11 +172,11 @@
 	}
 	<-failed.Done()
 	d.control.send(background, host.ShutdownRequested{})
-	d.linger(background)
+	d.serveWhileLeaving(background)
 	close(d.closing)
 	err := shutdown(d.servers, d.drainTime())
 	d.claims.Writer.Drain(background, settleTime)
-	d.farewell(background)
+	d.notifyLeft(background)
 	if serveErr := group.Wait(); err == nil {
 		err = serveErr
 	}
--- a/daemon/leaving.go
+++ b/daemon/leaving.go
@@ -14,9 +14,9 @@
 // heard that it leaves.
 const leaveTime = maxDirectoryKeep + 2*time.Second
 
-// linger serves on after the fleet has been told that this host leaves. A host
+// serveWhileLeaving serves on after the fleet has been told that this host leaves. A host
 // that knows no other need not wait: callers have nowhere else to go.
-func (d *Daemon) linger(ctx context.Context) {
+func (d *Daemon) serveWhileLeaving(ctx context.Context) {
 	if len(d.control.snapshot.Load().Peers) == 0 {
 		return
 	}
@@ -28,10 +28,10 @@
 	}
 }
 
-// farewell tells the fleet that this host has finished its work.
-func (d *Daemon) farewell(ctx context.Context) {
+// notifyLeft tells the fleet that this host has finished its work.
+func (d *Daemon) notifyLeft(ctx context.Context) {
 	var pings []host.SendPing
-	if err := d.control.call(ctx, func(core *host.Core) { pings = core.Farewell(time.Now()) }); err != nil {
+	if err := d.control.call(ctx, func(core *host.Core) { pings = core.LeaveNotices(time.Now()) }); err != nil {
 		return
 	}
 	var sent sync.WaitGroup
--- a/host/membership.go
+++ b/host/membership.go
@@ -102,9 +102,9 @@
 	return "did not refute the suspicion"
 }
 
-// Farewell returns the last messages of a host that has finished its work:
+// LeaveNotices returns the last messages of a host that has finished its work:
 // they tell a few peers, and through them the others, that it is gone.
-func (c *Core) Farewell(now time.Time) []SendPing {
+func (c *Core) LeaveNotices(now time.Time) []SendPing {
 	c.updates = updateQueue{{update: Update{Identity: c.self, State: PeerGone}}}
 	var out []SendPing
 	for _, to := range c.randomPeers(announceFanout, "") {
--- a/host/membership_test.go
+++ b/host/membership_test.go
@@ -199,7 +199,7 @@
 	is.Equal(c.state("h00", "h07"), PeerAlive)
 	fronts := func() bool { return c.nodes["h00"].snapshot.EntrySets["catalogue"].Rank("h07") >= 0 }
 	is.True(fronts()) // it keeps its share while it leaves
-	for _, ping := range c.nodes["h07"].core.Farewell(c.now) {
+	for _, ping := range c.nodes["h07"].core.LeaveNotices(c.now) {
 		c.handle(ping.To.FleetAddress, MessageHeard{Message: ping.Message})
 	}
 	c.takeDown("h07")
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -15,7 +15,7 @@
 func (h *Handler) forward(w http.ResponseWriter, req *request) {
 	home, ok := h.home(req)
 	if !ok {
-		h.homeless(w, req, "the home host of this id is gone")
+		h.answerWithoutHome(w, req, "the home host of this id is gone")
 		return
 	}
 	ctx, cancel := context.WithDeadline(req.in.Context(), req.deadline())
@@ -23,7 +23,7 @@
 	h.counters.Forwarded.Add(1)
 	resp, err := h.cfg.Peers.RoundTrip(h.toHost(ctx, req, home))
 	if err != nil {
-		h.homeless(w, req, "the home host of this id did not answer")
+		h.answerWithoutHome(w, req, "the home host of this id did not answer")
 		return
 	}
 	defer resp.Body.Close()
@@ -43,9 +43,9 @@
 // lookupTimeout limits the look-up of an outcome in the table.
 const lookupTimeout = 500 * time.Millisecond
 
-// homeless answers a request whose home host cannot tell its outcome: from the
+// answerWithoutHome answers a request whose home host cannot tell its outcome: from the
 // outcomes in the table, or else as unknown.
-func (h *Handler) homeless(w http.ResponseWriter, req *request, message string) {
+func (h *Handler) answerWithoutHome(w http.ResponseWriter, req *request, message string) {
 	ctx, cancel := context.WithTimeout(req.in.Context(), lookupTimeout)
 	defer cancel()
 	outcome, err := h.cfg.Claims.Log.Find(ctx, req.account, req.id)
--- a/traffic/keyed.go
+++ b/traffic/keyed.go
@@ -135,7 +135,7 @@
 func (h *Handler) repeatHeld(w http.ResponseWriter, req *request) {
 	record := h.cfg.Ledger.Find(req.account, req.id)
 	if record == nil {
-		h.homeless(w, req, "nothing is known any more of the id that holds the key")
+		h.answerWithoutHome(w, req, "nothing is known any more of the id that holds the key")
 		return
 	}
 	h.repeat(w, req, record)
--- a/traffic/once.go
+++ b/traffic/once.go
@@ -69,7 +69,7 @@
 	case caller.Full:
 		refuse(http.StatusServiceUnavailable, "this host keeps as many outcomes as it can").write(w)
 	default:
-		h.homeless(w, req, "this id has expired")
+		h.answerWithoutHome(w, req, "this id has expired")
 	}
 }
 
