--- a/bench/capacity/control.go
+++ b/bench/capacity/control.go
@@ -113,9 +113,8 @@
 		return usage{}, err
 	}
 	d.run(settleTime)
-	d.away = !day.back
+	d.away = true
 	if day.back {
-		d.away = true
 		d.run(measureTime)
 		d.away = false
 	}
--- a/cmd/crocushinge/check.go
+++ b/cmd/crocushinge/check.go
@@ -134,11 +134,7 @@
 // ready collects the documents that the command names and checks them against
 // what is in force. Faults are printed and end the command.
 func ready(ctx context.Context, cmd *cli.Command) (*readied, error) {
-	dir, err := argument(cmd, "a directory or a file")
-	if err != nil {
-		return nil, err
-	}
-	c, err := newClient(cmd)
+	dir, c, err := argumentAndClient(cmd, "a directory or a file")
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/crocushinge/client.go
+++ b/cmd/crocushinge/client.go
@@ -34,6 +34,17 @@
 	http    http.Client
 }
 
+// argumentAndClient returns the one argument of a command, described by what,
+// and a client of the host that the command asks.
+func argumentAndClient(cmd *cli.Command, what string) (string, *client, error) {
+	text, err := argument(cmd, what)
+	if err != nil {
+		return "", nil, err
+	}
+	c, err := newClient(cmd)
+	return text, c, err
+}
+
 func newClient(cmd *cli.Command) (*client, error) {
 	token := cmd.String("token")
 	if file := cmd.String("token-file"); file != "" {
--- a/cmd/crocushinge/documents.go
+++ b/cmd/crocushinge/documents.go
@@ -72,11 +72,7 @@
 }
 
 func history(ctx context.Context, cmd *cli.Command) error {
-	subject, err := argument(cmd, "a service, or accounts/NAME")
-	if err != nil {
-		return err
-	}
-	c, err := newClient(cmd)
+	subject, c, err := argumentAndClient(cmd, "a service, or accounts/NAME")
 	if err != nil {
 		return err
 	}
@@ -107,11 +103,7 @@
 }
 
 func remove(ctx context.Context, cmd *cli.Command) error {
-	subject, err := argument(cmd, "a service, or accounts/NAME")
-	if err != nil {
-		return err
-	}
-	c, err := newClient(cmd)
+	subject, c, err := argumentAndClient(cmd, "a service, or accounts/NAME")
 	if err != nil {
 		return err
 	}
@@ -137,11 +129,7 @@
 }
 
 func resolve(ctx context.Context, cmd *cli.Command) error {
-	id, err := argument(cmd, "the id of a proposal")
-	if err != nil {
-		return err
-	}
-	c, err := newClient(cmd)
+	id, c, err := argumentAndClient(cmd, "the id of a proposal")
 	if err != nil {
 		return err
 	}
