Wait for the first signal before sending the second

The test did not wait until the second daemon had named the first, so that "no longer names it" held at once and both signals were sent within a millisecond.

Change: the test waits until both daemons name both hosts, then until the first does not name itself. Ports lie below those of outgoing connections.

--- a/cmd/crocushinged/main_test.go
+++ b/cmd/crocushinged/main_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -29,17 +31,28 @@
 	os.Exit(m.Run())
 }
 
+// Ports of the daemons under test. They lie below the ports that systems give
+// to outgoing connections, so that none takes one before its daemon listens.
+const (
+	firstPort = 20000
+	lastPort  = 29999
+)
+
 // addresses returns free addresses on loopback.
 func addresses(t *testing.T, n int) []string {
 	t.Helper()
 	var out []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(out) < n {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort+1))
+		listener, err := net.Listen("tcp", address)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer listener.Close()
-		out = append(out, listener.Addr().String())
+		out = append(out, address)
 	}
 	return out
 }
@@ -85,6 +98,16 @@
 	return len(status.Hosts)
 }
 
+// waitFor waits until a daemon's directory names so many hosts.
+func waitFor(t *testing.T, api string, want int) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); hosts(api) != want; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s names %d hosts, want %d", api, hosts(api), want)
+		}
+	}
+}
+
 // The first signal begins a graceful shutdown, in which the host serves on for
 // callers that keep an old answer of the directory; the second one ends it.
 func TestSecondSignalEndsAtOnce(t *testing.T) {
@@ -92,13 +115,13 @@
 	at := addresses(t, 6)
 	first := start(t, "one", at[:3], "")
 	start(t, "two", at[3:], at[2])
-	for end := time.Now().Add(20 * time.Second); hosts(at[1]) < 2; time.Sleep(50 * time.Millisecond) {
-		is.True(time.Now().Before(end))
-	}
+	waitFor(t, at[1], 2)
+	waitFor(t, at[4], 2)
 	is.NoErr(first.Process.Signal(syscall.SIGTERM))
-	for end := time.Now().Add(20 * time.Second); hosts(at[4]) != 1; time.Sleep(50 * time.Millisecond) {
-		is.True(time.Now().Before(end)) // the other host still names it
-	}
+	// Two signals in quick succession may reach a process as one. The host has
+	// taken the first when it no longer names itself.
+	waitFor(t, at[1], 1)
+	waitFor(t, at[4], 1)
 	is.True(hosts(at[1]) > 0) // it serves on
 	is.NoErr(first.Process.Signal(syscall.SIGTERM))
 	is.True(first.Wait() != nil)
