Show operators the healthy capacity and the targets that are away

Change: crocushinge status prints healthy slots, floor and the targets that take less than their full share; gauges crocushinge_targets, healthy_slots and floor_slots; a counter of time line events; a histogram of request durations. The control thread is asked once a collection.

Before: no metric of targets. After: 5 more instruments; nothing is computed between collections, but for one histogram entry a request.

--- a/cmd/crocushinge/fleet.go
+++ b/cmd/crocushinge/fleet.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -48,11 +49,7 @@
 		printHost(out, s)
 		fmt.Fprintf(out, "hosts in the directory: %s\n", strings.Join(s.Hosts, ", "))
 		for _, svc := range s.Services {
-			state := ""
-			if svc.Panic {
-				state = ", panic routing"
-			}
-			fmt.Fprintf(out, "%s: %d of %d targets take work%s\n", svc.Service, svc.Routed, svc.Targets, state)
+			printService(out, svc)
 		}
 	})
 }
@@ -67,6 +64,28 @@
 	fmt.Fprintf(out, "host %s, incarnation %d, revision %d, ready %t, %s\n", s.Host, s.Incarnation, s.Revision, s.Ready, count(s.Accounts, "account"))
 }
 
+// printService shows how a service is, and which of its targets take less than
+// their full share.
+func printService(out io.Writer, s wire.ServiceStatus) {
+	state := ""
+	if s.Panic {
+		state = ", panic routing"
+	}
+	fmt.Fprintf(out, "%s: %d of %d targets take work%s", s.Service, s.Routed, s.Targets, state)
+	if !s.Fronted {
+		fmt.Fprintln(out, "; not in the entry set")
+		return
+	}
+	fmt.Fprintf(out, "; %d slots healthy, floor %d\n", s.HealthySlots, s.FloorSlots)
+	for _, t := range s.Away {
+		cut := ""
+		if t.Cut {
+			cut = ", path cut"
+		}
+		fmt.Fprintf(out, "  %s: %s since %s%s\n", t.Target, t.State, t.Since.Format(time.RFC3339), cut)
+	}
+}
+
 // statusConcurrency is how many hosts are asked at once.
 const statusConcurrency = 32
 
--- a/cmd/crocushinge/main_test.go
+++ b/cmd/crocushinge/main_test.go
@@ -360,3 +360,22 @@
 	is.Equal(out, "a: accepted, version 1, revision 1\n1 handed over, 0 unchanged\nnot handed over: b, c\n"+
 		"hand over b: 503 Service Unavailable: platform unavailable\n")
 }
+
+func TestStatusNamesTargetsThatAreAway(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.write("a.yaml", contractText("a", "/a", "bookshop"))
+	code, _ := f.tool("publish", f.dir)
+	is.Equal(code, exitOK)
+	f.awaitRevision(1)
+	code, out := f.tool("status")
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "a: 2 of 2 targets take work; 8 slots healthy, floor 4\n"))
+	code, _ = f.tool("drain", "a", "two")
+	is.Equal(code, exitOK)
+	// The host answers before its control thread has taken the drain.
+	for end := time.Now().Add(10 * time.Second); !strings.Contains(out, "leaving"); _, out = f.tool("status") {
+		is.True(time.Now().Before(end))
+	}
+	is.True(strings.Contains(out, "a: 1 of 2 targets take work; 4 slots healthy, floor 4\n  two: leaving since "))
+}
--- a/daemon/api.go
+++ b/daemon/api.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
-	"strings"
 
 	"github.com/kataras/iris/v12"
 	"github.com/pkg/errors"
@@ -44,32 +42,6 @@
 
 func reply(ctx iris.Context, v any) { _ = ctx.JSON(v) }
 
-func (d *Daemon) getStatus(ctx iris.Context) {
-	snap := d.control.snapshot.Load()
-	status := wire.Status{
-		Host:        string(snap.Self.ID),
-		Incarnation: snap.Self.Incarnation,
-		Revision:    snap.Revision,
-		Ready:       snap.Ready,
-	}
-	status.Accounts = snap.Accounts.Len()
-	for _, id := range snap.Directory {
-		status.Hosts = append(status.Hosts, string(id.ID))
-	}
-	for _, id := range snap.Peers {
-		status.Peers = append(status.Peers, wire.DirectoryHost{
-			ID: string(id.ID), Zone: string(id.Zone), Address: id.Address, APIAddress: id.APIAddress,
-		})
-	}
-	slices.SortFunc(status.Peers, func(a, b wire.DirectoryHost) int { return strings.Compare(a.ID, b.ID) })
-	for name, r := range snap.Services {
-		s := wire.ServiceStatus{Service: name, Targets: len(r.Contract.Targets), Routed: len(r.Links), Panic: r.Panic}
-		status.Services = append(status.Services, s)
-	}
-	slices.SortFunc(status.Services, func(a, b wire.ServiceStatus) int { return strings.Compare(a.Service, b.Service) })
-	reply(ctx, status)
-}
-
 func (d *Daemon) postDrain(ctx iris.Context) {
 	key := target.Key{Service: ctx.Params().Get("service"), Name: ctx.Params().Get("target")}
 	if !d.declares(key) {
--- /dev/null
+++ b/daemon/api_status.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/kataras/iris/v12"
+	"github.com/pkg/errors"
+
+	"github.com/crocushinge/crocushinge/host"
+	"github.com/crocushinge/crocushinge/service"
+	"github.com/crocushinge/crocushinge/target"
+	"github.com/crocushinge/crocushinge/wire"
+)
+
+func (d *Daemon) getStatus(ctx iris.Context) {
+	var health []service.Health
+	err := d.control.call(ctx.Request().Context(), func(core *host.Core) { health = core.Health() })
+	if err != nil {
+		fail(ctx, http.StatusServiceUnavailable, errors.Wrap(err, "control thread"))
+		return
+	}
+	snap := d.control.snapshot.Load()
+	status := wire.Status{
+		Host:        string(snap.Self.ID),
+		Incarnation: snap.Self.Incarnation,
+		Revision:    snap.Revision,
+		Ready:       snap.Ready,
+		Accounts:    snap.Accounts.Len(),
+		Peers:       peerStatus(snap),
+		Services:    serviceStatus(snap, health),
+	}
+	for _, id := range snap.Directory {
+		status.Hosts = append(status.Hosts, string(id.ID))
+	}
+	reply(ctx, status)
+}
+
+// peerStatus lists the peers of a snapshot, sorted by id.
+func peerStatus(snap *host.Snapshot) []wire.DirectoryHost {
+	var out []wire.DirectoryHost
+	for _, id := range snap.Peers {
+		out = append(out, wire.DirectoryHost{
+			ID: string(id.ID), Zone: string(id.Zone), Address: id.Address, APIAddress: id.APIAddress,
+		})
+	}
+	slices.SortFunc(out, func(a, b wire.DirectoryHost) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// serviceStatus lists the services of a snapshot, sorted by name, with the
+// health of those that this host fronts.
+func serviceStatus(snap *host.Snapshot, health []service.Health) []wire.ServiceStatus {
+	byName := make(map[string]service.Health, len(health))
+	for _, h := range health {
+		byName[h.Service] = h
+	}
+	var out []wire.ServiceStatus
+	for name, r := range snap.Services {
+		s := wire.ServiceStatus{Service: name, Targets: len(r.Contract.Targets), Routed: len(r.Links), Panic: r.Panic}
+		if h, ok := byName[name]; ok {
+			s.Fronted, s.HealthySlots, s.FloorSlots = true, h.HealthySlots, h.FloorSlots
+			s.Away = away(h)
+		}
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b wire.ServiceStatus) int { return strings.Compare(a.Service, b.Service) })
+	return out
+}
+
+// away lists the targets that take less than their full share.
+func away(h service.Health) []wire.TargetStatus {
+	var out []wire.TargetStatus
+	for _, t := range h.Targets {
+		if t.State != target.Active || t.Cut {
+			out = append(out, wire.TargetStatus{Target: t.Name, State: t.State.String(), Since: t.Since.UTC(), Cut: t.Cut})
+		}
+	}
+	return out
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -63,6 +63,8 @@
 	bodies   *caller.Memory
 	handler  *traffic.Handler
 	metrics  *metrics
+	// eventCounts counts what this host has recorded on the time line.
+	eventCounts *eventCounts
 	// corrupt counts readings of items of the table that were left out.
 	corrupt   atomic.Int64
 	operators []operator
@@ -122,6 +124,7 @@
 	}
 	d.archive = newArchive(p.Objects, self, d.log)
 	d.store = d.newStore(p.Table)
+	d.eventCounts = newEventCounts()
 	d.control = newControl(core, d.ring)
 	d.control.effects = d
 	d.claims = newClaims(p.Table, d.home)
@@ -134,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	servers[callerServer].http = traffic.NewServer(d.closeWhileLeaving(d.handler))
+	servers[callerServer].http = traffic.NewServer(d.timed(d.closeWhileLeaving(d.handler)))
 	servers[apiServer].http.Handler = api
 	servers[fleetAPIServer].http.Handler = d.fleetHandler()
 	return d, nil
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -119,6 +119,7 @@
 }
 
 func (d *Daemon) recorded(e timeline.Event) {
+	d.eventCounts.add(e)
 	d.archive.outbox.Add(e)
 	if e.Kind == timeline.RequestEnded {
 		return // one for each request is no change of state
--- /dev/null
+++ b/daemon/health_metrics.go
@@ -0,0 +1,121 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/crocushinge/crocushinge/host"
+	"github.com/crocushinge/crocushinge/service"
+	"github.com/crocushinge/crocushinge/target"
+	"github.com/crocushinge/crocushinge/timeline"
+)
+
+// Attributes of metrics.
+const (
+	serviceAttribute = "service"
+	stateAttribute   = "state"
+	kindAttribute    = "kind"
+	toAttribute      = "to"
+)
+
+// healthGauges tell how the targets are of the services that this host
+// fronts. The control thread is asked once for each collection.
+type healthGauges struct {
+	control               *control
+	targets, slots, floor metric.Int64ObservableGauge
+}
+
+// registerHealth registers the gauges of healthy capacity.
+func registerHealth(meter metric.Meter, c *control) error {
+	g := &healthGauges{control: c}
+	for _, i := range []struct {
+		gauge             *metric.Int64ObservableGauge
+		name, description string
+	}{
+		{&g.targets, "crocushinge.targets", "Targets of the services that this host fronts, by state."},
+		{&g.slots, "crocushinge.healthy.slots", "Healthy capacity of the services that this host fronts, in slots."},
+		{&g.floor, "crocushinge.floor.slots", "Floor of healthy capacity, in slots."},
+	} {
+		var err error
+		if *i.gauge, err = meter.Int64ObservableGauge(i.name, metric.WithDescription(i.description)); err != nil {
+			return errors.Wrapf(err, "metric %s", i.name)
+		}
+	}
+	_, err := meter.RegisterCallback(g.observe, g.targets, g.slots, g.floor)
+	return errors.Wrap(err, "metrics of targets")
+}
+
+// healthTimeout bounds how long a collection waits for the control thread.
+const healthTimeout = time.Second
+
+func (g *healthGauges) observe(ctx context.Context, o metric.Observer) error {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	var health []service.Health
+	if err := g.control.call(ctx, func(core *host.Core) { health = core.Health() }); err != nil {
+		return errors.Wrap(err, "control thread")
+	}
+	for _, h := range health {
+		name := attribute.String(serviceAttribute, h.Service)
+		o.ObserveInt64(g.slots, int64(h.HealthySlots), metric.WithAttributes(name))
+		o.ObserveInt64(g.floor, int64(h.FloorSlots), metric.WithAttributes(name))
+		for _, state := range target.States {
+			if state != target.Gone {
+				o.ObserveInt64(g.targets, int64(h.Count(state)), metric.WithAttributes(name, attribute.String(stateAttribute, state.String())))
+			}
+		}
+	}
+	return nil
+}
+
+// eventKey is what events are counted by.
+type eventKey struct {
+	kind timeline.Kind
+	// to is the state that a target has entered; empty for other events.
+	to string
+}
+
+// eventCounts counts the events of the time line.
+type eventCounts struct {
+	mu     sync.Mutex
+	counts map[eventKey]int64
+}
+
+func newEventCounts() *eventCounts {
+	return &eventCounts{counts: make(map[eventKey]int64)}
+}
+
+// add counts one event.
+func (c *eventCounts) add(e timeline.Event) {
+	key := eventKey{kind: e.Kind}
+	if e.Kind == timeline.TargetStateChanged {
+		key.to = e.To
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[key]++
+}
+
+// register makes a meter read the counts.
+func (c *eventCounts) register(meter metric.Meter) error {
+	_, err := meter.Int64ObservableCounter("crocushinge.events",
+		metric.WithDescription("Events of the time line recorded by this host."), metric.WithInt64Callback(c.observe))
+	return errors.Wrap(err, "metric crocushinge.events")
+}
+
+func (c *eventCounts) observe(_ context.Context, o metric.Int64Observer) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, n := range c.counts {
+		o.Observe(n, metric.WithAttributes(
+			attribute.String(kindAttribute, string(key.kind)),
+			attribute.String(toAttribute, key.to),
+		))
+	}
+	return nil
+}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -5,18 +5,25 @@
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/attribute"
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/resource"
 )
 
 // meterName is the instrumentation scope of all metrics.
 const meterName = "github.com/crocushinge/crocushinge"
 
+// serviceName is the name of the process in its metrics.
+const serviceName = "crocushinged"
+
 // metrics holds the instruments of one daemon, read by the API's /metrics.
 type metrics struct {
 	registry *prometheus.Registry
 	provider *sdkmetric.MeterProvider
+	// durations are those of callers' requests, in seconds.
+	durations metric.Float64Histogram
 }
 
 // newMetrics registers the instruments that observe the daemon.
@@ -28,7 +35,10 @@
 	}
 	m := &metrics{
 		registry: registry,
-		provider: sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)),
+		provider: sdkmetric.NewMeterProvider(
+			sdkmetric.WithReader(exporter),
+			sdkmetric.WithResource(resource.NewSchemaless(attribute.String("service.name", serviceName))),
+		),
 	}
 	meter := m.provider.Meter(meterName)
 	for _, c := range append(d.counters(), d.requestCounters()...) {
@@ -41,7 +51,14 @@
 			return nil, err
 		}
 	}
-	return m, nil
+	if err := registerHealth(meter, d.control); err != nil {
+		return nil, err
+	}
+	if err := d.eventCounts.register(meter); err != nil {
+		return nil, err
+	}
+	m.durations, err = newDurations(meter)
+	return m, err
 }
 
 // instrument is a value that is read when the metrics are collected.
--- a/daemon/request_metrics.go
+++ b/daemon/request_metrics.go
@@ -1,5 +1,13 @@
 package daemon
 
+import (
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/metric"
+)
+
 // requestCounters returns the counters of callers' requests.
 func (d *Daemon) requestCounters() []instrument {
 	c := d.handler.Counters()
@@ -29,3 +37,22 @@
 		{"crocushinge.claims.waiting", "Outcomes of callers' keys that wait for the table.", func() int64 { return int64(d.claims.Writer.Len()) }},
 	}
 }
+
+// durationBounds are the upper bounds of the histogram's buckets, in seconds.
+var durationBounds = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10}
+
+func newDurations(meter metric.Meter) (metric.Float64Histogram, error) {
+	h, err := meter.Float64Histogram("crocushinge.requests.duration",
+		metric.WithDescription("Time from a caller's request header to the end of its answer, the target's time included."),
+		metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(durationBounds...))
+	return h, errors.Wrap(err, "metric crocushinge.requests.duration")
+}
+
+// timed measures the duration of each request, aborted ones included.
+func (d *Daemon) timed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		start := time.Now()
+		defer func() { d.metrics.durations.Record(r.Context(), time.Since(start).Seconds()) }()
+		next.ServeHTTP(w, r)
+	})
+}
--- a/host/evidence.go
+++ b/host/evidence.go
@@ -27,7 +27,7 @@
 // that must not wait for the next regular message.
 func (c *Core) evidenceUrgent() bool {
 	for _, name := range c.names {
-		if c.entrySets[name].Rank(c.self.ID) >= 0 && c.services[name].Urgent() {
+		if c.fronts(name) && c.services[name].Urgent() {
 			return true
 		}
 	}
@@ -76,7 +76,7 @@
 // new one is told everything.
 func (c *Core) noteCarrier(now time.Time, id ID, s *service.Service) {
 	name := s.Contract.Service
-	if c.entrySets[name].Rank(id) >= 0 || c.entrySets[name].Rank(c.self.ID) < 0 {
+	if c.entrySets[name].Rank(id) >= 0 || !c.fronts(name) {
 		return
 	}
 	if c.carriers[name] == nil {
--- a/host/periodic.go
+++ b/host/periodic.go
@@ -30,7 +30,7 @@
 func (c *Core) tickServices(now time.Time) {
 	c.ticks++
 	for i, name := range c.names {
-		fronted := c.entrySets[name].Rank(c.self.ID) >= 0
+		fronted := c.fronts(name)
 		if !fronted && (c.ticks+i)%idleTicks != 0 {
 			continue
 		}
--- a/target/target.go
+++ b/target/target.go
@@ -38,6 +38,9 @@
 	Gone
 )
 
+// States lists all states.
+var States = [...]State{Warming, Active, Ejected, Probation, Leaving, Gone}
+
 var stateNames = [...]string{"warming", "active", "ejected", "probation", "leaving", "gone"}
 
 // String returns the state's lower-case name.
--- a/wire/api.go
+++ b/wire/api.go
@@ -56,6 +56,24 @@
 	Routed int `json:"routed"`
 	// Panic is set when too few are left to be choosy.
 	Panic bool `json:"panic,omitempty"`
+	// Fronted is set when the host is in the entry set of the service. What
+	// follows is known only then.
+	Fronted bool `json:"fronted"`
+	// HealthySlots is the healthy capacity, and FloorSlots its floor.
+	HealthySlots int `json:"healthy_slots,omitempty"`
+	FloorSlots   int `json:"floor_slots,omitempty"`
+	// Away are the targets that take less than their full share, in the order
+	// of the contract.
+	Away []TargetStatus `json:"away,omitempty"`
+}
+
+// TargetStatus tells how one host sees a target.
+type TargetStatus struct {
+	Target string    `json:"target"`
+	State  string    `json:"state"`
+	Since  time.Time `json:"since"`
+	// Cut is set while the host routes around its own path to the target.
+	Cut bool `json:"cut,omitempty"`
 }
 
 // Document is the newest change of one subject, or one change of its history.
