Serve and reach all addresses by TLS, and read credentials again

Cause: tokens of the fleet, of operators and of accounts went over plain HTTP, and a certificate or token could be replaced only by a restart, which diskless hosts with short-lived certificates cannot afford. Change: caller-tls, api-tls and fleet-tls name certificate, key and CA files; hosts show each other certificates and the token check stays. Token files may hold several lines: the first is sent, all are accepted. All three addresses have TLS or none, since one without it would carry a token in plain. Ruled out: an overlap by time after a change, because a host whose file changes late would refuse the new token. Conclusion: without the new settings nothing changes.

--- /dev/null
+++ b/credential/credentialtest/authority.go
@@ -0,0 +1,134 @@
+// Package credentialtest makes CAs and certificates for tests.
+package credentialtest
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// Lifetime is how long a certificate is valid unless a test says otherwise.
+const Lifetime = 24 * time.Hour
+
+// privateFile is the permission of all files written.
+const privateFile = 0o600
+
+// Authority is a CA.
+type Authority struct {
+	t           testing.TB
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	// PEM is the certificate of the CA.
+	PEM []byte
+}
+
+// Certificate is one with its key, in PEM.
+type Certificate struct{ PEM, Key []byte }
+
+// Change alters a certificate before it is signed.
+type Change func(*x509.Certificate)
+
+// Valid makes a certificate valid between two times.
+func Valid(from, until time.Time) Change {
+	return func(c *x509.Certificate) { c.NotBefore, c.NotAfter = from, until }
+}
+
+// For makes a certificate name an IP number instead of 127.0.0.1.
+func For(ip string) Change {
+	return func(c *x509.Certificate) { c.IPAddresses = []net.IP{net.ParseIP(ip)} }
+}
+
+// ServerOnly makes a certificate that clients cannot show.
+func ServerOnly(c *x509.Certificate) { c.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth} }
+
+// NewAuthority returns a new CA, valid for ten lifetimes of a certificate.
+func NewAuthority(t testing.TB) *Authority {
+	t.Helper()
+	a := &Authority{t: t, key: newKey(t)}
+	a.certificate = &x509.Certificate{
+		SerialNumber: newSerial(t), Subject: pkix.Name{CommonName: "test CA"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(10 * Lifetime),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	a.PEM = a.sign(a.certificate, a.key)
+	return a
+}
+
+// Issue returns a new certificate for the IP number 127.0.0.1, for servers and
+// clients.
+func (a *Authority) Issue(changes ...Change) Certificate {
+	a.t.Helper()
+	c := &x509.Certificate{
+		SerialNumber: newSerial(a.t), Subject: pkix.Name{CommonName: "host"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(Lifetime),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	for _, change := range changes {
+		change(c)
+	}
+	key := newKey(a.t)
+	der, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return Certificate{PEM: a.sign(c, key), Key: pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: der})}
+}
+
+func (a *Authority) sign(c *x509.Certificate, key *ecdsa.PrivateKey) []byte {
+	a.t.Helper()
+	der, err := x509.CreateCertificate(rand.Reader, c, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+}
+
+func newKey(t testing.TB) *ecdsa.PrivateKey {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func newSerial(t testing.TB) *big.Int {
+	t.Helper()
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 64))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return serial
+}
+
+// Files are the files of one address in a directory.
+type Files struct{ Certificate, Key, CA string }
+
+// In returns the usual files of a directory.
+func In(dir string) Files {
+	return Files{filepath.Join(dir, "host.pem"), filepath.Join(dir, "host.key"), filepath.Join(dir, "ca.pem")}
+}
+
+// Write writes the files. An empty part is left as it is.
+func (f Files) Write(t testing.TB, c Certificate, ca []byte) {
+	t.Helper()
+	for path, data := range map[string][]byte{f.Certificate: c.PEM, f.Key: c.Key, f.CA: ca} {
+		if len(data) == 0 {
+			continue
+		}
+		if err := os.WriteFile(path, data, privateFile); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/credential/fault.go
@@ -0,0 +1,25 @@
+package credential
+
+import "strings"
+
+// Fault is one fault of the files of a credential.
+type Fault struct {
+	// Field is the setting at fault, for example "key-file".
+	Field string
+	// Message says what is wrong.
+	Message string
+	// Fix says how to mend it.
+	Fix string
+}
+
+// Faults are the faults of one credential. As an error they print on one line.
+type Faults []Fault
+
+// Error implements error.
+func (f Faults) Error() string {
+	messages := make([]string, len(f))
+	for i, fault := range f {
+		messages[i] = fault.Message
+	}
+	return strings.Join(messages, "; ")
+}
--- /dev/null
+++ b/credential/keys_test.go
@@ -0,0 +1,153 @@
+package credential_test
+
+import (
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/crocushinge/crocushinge/credential"
+	"github.com/crocushinge/crocushinge/credential/credentialtest"
+)
+
+var loopback = netip.MustParseAddr("127.0.0.1")
+
+func watchKeys(f credentialtest.Files) (*credential.Watched[*credential.Keys], error) {
+	return credential.WatchKeys(
+		credential.KeyFiles{Certificate: f.Certificate, Key: f.Key, CA: f.CA},
+		credential.KeyOptions{Address: loopback, Mutual: true})
+}
+
+// Each fault of the files is found, with the setting that it belongs to.
+func TestFaultsOfKeyFiles(t *testing.T) {
+	ca, other := credentialtest.NewAuthority(t), credentialtest.NewAuthority(t)
+	now := time.Now()
+	for name, test := range map[string]struct {
+		spoil func(is *is.I, f credentialtest.Files)
+		want  string
+	}{
+		"no certificate file": {func(is *is.I, f credentialtest.Files) { is.NoErr(os.Remove(f.Certificate)) }, "certificate-file: certificate-file: open"},
+		"no key file":         {func(is *is.I, f credentialtest.Files) { is.NoErr(os.Remove(f.Key)) }, "key-file: key-file: open"},
+		"no CA file":          {func(is *is.I, f credentialtest.Files) { is.NoErr(os.Remove(f.CA)) }, "ca-file: ca-file: open"},
+		"key of another": {func(_ *is.I, f credentialtest.Files) {
+			f.Write(t, credentialtest.Certificate{Key: ca.Issue().Key}, nil)
+		}, "key-file: key file " + "KEY does not fit the certificate"},
+		"empty CA file":   {func(is *is.I, f credentialtest.Files) { is.NoErr(os.Truncate(f.CA, 0)) }, "ca-file: CA file CA holds no certificate"},
+		"no PEM":          {func(_ *is.I, f credentialtest.Files) { f.Write(t, credentialtest.Certificate{PEM: []byte("x")}, nil) }, "certificate-file: certificate file CERT holds no certificate"},
+		"key for all":     {func(is *is.I, f credentialtest.Files) { is.NoErr(os.Chmod(f.Key, 0o644)) }, "key-file: key file KEY is open to every user"},
+		"expired":         {issue(t, ca, credentialtest.Valid(now.Add(-2*time.Hour), now.Add(-time.Hour))), "certificate-file: certificate file CERT expired at"},
+		"not yet valid":   {issue(t, ca, credentialtest.Valid(now.Add(time.Hour), now.Add(2*time.Hour))), "certificate-file: certificate file CERT is not valid before"},
+		"other host":      {issue(t, ca, credentialtest.For("10.0.0.9")), "certificate-file: certificate file CERT does not name 127.0.0.1"},
+		"other CA":        {issue(t, other), "certificate-file: certificate file CERT would be refused by the other hosts: x509: certificate signed by unknown authority"},
+		"not for clients": {issue(t, ca, credentialtest.ServerOnly), "certificate-file: certificate file CERT would be refused by the other hosts: x509: certificate specifies an incompatible key usage"},
+		"good":            {issue(t, ca), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := credentialtest.In(t.TempDir())
+			f.Write(t, ca.Issue(), ca.PEM)
+			test.spoil(is, f)
+			_, err := watchKeys(f)
+			var faults credential.Faults
+			is.Equal(errors.As(err, &faults), test.want != "")
+			got := ""
+			for _, fault := range faults {
+				got += fault.Field + ": " + fault.Message
+			}
+			got = strings.NewReplacer(f.Certificate, "CERT", f.Key, "KEY", f.CA, "CA").Replace(got)
+			is.True(len(faults) <= 1) // one fault gives one finding
+			is.True(strings.HasPrefix(got, test.want))
+		})
+	}
+}
+
+func issue(t *testing.T, ca *credentialtest.Authority, changes ...credentialtest.Change) func(*is.I, credentialtest.Files) {
+	return func(_ *is.I, f credentialtest.Files) { f.Write(t, ca.Issue(changes...), nil) }
+}
+
+// All faults are reported together.
+func TestFaultsOfKeyFilesComeTogether(t *testing.T) {
+	is := is.New(t)
+	ca := credentialtest.NewAuthority(t)
+	f := credentialtest.In(t.TempDir())
+	f.Write(t, ca.Issue(credentialtest.For("10.0.0.9"), credentialtest.Valid(time.Unix(0, 0), time.Unix(1, 0))), []byte("x"))
+	is.NoErr(os.Chmod(f.Key, 0o604))
+	_, err := watchKeys(f)
+	var faults credential.Faults
+	is.True(errors.As(err, &faults))
+	is.Equal(len(faults), 4) // the key's mode, the CA file, the name and the time
+}
+
+// A new file is taken when it is good, and else leaves the old one in force.
+func TestKeysAreReplacedOnlyByGoodOnes(t *testing.T) {
+	is := is.New(t)
+	ca := credentialtest.NewAuthority(t)
+	f := credentialtest.In(t.TempDir())
+	f.Write(t, ca.Issue(), ca.PEM)
+	keys, err := watchKeys(f)
+	is.NoErr(err)
+	first := keys.Load()
+
+	replaced, err := keys.Refresh()
+	is.NoErr(err)
+	is.True(!replaced) // nothing changed
+
+	f.Write(t, credentialtest.Certificate{PEM: ca.Issue().PEM}, nil) // the old key
+	for range 2 {
+		replaced, err = keys.Refresh()
+		is.True(err != nil)
+		is.True(!replaced)
+		is.Equal(keys.Load(), first)
+	}
+
+	until := time.Now().Add(time.Hour).Truncate(time.Second).UTC()
+	f.Write(t, ca.Issue(credentialtest.Valid(time.Now().Add(-time.Hour), until)), nil)
+	replaced, err = keys.Refresh()
+	is.NoErr(err)
+	is.True(replaced)
+	is.Equal(keys.Load().Expires(), until)
+
+	is.NoErr(os.Remove(f.Key))
+	_, err = keys.Refresh()
+	is.True(err != nil)
+	is.Equal(keys.Load().Expires(), until)
+}
+
+// A CA that expires before the certificate decides, unless another signed too.
+func TestExpiryIsThatOfTheWholeChain(t *testing.T) {
+	is := is.New(t)
+	ca := credentialtest.NewAuthority(t)
+	f := credentialtest.In(t.TempDir())
+	f.Write(t, ca.Issue(credentialtest.Valid(time.Now(), time.Now().Add(1000*credentialtest.Lifetime))), ca.PEM)
+	keys, err := watchKeys(f)
+	is.NoErr(err)
+	is.True(keys.Load().Expires().Before(time.Now().Add(11 * credentialtest.Lifetime)))
+}
+
+func TestTokensOfAFile(t *testing.T) {
+	is := is.New(t)
+	file := t.TempDir() + "/token"
+	write := func(text string) { is.NoErr(os.WriteFile(file, []byte(text), 0o600)) }
+	write(" new \n\nold\n")
+	tokens, err := credential.WatchTokens(file)
+	is.NoErr(err)
+	is.Equal(tokens.Load().Current(), "new")
+	for token, accepted := range map[string]bool{"new": true, "old": true, "": false, "ne": false, "new \n\nold": false} {
+		is.Equal(tokens.Load().Accepts(token), accepted)
+	}
+	write("\n")
+	_, err = tokens.Refresh()
+	is.True(err != nil)
+	is.True(tokens.Load().Accepts("old")) // an empty file changes nothing
+	write("new")
+	replaced, err := tokens.Refresh()
+	is.NoErr(err)
+	is.True(replaced)
+	is.True(!tokens.Load().Accepts("old"))
+	is.Equal(credential.Tokens(nil).Current(), "")
+	is.True(!credential.Tokens(nil).Accepts(""))
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,8 +66,8 @@
 	// eventCounts counts what this host has recorded on the time line.
 	eventCounts *eventCounts
 	// corrupt counts readings of items of the table that were left out.
-	corrupt   atomic.Int64
-	operators []operator
+	corrupt     atomic.Int64
+	credentials *credentials
 	// refusedOperators counts API requests without a valid operator token.
 	refusedOperators atomic.Int64
 	// refusedPeers counts calls between hosts without the fleet's token.
@@ -84,21 +84,15 @@
 func New(s Settings, p Platform, log zerolog.Logger, opts ...Option) (*Daemon, error) {
 	options := newOptions(opts)
 	network := options.network
-	servers, err := listen(network, s.Address, s.APIAddress, s.FleetAddress)
+	keys, err := newCredentials(&s, log.With().Str("host", s.Host).Logger())
 	if err != nil {
 		return nil, err
 	}
-	self := host.Identity{
-		ID:           host.ID(s.Host),
-		Incarnation:  uint64(time.Now().UnixMilli()),
-		Address:      servers[callerServer].address(),
-		APIAddress:   servers[apiServer].address(),
-		FleetAddress: servers[fleetAPIServer].address(),
-		Zone:         s.zoneID(),
-	}
-	if self.ID == "" {
-		self.ID = host.ID(self.FleetAddress)
+	servers, err := listen(network, s.Address, s.APIAddress, s.FleetAddress)
+	if err != nil {
+		return nil, err
 	}
+	self := s.identity(servers)
 	core := host.New(host.Config{
 		Self:     self,
 		Zones:    s.zoneMap(),
@@ -108,19 +102,19 @@
 		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d := &Daemon{
-		leaveTime: options.leaveTime,
-		settings:  s,
-		self:      self,
-		servers:   servers,
-		log:       log.With().Str("host", string(self.ID)).Logger(),
-		ring:      timeline.NewRing(ringCapacity),
-		hostList:  p.HostList,
-		closing:   make(chan struct{}),
-		operators: s.operators(),
-		peers:     newFleetClient(s.FleetToken, network),
-		prober:    newProber(network),
-		ledger:    caller.NewLedger(caller.DefaultLimits()),
-		home:      caller.NewHome(string(self.ID), self.Incarnation),
+		leaveTime:   options.leaveTime,
+		settings:    s,
+		self:        self,
+		servers:     servers,
+		log:         log.With().Str("host", string(self.ID)).Logger(),
+		ring:        timeline.NewRing(ringCapacity),
+		hostList:    p.HostList,
+		closing:     make(chan struct{}),
+		credentials: keys,
+		peers:       newFleetClient(keys, network),
+		prober:      newProber(network),
+		ledger:      caller.NewLedger(caller.DefaultLimits()),
+		home:        caller.NewHome(string(self.ID), self.Incarnation),
 	}
 	d.archive = newArchive(p.Objects, self, d.log)
 	d.store = d.newStore(p.Table)
@@ -140,9 +134,26 @@
 	servers[callerServer].http = traffic.NewServer(d.timed(d.closeWhileLeaving(d.handler)))
 	servers[apiServer].http.Handler = api
 	servers[fleetAPIServer].http.Handler = d.fleetHandler()
+	d.secureServers()
 	return d, nil
 }
 
+// identity returns this host as it is from now on.
+func (s *Settings) identity(servers []*server) host.Identity {
+	self := host.Identity{
+		ID:           host.ID(s.Host),
+		Incarnation:  uint64(time.Now().UnixMilli()),
+		Address:      servers[callerServer].address(),
+		APIAddress:   servers[apiServer].address(),
+		FleetAddress: servers[fleetAPIServer].address(),
+		Zone:         s.zoneID(),
+	}
+	if self.ID == "" {
+		self.ID = host.ID(self.FleetAddress)
+	}
+	return self
+}
+
 // Self returns the identity of this host, with the addresses it listens on.
 func (d *Daemon) Self() host.Identity { return d.self }
 
@@ -168,6 +179,7 @@
 	d.ctx = background
 	d.background.Go(func() { d.control.run(background) })
 	d.background.Go(func() { d.archive.run(background) })
+	d.background.Go(func() { d.credentials.run(background) })
 	d.startRequests(background)
 	group, failed := errgroup.WithContext(ctx)
 	for _, s := range d.servers {
@@ -192,10 +204,16 @@
 type server struct {
 	http     *http.Server
 	listener net.Listener
+	// tls is set when the server speaks TLS.
+	tls bool
 }
 
 func (s *server) serve() error {
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+	serve := s.http.Serve
+	if s.tls {
+		serve = func(l net.Listener) error { return s.http.ServeTLS(l, "", "") }
+	}
+	if err := serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrapf(err, "serve %s", s.listener.Addr())
 	}
 	return nil
@@ -208,6 +226,7 @@
 	callerServer = iota
 	apiServer
 	fleetAPIServer
+	serverCount
 )
 
 // listen opens a listener on each address.
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -40,9 +40,9 @@
 }
 
 // startWith runs a daemon until the test ends.
-func startWith(t *testing.T, s Settings, platform Platform) *Daemon {
+func startWith(t *testing.T, s Settings, platform Platform, opts ...Option) *Daemon {
 	t.Helper()
-	d, err := New(s, platform, zerolog.Nop(), WithLeaveTime(0))
+	d, err := New(s, platform, zerolog.Nop(), append(opts, WithLeaveTime(0))...)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"net/http"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"github.com/crocushinge/crocushinge/credential"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/timeline"
 	"github.com/crocushinge/crocushinge/wire"
@@ -170,9 +171,9 @@
 
 // requireFleetToken refuses calls that do not come from a host of the fleet.
 func (d *Daemon) requireFleetToken(next http.Handler) http.Handler {
-	want := []byte("Bearer " + d.settings.FleetToken)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if subtle.ConstantTimeCompare([]byte(r.Header.Get(authorizationHeader)), want) != 1 {
+		token, ok := strings.CutPrefix(r.Header.Get(authorizationHeader), bearer)
+		if !ok || !d.credentials.acceptsPeer(token) {
 			d.refusedPeers.Add(1)
 			http.Error(w, errFleetToken.Error(), http.StatusUnauthorized)
 			return
@@ -190,10 +191,21 @@
 // RoundTrip implements http.RoundTripper.
 func (t tokenTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
-	r.Header.Set(authorizationHeader, "Bearer "+t.token)
+	r.Header.Set(authorizationHeader, bearer+t.token)
 	return t.next.RoundTrip(r)
 }
 
+// fleetTransport adds the fleet token in force to every request.
+type fleetTransport struct {
+	tokens *credential.Watched[credential.Tokens]
+	next   http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t fleetTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return tokenTransport{token: t.tokens.Load().Current(), next: t.next}.RoundTrip(r)
+}
+
 // Limits of the connections to other hosts.
 const (
 	// fleetIdleTime is how long an idle connection is kept. At hundreds of
@@ -207,7 +219,7 @@
 // fleetClient calls the other hosts.
 type fleetClient struct{ http *http.Client }
 
-func newFleetClient(token string, network Network) *fleetClient {
+func newFleetClient(c *credentials, network Network) *fleetClient {
 	transport := &http.Transport{
 		DialContext:         network.DialContext,
 		MaxIdleConns:        fleetIdleConnections,
@@ -215,7 +227,8 @@
 		IdleConnTimeout:     fleetIdleTime,
 		DisableCompression:  true,
 	}
-	return &fleetClient{http: &http.Client{Transport: tokenTransport{token: token, next: transport}}}
+	secure := c.secureTransport(transport, fleetAPIServer)
+	return &fleetClient{http: &http.Client{Transport: fleetTransport{tokens: c.fleet, next: secure}}}
 }
 
 func (c *fleetClient) to(fleetAddress string) fleetv1connect.FleetServiceClient {
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -75,6 +75,10 @@
 		{"crocushinge.configuration.unreadable", "Readings of items of the table that were left out because they cannot be decoded.", d.corrupt.Load},
 		{"crocushinge.operator.refused", "API requests refused for a missing or wrong operator token.", d.refusedOperators.Load},
 		{"crocushinge.peer.refused", "Calls between hosts refused for a missing or wrong fleet token.", d.refusedPeers.Load},
+		{"crocushinge.peer.old.token", "Calls between hosts by an accepted fleet token that is not the first of its file.", d.credentials.oldTokens.Load},
+		{"crocushinge.tls.refused", "Connections that ended in the TLS handshake.", d.credentials.refusedHandshakes.Load},
+		{"crocushinge.credentials.replaced", "Credentials that were replaced by a change of their files.", d.credentials.replaced.Load},
+		{"crocushinge.credentials.faults", "Readings of credential files that were at fault and not taken.", d.credentials.faults.Load},
 		{"crocushinge.timeline.batches", "Batches of events written to the object store.", d.archive.written.Load},
 		{"crocushinge.timeline.batch.failures", "Writes of batches that failed or are in doubt.", d.archive.failure.Load},
 		{"crocushinge.timeline.dropped", "Events that were not kept for the object store because too many waited.", d.archive.outbox.Dropped},
@@ -83,14 +87,30 @@
 
 // gauges returns the gauges of a daemon.
 func (d *Daemon) gauges() []instrument {
-	return []instrument{
+	return append(d.expiryGauges(), []instrument{
 		{"crocushinge.configuration.revision", "Configuration revision in force on this host.", func() int64 {
 			return int64(d.control.snapshot.Load().Revision)
 		}},
 		{"crocushinge.timeline.waiting", "Events that wait for the object store.", func() int64 {
 			return int64(d.archive.outbox.Len())
 		}},
+	}...)
+}
+
+// expiryGauges returns the gauges of the servers that have TLS.
+func (d *Daemon) expiryGauges() []instrument {
+	var out []instrument
+	for server, name := range [serverCount]string{callerServer: "caller", apiServer: "api", fleetAPIServer: "fleet"} {
+		if d.credentials.keys[server] == nil {
+			continue
+		}
+		out = append(out, instrument{
+			"crocushinge.certificate." + name + ".left",
+			"Seconds until the certificate of the " + name + " address expires.",
+			func() int64 { return d.credentials.secondsLeft(server) },
+		})
 	}
+	return out
 }
 
 func (i instrument) registerCounter(meter metric.Meter) error {
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/contract/contractfile"
+	"github.com/crocushinge/crocushinge/credential"
 )
 
 // firstOperator is the name of the operator of Settings.OperatorToken.
@@ -19,6 +20,19 @@
 type operator struct {
 	name   string
 	digest [sha256.Size]byte
+	// file names the file of the operator's tokens, or is empty.
+	file string
+	// tokens are those of the file; nil when there is none.
+	tokens *credential.Watched[credential.Tokens]
+}
+
+// has reports whether a token is the operator's.
+func (o operator) has(token string) bool {
+	if o.tokens != nil {
+		return o.tokens.Load().Accepts(token)
+	}
+	digest := sha256.Sum256([]byte(token))
+	return subtle.ConstantTimeCompare(digest[:], o.digest[:]) == 1
 }
 
 // operators returns the operators of the settings.
@@ -29,7 +43,7 @@
 	}
 	for _, o := range s.Operators {
 		if digest, err := contractfile.ParseKeyHash(o.TokenSHA256); err == nil {
-			out = append(out, operator{name: o.Name, digest: digest})
+			out = append(out, operator{name: o.Name, digest: digest, file: o.TokenFile})
 		}
 	}
 	return out
@@ -54,16 +68,14 @@
 		fail(ctx, http.StatusUnauthorized, errNoOperatorToken)
 		return
 	}
-	digest := sha256.Sum256([]byte(token))
-	for _, o := range d.operators {
-		if subtle.ConstantTimeCompare(digest[:], o.digest[:]) == 1 {
-			ctx.Values().Set(operatorKey, o.name)
-			ctx.Next()
-			return
-		}
+	name, ok := d.credentials.operatorWith(token)
+	if !ok {
+		d.refusedOperators.Add(1)
+		fail(ctx, http.StatusUnauthorized, errWrongOperatorToken)
+		return
 	}
-	d.refusedOperators.Add(1)
-	fail(ctx, http.StatusUnauthorized, errWrongOperatorToken)
+	ctx.Values().Set(operatorKey, name)
+	ctx.Next()
 }
 
 // operatorOf returns the name of the operator who sent a request.
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -20,16 +20,16 @@
 // newHandler builds the handler of callers' requests.
 func (d *Daemon) newHandler(network Network) *traffic.Handler {
 	return traffic.NewHandler(traffic.Config{
-		Snapshot:   d.control.snapshot.Load,
-		Home:       d.home,
-		Ledger:     d.ledger,
-		Claims:     d.claims,
-		Bodies:     d.bodies,
-		Observe:    d.control.observe,
-		Ended:      d.control.ended,
-		Transport:  traffic.NewTargets(network.DialContext),
-		Peers:      traffic.NewPeerTransport(network.DialContext),
-		FleetToken: d.settings.FleetToken,
+		Snapshot:    d.control.snapshot.Load,
+		Home:        d.home,
+		Ledger:      d.ledger,
+		Claims:      d.claims,
+		Bodies:      d.bodies,
+		Observe:     d.control.observe,
+		Ended:       d.control.ended,
+		Transport:   traffic.NewTargets(network.DialContext),
+		Peers:       d.peerTraffic(network),
+		FleetTokens: d.credentials.fleet.Load,
 	})
 }
 
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -21,6 +21,11 @@
 	APIAddress string `yaml:"api-address"`
 	// FleetAddress serves the other hosts. Required.
 	FleetAddress string `yaml:"fleet-address"`
+	// CallerTLS, APITLS and FleetTLS name the files for TLS on the three
+	// addresses. Give all of them or none. Default: none, plain HTTP.
+	CallerTLS TLSSettings `yaml:"caller-tls"`
+	APITLS    TLSSettings `yaml:"api-tls"`
+	FleetTLS  TLSSettings `yaml:"fleet-tls"`
 	// Seeds are fleet addresses of hosts to contact first. Default: none.
 	Seeds []string `yaml:"seeds"`
 	// Zones are the availability zones of the deployment. Default: none, which
@@ -31,7 +36,9 @@
 	// FleetToken is the credential between hosts. Give it by file but for a
 	// first run.
 	FleetToken string `yaml:"fleet-token"`
-	// FleetTokenFile names the file that holds the fleet token.
+	// FleetTokenFile names the file that holds the fleet token. Of several lines
+	// the first is sent and all are accepted; the file is read again when it
+	// changes.
 	FleetTokenFile string `yaml:"fleet-token-file"`
 	// OperatorToken is the credential of one operator named "operator", for a
 	// first run.
@@ -51,7 +58,8 @@
 type OperatorSettings struct {
 	// Name stands in the history beside each change of the operator.
 	Name string `yaml:"name"`
-	// TokenFile names the file that holds the operator's token.
+	// TokenFile names the file that holds the operator's token. Of several lines
+	// all are accepted; the file is read again when it changes.
 	TokenFile string `yaml:"token-file"`
 	// TokenSHA256 is the SHA-256 of the token in hexadecimal, instead of
 	// TokenFile.
--- a/daemon/settings_check.go
+++ b/daemon/settings_check.go
@@ -34,6 +34,13 @@
 	c.findings = append(c.findings, c.places.Finding(path, message, fix))
 }
 
+// absolute makes the name of a file start at the settings file's directory.
+func (c *settingsCheck) absolute(path *string) {
+	if *path != "" && !filepath.IsAbs(*path) {
+		*path = filepath.Join(c.dir, *path)
+	}
+}
+
 func (c *settingsCheck) run() {
 	s := c.settings
 	c.address("address", s.Address)
@@ -42,9 +49,10 @@
 	for i, seed := range s.Seeds {
 		c.address(element("seeds", i, ""), seed)
 	}
+	c.tls()
 	c.zones()
 	c.platform()
-	c.token("fleet-token", &s.FleetToken, s.FleetTokenFile)
+	c.token("fleet-token", &s.FleetToken, &s.FleetTokenFile)
 	c.operators()
 	c.accounts()
 }
@@ -101,22 +109,21 @@
 
 func (c *settingsCheck) platform() {
 	p := &c.settings.Platform
-	if p.CredentialsFile != "" && !filepath.IsAbs(p.CredentialsFile) {
-		p.CredentialsFile = filepath.Join(c.dir, p.CredentialsFile)
-	}
+	c.absolute(&p.CredentialsFile)
 	for _, f := range p.Check() {
 		c.report("platform."+f.Field, "platform: "+f.Message, f.Fix)
 	}
 }
 
 // token fills in a token from its file and reports one that is missing.
-func (c *settingsCheck) token(path string, token *string, file string) {
+func (c *settingsCheck) token(path string, token, file *string) {
 	switch {
-	case file != "" && *token != "":
+	case *file != "" && *token != "":
 		c.report(path, path+" and "+path+"-file are both given", "keep one of the two")
-	case file != "":
+	case *file != "":
 		var err error
-		if *token, err = readToken(c.dir, file); err != nil {
+		c.absolute(file)
+		if *token, err = readToken(*file); err != nil {
 			c.report(path+"-file", err.Error(), "write the token into that file")
 		}
 	case *token == "":
@@ -155,7 +162,8 @@
 		}
 		return
 	}
-	token, err := readToken(c.dir, o.TokenFile)
+	c.absolute(&o.TokenFile)
+	token, err := readToken(o.TokenFile)
 	if err != nil {
 		c.report(element("operators", i, "token-file"), err.Error(), "write the token into that file")
 		return
--- a/daemon/settings_read.go
+++ b/daemon/settings_read.go
@@ -3,10 +3,10 @@
 import (
 	"os"
 	"path/filepath"
-	"strings"
 
 	"github.com/pkg/errors"
 
+	"github.com/crocushinge/crocushinge/credential"
 	"github.com/crocushinge/crocushinge/finding/yamlfile"
 )
 
@@ -31,18 +31,11 @@
 	return s, findings.Err()
 }
 
-// readToken reads a credential from a file, without the white space around it.
-func readToken(dir, path string) (string, error) {
-	if !filepath.IsAbs(path) {
-		path = filepath.Join(dir, path)
-	}
-	data, err := os.ReadFile(path)
+// readToken reads the current token of a file.
+func readToken(path string) (string, error) {
+	tokens, err := credential.WatchTokens(path)
 	if err != nil {
-		return "", errors.Wrap(err, "read token")
-	}
-	token := strings.TrimSpace(string(data))
-	if token == "" {
-		return "", errors.Errorf("token file %s is empty", path)
+		return "", err
 	}
-	return token, nil
+	return tokens.Load().Current(), nil
 }
--- /dev/null
+++ b/daemon/tls_settings_test.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocushinge/crocushinge/credential/credentialtest"
+)
+
+const tlsTokens = "fleet-token: x\noperator-token: y\n"
+
+// writeKeys makes a directory with the files of one address.
+func writeKeys(t *testing.T, dir string, c credentialtest.Certificate, ca []byte) {
+	t.Helper()
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	credentialtest.In(dir).Write(t, c, ca)
+}
+
+func tlsLine(section, dir string) string {
+	return section + ": {certificate-file: " + dir + "/host.pem, key-file: " + dir + "/host.key, ca-file: " + dir + "/ca.pem}\n"
+}
+
+func TestSettingsReportEveryFaultOfTLSWithItsPlace(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	ca := credentialtest.NewAuthority(t)
+	past := credentialtest.Valid(time.Unix(0, 0), time.Unix(3600, 0))
+	writeKeys(t, filepath.Join(dir, "caller"), credentialtest.Certificate{PEM: ca.Issue(past).PEM, Key: ca.Issue().Key}, []byte("x"))
+	writeKeys(t, filepath.Join(dir, "fleet"), ca.Issue(credentialtest.ServerOnly, credentialtest.For("10.0.0.9")), ca.PEM)
+	is.NoErr(os.Chmod(filepath.Join(dir, "caller/host.key"), 0o644))
+	_, err := ReadSettings(writeSettings(t, dir, goodSettings+tlsTokens+
+		tlsLine("caller-tls", "caller")+
+		"api-tls: {certificate-file: none.pem}\n"+
+		tlsLine("fleet-tls", "fleet")))
+	is.True(err != nil)
+	got := strings.ReplaceAll(err.Error(), dir+"/", "")
+	wanted := []string{
+		"host.yaml:9:32: certificate file caller/host.pem expired at 1970-01-01T01:00:00Z (have it renewed)",
+		"host.yaml:9:59: key file caller/host.key does not fit the certificate",
+		"host.yaml:9:59: key file caller/host.key is open to every user of the machine (run chmod 600 caller/host.key)",
+		"host.yaml:9:85: CA file caller/ca.pem holds no certificate",
+		"host.yaml:10:29: certificate-file: open none.pem",
+		"host.yaml:10:10: key-file of api-tls is missing (name the file in PEM)",
+		"host.yaml:11:31: certificate file fleet/host.pem does not name 127.0.0.1",
+		"host.yaml:11:31: certificate file fleet/host.pem would be refused by the other hosts",
+	}
+	for _, want := range wanted {
+		if !strings.Contains(got, want) {
+			t.Errorf("no finding %q in:\n%s", want, got)
+		}
+	}
+	is.Equal(strings.Count(got, "\n")+1, len(wanted))
+}
+
+// One address without TLS would carry tokens in plain.
+func TestTLSIsForAllAddressesOrNone(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	ca := credentialtest.NewAuthority(t)
+	writeKeys(t, filepath.Join(dir, "k"), ca.Issue(), ca.PEM)
+	sections := []string{"caller-tls", "api-tls", "fleet-tls"}
+	all := ""
+	for _, section := range sections {
+		all += tlsLine(section, "k")
+	}
+	s, err := ReadSettings(writeSettings(t, dir, goodSettings+tlsTokens+all))
+	is.NoErr(err)
+	is.Equal(s.FleetTLS.CAFile, filepath.Join(dir, "k/ca.pem"))
+	for _, section := range sections {
+		without := strings.ReplaceAll(all, tlsLine(section, "k"), "")
+		_, err := ReadSettings(writeSettings(t, dir, goodSettings+tlsTokens+without))
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), section+" is missing while another address has TLS"))
+	}
+	_, err = ReadSettings(writeSettings(t, dir, goodSettings+tlsTokens+"api-tls: {}\n"))
+	is.True(err != nil) // an empty section is no plain HTTP
+}
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"net/http"
 	"time"
 
@@ -67,7 +66,7 @@
 	copyHeaders(out.Header, req.in.Header)
 	out.Header.Set(HeaderRequestID, req.id.String())
 	out.Header.Set(headerForwarded, string(h.cfg.Snapshot().Self.ID))
-	out.Header.Set(headerFleetToken, h.cfg.FleetToken)
+	out.Header.Set(headerFleetToken, h.cfg.FleetTokens().Current())
 	if deadline, ok := ctx.Deadline(); ok {
 		setTimeLeft(out.Header, deadline, req.arrived)
 	}
@@ -76,8 +75,7 @@
 
 // fromHost reports whether a request carries the credential between hosts.
 func (h *Handler) fromHost(r *http.Request) bool {
-	token := []byte(r.Header.Get(headerFleetToken))
-	return subtle.ConstantTimeCompare(token, []byte(h.cfg.FleetToken)) == 1
+	return h.cfg.FleetTokens().Accepts(r.Header.Get(headerFleetToken))
 }
 
 // relay passes another host's answer on. A broken answer aborts the connection
--- a/traffic/handler.go
+++ b/traffic/handler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/credential"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/route"
@@ -54,8 +55,8 @@
 	Transport http.RoundTripper
 	// Peers sends requests to other hosts.
 	Peers http.RoundTripper
-	// FleetToken is the credential between hosts.
-	FleetToken string
+	// FleetTokens returns the credentials between hosts.
+	FleetTokens func() credential.Tokens
 }
 
 // Handler serves callers' requests.
--- a/traffic/harness_test.go
+++ b/traffic/harness_test.go
@@ -16,6 +16,7 @@
 	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/claim"
 	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/credential"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/platform"
@@ -76,16 +77,16 @@
 	t.Cleanup(stop)
 	go h.claims.Writer.Run(ctx)
 	h.handler = NewHandler(Config{
-		Snapshot:   h.snapshot.Load,
-		Home:       h.home,
-		Ledger:     h.ledger,
-		Claims:     h.claims,
-		Bodies:     caller.NewMemory(1 << 20),
-		Observe:    func(link.Observation) {},
-		Ended:      h.record,
-		Transport:  NewTargets(DialTCP),
-		Peers:      NewPeerTransport(DialTCP),
-		FleetToken: testToken,
+		Snapshot:    h.snapshot.Load,
+		Home:        h.home,
+		Ledger:      h.ledger,
+		Claims:      h.claims,
+		Bodies:      caller.NewMemory(1 << 20),
+		Observe:     func(link.Observation) {},
+		Ended:       h.record,
+		Transport:   NewTargets(DialTCP),
+		Peers:       NewPeerTransport(DialTCP),
+		FleetTokens: func() credential.Tokens { return credential.Tokens{testToken} },
 	})
 	return h
 }
