Keep all the connections to a target that a burst opened

Cause: the transport to targets kept 16 idle connections to each, while a contract may allow many more. A burst beyond 16 requests opened connections, closed them when it ended, and the next burst opened them again, each at the price of a round trip before the request. Ruled out: a limit on idle connections of its own in the contract; the share of the target's connections bounds them already, idle or in use. Change: as many idle connections are kept as may be open. Before and after: 48 requests at once, three times, opened 112 connections before and 48 after (TestConnectionsOfABurstAreKept, red before).

--- a/traffic/transport.go
+++ b/traffic/transport.go
@@ -14,8 +14,10 @@
 
 // Timeouts and sizes of the connections to targets and hosts.
 const (
-	dialTimeout  = time.Second
-	idleTimeout  = 30 * time.Second
+	dialTimeout = time.Second
+	idleTimeout = 30 * time.Second
+	// idlePerPeer is how many idle connections to one peer are kept, and to a
+	// target whose contract states no bound.
 	idlePerPeer  = 16
 	maxHeadBytes = 64 << 10
 	// pingAfter is the silence on an HTTP/2 connection with open requests
@@ -95,6 +97,9 @@
 func newTargetTransport(dial Dial, kind targetKind) *http.Transport {
 	t := NewPeerTransport(dial)
 	t.MaxConnsPerHost = kind.connections
+	// All that may be open are kept while idle: a burst that opened them is
+	// often followed by the next.
+	t.MaxIdleConnsPerHost = max(idlePerPeer, kind.connections)
 	t.Protocols = new(http.Protocols)
 	if kind.protocol != contract.H2C {
 		// Only an HTTP/1.1 connection belongs to one request at a time.
--- /dev/null
+++ b/traffic/transport_test.go
@@ -0,0 +1,80 @@
+package traffic
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/crocushinge/crocushinge/contract"
+)
+
+// meeting is a target that answers once a number of requests are under way.
+type meeting struct {
+	mu      sync.Mutex
+	size    int
+	arrived int
+	all     chan struct{}
+}
+
+func newMeeting(size int) *meeting { return &meeting{size: size, all: make(chan struct{})} }
+
+func (m *meeting) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	m.mu.Lock()
+	all := m.all
+	if m.arrived++; m.arrived == m.size {
+		close(all)
+		m.arrived, m.all = 0, make(chan struct{})
+	}
+	m.mu.Unlock()
+	<-all
+	_, _ = io.WriteString(w, "sheet")
+}
+
+func TestConnectionsOfABurstAreKept(t *testing.T) {
+	is := is.New(t)
+	const burst = 3 * idlePerPeer
+	server := httptest.NewServer(newMeeting(burst))
+	defer server.Close()
+	var dials atomic.Int64
+	targets := NewTargets(func(ctx context.Context, network, address string) (net.Conn, error) {
+		dials.Add(1)
+		return DialTCP(ctx, network, address)
+	})
+	defer targets.CloseIdleConnections()
+	for range 3 {
+		sendTogether(t, targets, server.URL, burst)
+	}
+	is.Equal(dials.Load(), int64(burst))
+}
+
+// sendTogether sends requests at the same time and reads their answers.
+func sendTogether(t *testing.T, targets *Targets, url string, n int) {
+	ctx := withKind(t.Context(), targetKind{contract.HTTP1, n})
+	var group sync.WaitGroup
+	for range n {
+		group.Go(func() {
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			resp, err := targets.RoundTrip(r)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				t.Error(err)
+			}
+			_ = resp.Body.Close()
+		})
+	}
+	group.Wait()
+}
