Give the transport one trace for each attempt

Cause: a request carried two traces, that of the interim answers and that of the connections. net/http joins them by reflection for each request, and the first took a copy of the request and of its context. Change: the hooks of both are set in one trace, in the attempt; a request to another host gets the hook for interim answers alone. Guards taken out: without the hook in either place TestInterimAnswersPass or the new TestInterimAnswersPassOverTwoHosts fails; the second case had no test.

--- a/traffic/conn.go
+++ b/traffic/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -84,10 +85,12 @@
 	repeated bool
 }
 
-// trace returns the hooks by which the transport reports its connections.
-func (u *connUse) trace() *httptrace.ClientTrace {
+// trace returns the hooks by which the transport reports its connections, and
+// the interim answers on them to the given function.
+func (u *connUse) trace(interim func(int, textproto.MIMEHeader) error) *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GetConn: func(string) { u.asked = true },
+		Got1xxResponse: interim,
+		GetConn:        func(string) { u.asked = true },
 		GotConn: func(info httptrace.GotConnInfo) {
 			if u.found && !u.nothingSent() {
 				u.repeated = true
--- a/traffic/dispatch.go
+++ b/traffic/dispatch.go
@@ -47,7 +47,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{handler: h, link: l, service: req.match.Service, slot: slot, started: time.Now(), cancel: cancel}
 	conn := &connUse{}
-	out := outbound(httptrace.WithClientTrace(ctx, conn.trace()), req, l.Address)
+	out := outbound(httptrace.WithClientTrace(ctx, conn.trace(req.interim)), req, l.Address)
 	req.prepare(ctx, out)
 	resp, err := h.cfg.Transport.RoundTrip(out)
 	if err == nil {
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/crocushinge/crocushinge/caller"
@@ -57,7 +58,7 @@
 
 // toHost builds the request to another host.
 func (h *Handler) toHost(ctx context.Context, req *request, home host.Identity) *http.Request {
-	out := req.in.Clone(ctx)
+	out := req.in.Clone(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{Got1xxResponse: req.interim}))
 	out.URL.Scheme = "http"
 	out.URL.Host = home.Address
 	out.RequestURI = ""
--- a/traffic/handler.go
+++ b/traffic/handler.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"net/textproto"
 	"sync"
 	"time"
 
@@ -88,6 +89,9 @@
 	forwarded bool
 	// connections is how many this host may have to each target.
 	connections int
+	// interim passes an interim answer on to the caller. It has the form of
+	// httptrace.ClientTrace.Got1xxResponse.
+	interim func(status int, fields textproto.MIMEHeader) error
 }
 
 // ServeHTTP implements http.Handler.
@@ -102,6 +106,7 @@
 		whole = true
 		return
 	}
+	req.interim = caller.writeInterim
 	caller.expect(req.deadline())
 	h.serve(caller, req)
 	whole = true
--- /dev/null
+++ b/traffic/interim_test.go
@@ -0,0 +1,38 @@
+package traffic
+
+import (
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestInterimAnswersPassOverTwoHosts(t *testing.T) {
+	is := is.New(t)
+	tg := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusEarlyHints)
+		echo(w, r)
+	})
+	a, b := newTestHost(t, "a", tg.address()), newTestHost(t, "b", tg.address())
+	meet(a, b)
+	var hints atomic.Int64
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{
+		Got1xxResponse: func(status int, _ textproto.MIMEHeader) error {
+			if status == http.StatusEarlyHints {
+				hints.Add(1)
+			}
+			return nil
+		},
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.URL+"/orders", strings.NewReader("ten sheets"))
+	is.NoErr(err)
+	req.Header.Set(HeaderKey, testKey)
+	req.Header.Set(HeaderRequestID, a.home.Prefix()+"order1")
+	is.Equal(roundTrip(req).status, http.StatusCreated)
+	is.Equal(a.served.Load(), int64(1)) // b passed the request on
+	is.Equal(hints.Load(), int64(1))
+}
--- a/traffic/writer.go
+++ b/traffic/writer.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/textproto"
 	"sync"
 	"sync/atomic"
@@ -112,12 +111,13 @@
 // and lets the answer begin before that body has ended: a caller that is
 // refused must not be able to hold its answer back.
 func (w *callerWriter) receive(r *http.Request) *http.Request {
-	r = r.WithContext(httptrace.WithClientTrace(r.Context(), w.trace()))
-	if r.Body != nil && r.Body != http.NoBody {
-		_ = w.control.EnableFullDuplex()
-		w.body = &callerBody{ReadCloser: r.Body, control: w.control, deadline: time.Now().Add(callerStall)}
-		r.Body = w.body
+	if r.Body == nil || r.Body == http.NoBody {
+		return r
 	}
+	_ = w.control.EnableFullDuplex()
+	w.body = &callerBody{ReadCloser: r.Body, control: w.control, deadline: time.Now().Add(callerStall)}
+	r = r.WithContext(r.Context())
+	r.Body = w.body
 	return r
 }
 
@@ -149,11 +149,6 @@
 	return nil
 }
 
-// trace returns the hook by which the transport reports interim answers.
-func (w *callerWriter) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{Got1xxResponse: w.writeInterim}
-}
-
 // callerBody reads a request's body and cuts a caller off that sends nothing.
 // A transport may go on reading it after the handler has returned, which
 // net/http does not allow; finish keeps that from happening.
