--- a/daemon/control.go
+++ b/daemon/control.go
@@ -111,6 +111,15 @@
 	}
 }
 
+// wantSigns asks for the signs of a service without blocking. When the control
+// thread is behind, the request that needs them waits in vain.
+func (c *control) wantSigns(service string) {
+	select {
+	case c.events <- host.SignsWanted{Service: service}:
+	default:
+	}
+}
+
 // announce wakes the goroutine that tells traffic of a new snapshot.
 func (c *control) announce() {
 	select {
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -101,9 +101,18 @@
 		req := connect.NewRequest(&fleetv1.ReportRequest{
 			From:    wire.PeerToProto(e.From),
 			Reports: wire.ReportsToProto(e.Reports),
+			SignsOf: e.SignsOf,
 		})
-		// A lost report needs no repeat; pings notice a peer that is away.
-		_, _ = d.peers.to(e.To.FleetAddress).Report(ctx, req)
+		ev := host.ReportsAnswered{From: e.To.ID, Reports: e.Reports, SignsOf: e.SignsOf}
+		resp, err := d.peers.to(e.To.FleetAddress).Report(ctx, req)
+		if err != nil {
+			ev.Err = err
+		} else {
+			ev.Leaving = wire.ReportsFromProto(resp.Msg.GetLeaving())
+		}
+		if ev.Err != nil || len(ev.SignsOf) > 0 {
+			d.control.send(d.ctx, ev)
+		}
 	})
 }
 
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -89,7 +89,14 @@
 		From:    wire.PeerFromProto(req.Msg.GetFrom()),
 		Reports: wire.ReportsFromProto(req.Msg.GetReports()),
 	})
-	return connect.NewResponse(&fleetv1.ReportResponse{}), nil
+	resp := &fleetv1.ReportResponse{}
+	if asked := req.Msg.GetSignsOf(); len(asked) > 0 {
+		err := s.control.call(ctx, func(core *host.Core) { resp.Leaving = wire.ReportsToProto(core.Leaving(asked)) })
+		if err != nil {
+			return nil, err
+		}
+	}
+	return connect.NewResponse(resp), nil
 }
 
 // Sync implements fleetv1connect.FleetServiceHandler.
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -27,6 +27,7 @@
 		Bodies:      d.bodies,
 		Observe:     d.control.observe,
 		Ended:       d.control.ended,
+		WantSigns:   d.control.wantSigns,
 		Transport:   traffic.NewTargets(network.DialContext),
 		Peers:       d.peerTraffic(network),
 		FleetTokens: d.credentials.fleet.Load,
--- a/fleettest/harness_test.go
+++ b/fleettest/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"net/http"
 	"testing"
@@ -14,6 +15,11 @@
 	"github.com/crocushinge/crocushinge/publish"
 )
 
+// seed is the seed of the networks' delays:
+//
+//	go test ./fleettest -args -seed 7
+var seed = flag.Uint64("seed", 1, "seed of the networks' delays")
+
 // testFleet is a fleet with targets and callers on a virtual clock.
 type testFleet struct {
 	*Fleet
@@ -31,7 +37,7 @@
 	t.Helper()
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		network := NewMemory(1)
+		network := NewMemory(*seed)
 		network.Delay(2 * time.Millisecond)
 		f := &testFleet{
 			Fleet: New(Config{Network: network, Log: zerolog.Nop()}),
--- a/host/cluster_test.go
+++ b/host/cluster_test.go
@@ -223,6 +223,14 @@
 			c.handle(to, ReportsHeard{From: e.From, Reports: e.Reports})
 		}
 	})
+	if len(e.SignsOf) == 0 {
+		return
+	}
+	c.call(from, to, func(n *node) Event {
+		return ReportsAnswered{From: e.To.ID, SignsOf: e.SignsOf, Leaving: n.core.Leaving(e.SignsOf)}
+	}, func() Event {
+		return ReportsAnswered{From: e.To.ID, SignsOf: e.SignsOf, Err: errors.New("no answer")}
+	}, time.Second)
 }
 
 func (c *cluster) readStore(after uint64) Event {
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -46,7 +46,7 @@
 	if slices.ContainsFunc(ev.Changes, isAccounts) {
 		c.rebuildAccounts()
 	}
-	c.rebuildEntrySets()
+	c.rebuildEntrySets(now)
 	c.dirty = true
 	c.record(now, timeline.Event{Kind: timeline.ConfigurationInForce, Revision: c.revision})
 	if c.ready {
@@ -87,6 +87,7 @@
 	}
 	if ch.Contract == nil {
 		delete(c.services, ch.Service)
+		delete(c.signs, ch.Service)
 		return
 	}
 	if s, ok := c.services[ch.Service]; ok {
--- a/host/core.go
+++ b/host/core.go
@@ -50,6 +50,10 @@
 	// who else did outside its entry set.
 	carried  map[string]time.Time
 	carriers map[string]map[ID]time.Time
+	// signs is what this host was told of the signs of each service, and unsent
+	// the signs that a peer was not told because the message was lost.
+	signs    map[string]*signState
+	unsent   map[ID][]service.Report
 	ticks    int
 	changes  []contract.Change
 	routes   *route.Table
@@ -105,6 +109,8 @@
 		signed:    make(map[string]bool),
 		carried:   make(map[string]time.Time),
 		carriers:  make(map[string]map[ID]time.Time),
+		signs:     make(map[string]*signState),
+		unsent:    make(map[ID][]service.Report),
 		routes:    route.NewTable(nil),
 		accounts:  caller.NewAccounts(cfg.Accounts),
 		dirty:     true,
@@ -137,18 +143,8 @@
 		c.observe(now, ev.Observations)
 	case ConfigurationRead:
 		c.configurationRead(now, ev)
-	case MessageHeard:
-		c.messageHeard(now, ev.Message)
-	case PingAnswered:
-		c.pingAnswered(now, ev)
-	case PingFailed:
-		c.pingFailed(now, ev)
-	case IndirectAnswered:
-		c.indirectAnswered(now, ev)
-	case SyncAnswered:
-		c.syncAnswered(now, ev)
-	case ReportsHeard:
-		c.reportsHeard(now, ev)
+	case SignsWanted:
+		c.askSigns(now, ev.Service)
 	case HostListRead:
 		c.hostListRead(now, ev)
 	case ProbeAnswered:
@@ -159,11 +155,33 @@
 		c.drain(now, ev)
 	case ShutdownRequested:
 		c.shutdown(now)
+	default:
+		c.handlePeer(now, ev)
 	}
 	c.publish()
 	return c.effects
 }
 
+// handlePeer takes one event that came from another host.
+func (c *Core) handlePeer(now time.Time, ev Event) {
+	switch ev := ev.(type) {
+	case MessageHeard:
+		c.messageHeard(now, ev.Message)
+	case PingAnswered:
+		c.pingAnswered(now, ev)
+	case PingFailed:
+		c.pingFailed(now, ev)
+	case IndirectAnswered:
+		c.indirectAnswered(now, ev)
+	case SyncAnswered:
+		c.syncAnswered(now, ev)
+	case ReportsHeard:
+		c.reportsHeard(now, ev)
+	case ReportsAnswered:
+		c.reportsAnswered(now, ev)
+	}
+}
+
 func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
 
 // record adds an event of this host to the time line.
@@ -269,6 +287,10 @@
 		EntrySets: c.entrySets,
 		Zones:     c.cfg.Zones,
 		usable:    make(map[ID]bool),
+		signs:     make(map[string]signsKnown, len(c.signs)),
+	}
+	for name, st := range c.signs {
+		snap.signs[name] = st.known()
 	}
 	for name, s := range c.services {
 		snap.Services[name] = s.Routing()
--- a/host/effect.go
+++ b/host/effect.go
@@ -46,12 +46,13 @@
 		Message Message
 	}
 
-	// SendReports tells a peer of the evidence about targets. A lost message
-	// needs no repeat.
+	// SendReports tells a peer of the evidence about targets, and asks it for
+	// the signs of some services. It ends with ReportsAnswered.
 	SendReports struct {
 		To      Identity
 		From    Identity
 		Reports []service.Report
+		SignsOf []string
 	}
 
 	// ReadHostList asks for the platform's host list.
--- a/host/event.go
+++ b/host/event.go
@@ -65,6 +65,22 @@
 		Reports []service.Report
 	}
 
+	// ReportsAnswered is the end of SendReports.
+	ReportsAnswered struct {
+		// From is the host that was told and asked.
+		From ID
+		// Reports and SignsOf are those of SendReports.
+		Reports []service.Report
+		SignsOf []string
+		// Leaving names the targets of those services that leave.
+		Leaving []service.Report
+		Err     error
+	}
+
+	// SignsWanted tells that traffic has a request of a service whose leaving
+	// targets this host does not know.
+	SignsWanted struct{ Service string }
+
 	// HostListRead is the answer to ReadHostList.
 	HostListRead struct {
 		Hosts []platform.ListedHost
@@ -114,6 +130,8 @@
 func (PingFailed) isEvent()        {}
 func (IndirectAnswered) isEvent()  {}
 func (ReportsHeard) isEvent()      {}
+func (ReportsAnswered) isEvent()   {}
+func (SignsWanted) isEvent()       {}
 func (SyncAnswered) isEvent()      {}
 func (HostListRead) isEvent()      {}
 func (ProbeAnswered) isEvent()     {}
--- a/host/evidence.go
+++ b/host/evidence.go
@@ -37,7 +37,7 @@
 // sendReports tells the other hosts of each entry set what this host has seen
 // of the targets, in one message for each host.
 func (c *Core) sendReports(now time.Time) {
-	outbox := make(map[ID][]service.Report)
+	outbox := c.takeUnsent()
 	for _, name := range c.names {
 		set := c.entrySets[name]
 		if set.Rank(c.self.ID) < 0 && !c.signed[name] && now.Sub(c.carried[name]) > carrierTime {
--- a/host/fronting.go
+++ b/host/fronting.go
@@ -20,16 +20,17 @@
 		return
 	}
 	c.nextEntrySets = now.Add(max(entrySetInterval, time.Duration(len(c.peers))*entrySetHostTime))
-	c.rebuildEntrySets()
+	c.rebuildEntrySets(now)
 }
 
 // rebuildEntrySets computes the entry set of every service from this host's
 // own view of the fleet. The views of two hosts may differ: no safety rests on
 // their agreement, because a host serves also what it does not front.
-func (c *Core) rebuildEntrySets() {
+func (c *Core) rebuildEntrySets(now time.Time) {
 	c.hostsChanged = false
 	c.dirty = true
 	hosts := newCandidates(c.frontingHosts())
+	before := c.entrySets
 	sets := make(map[string]EntrySet, len(c.services))
 	for _, name := range c.names {
 		s := c.services[name]
@@ -41,6 +42,9 @@
 		s.SetShare(len(set.Members), set.Rank(c.self.ID))
 	}
 	c.entrySets = sets
+	for _, name := range c.names {
+		c.noteMembership(now, before[name], sets[name])
+	}
 }
 
 // frontingHosts returns the hosts that may front services, sorted by id: all
--- a/host/periodic.go
+++ b/host/periodic.go
@@ -12,6 +12,7 @@
 		c.record(now, timeline.Event{Kind: timeline.HostStarted})
 	}
 	c.tickServices(now)
+	c.tickSigns(now)
 	c.noticePause(now)
 	c.expireRounds(now)
 	c.expireSuspicions(now)
--- a/host/snapshot.go
+++ b/host/snapshot.go
@@ -30,6 +30,8 @@
 
 	// usable holds the peers that are well and that this host reaches.
 	usable map[ID]bool
+	// signs tells until when this host knows the leaving targets of a service.
+	signs map[string]signsKnown
 }
 
 // Fronts reports whether this host is in the entry set of a service.
--- a/service/leaving.go
+++ b/service/leaving.go
@@ -60,3 +60,21 @@
 		s.unsign(m, target.SignPeer, now)
 	}
 }
+
+// Leaving returns a report of each target that leaves by a sign other than the
+// answer of another host.
+func (s *Service) Leaving() []Report {
+	var out []Report
+	for _, m := range s.members {
+		if m.target.SignedAside() {
+			out = append(out, Report{Target: m.target.Key, News: target.News{Leaving: true}})
+		}
+	}
+	return out
+}
+
+// SignedHere reports whether this host itself has a sign that a target leaves.
+func (s *Service) SignedHere(name string) bool {
+	m, ok := s.byName[name]
+	return ok && m.target.SignedHere()
+}
--- a/target/sign.go
+++ b/target/sign.go
@@ -13,6 +13,8 @@
 	SignOperator
 	// SignPeer is another host of the entry set.
 	SignPeer
+	// SignAnswer is the answer of a host of the entry set to one that asked.
+	SignAnswer
 )
 
 // ownSigns are the signs that a host tells its peers of. A sign heard from a
@@ -24,6 +26,7 @@
 	SignHostList: "host list",
 	SignOperator: "operator",
 	SignPeer:     "peer",
+	SignAnswer:   "answer of the entry set",
 }
 
 // String returns the name of a single sign.
--- a/target/target.go
+++ b/target/target.go
@@ -126,6 +126,10 @@
 // leaves.
 func (t *Target) SignedHere() bool { return t.signs&ownSigns != 0 }
 
+// SignedAside reports whether there is a sign that the target leaves other
+// than answers of other hosts, which would confirm each other for ever.
+func (t *Target) SignedAside() bool { return t.signs&^SignAnswer != 0 }
+
 // Pool returns the pooled evidence.
 func (t *Target) Pool() *Pool { return t.pool }
 
--- a/traffic/admission.go
+++ b/traffic/admission.go
@@ -40,6 +40,7 @@
 // SnapshotChanged lets waiting requests use the newest snapshot. The control
 // thread calls it from a goroutine of its own after each publication.
 func (h *Handler) SnapshotChanged() {
+	h.changes.announce()
 	snap := h.cfg.Snapshot()
 	h.states.Range(func(service, s any) bool {
 		if snap.Services[service.(string)] == nil {
--- a/traffic/dispatch.go
+++ b/traffic/dispatch.go
@@ -40,6 +40,9 @@
 // dispatch sends the request to one target. The attempt is nil when the
 // request was not sent at all.
 func (h *Handler) dispatch(ctx context.Context, req *request, tried map[*link.Link]bool) (*attempt, error) {
+	if err := h.awaitSigns(ctx, req); err != nil {
+		return nil, err
+	}
 	l, slot, err := h.acquire(ctx, req, tried)
 	if err != nil {
 		return nil, err
--- a/traffic/handler.go
+++ b/traffic/handler.go
@@ -52,6 +52,9 @@
 	Observe func(link.Observation)
 	// Ended hands the end of a request to the control thread without blocking.
 	Ended func(host.RequestEnded)
+	// WantSigns asks the control thread which targets of a service leave,
+	// without blocking; a later snapshot knows. Nil asks nobody.
+	WantSigns func(service string)
 	// Transport sends requests to targets.
 	Transport http.RoundTripper
 	// Peers sends requests to other hosts.
@@ -65,6 +68,7 @@
 	cfg Config
 	// states holds a *serviceState for each service.
 	states   sync.Map
+	changes  changes
 	counters Counters
 }
 
