Call hosts by TLS from the tool and the client, and ask several of them

Cause: the tool and the Go client knew plain HTTP alone, and the tool one host. A question that changes nothing goes on to the next host when one gives no answer; a change does so only when the first host cannot have seen it, and else stays with that host, also when a proposal is repeated. Each step is printed. The client takes CAFile, which it reads again when it changes. A failed handshake counts as a failed connection: nothing was sent. Conclusion: without the new flags and fields nothing changes.

--- a/client/client.go
+++ b/client/client.go
@@ -37,8 +37,18 @@
 	Key string
 	// Attempts is how many times one request is sent at most. Default: 6.
 	Attempts int
-	// Transport sends the requests. Default: one of the client's own.
+	// CAFile names the PEM file of the CAs that signed the hosts' certificates,
+	// and makes the client use TLS. It is read again when it changes. Default:
+	// none, plain HTTP.
+	CAFile string
+	// Dial opens the connections of the client's own transport. Default: TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Transport sends the requests. Default: one of the client's own. It is not
+	// given together with CAFile or Dial.
 	Transport http.RoundTripper
+	// TLS makes the client use TLS without a CAFile: with the CAs of the machine,
+	// or of the Transport that was given.
+	TLS bool
 }
 
 // Defaults of a Config.
@@ -81,6 +91,8 @@
 // Client calls one service. It is safe for concurrent use.
 type Client struct {
 	cfg Config
+	// scheme is http or https.
+	scheme string
 
 	mu        sync.Mutex
 	directory directory
@@ -96,13 +108,14 @@
 	if cfg.Attempts == 0 {
 		cfg.Attempts = defaultAttempts
 	}
-	if cfg.Transport == nil {
-		cfg.Transport = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: idlePerHost,
-		}
+	c := &Client{cfg: cfg, scheme: "http", failed: make(map[string]time.Time)}
+	if cfg.TLS || cfg.CAFile != "" {
+		c.scheme = "https"
+	}
+	if err := c.cfg.completeTransport(); err != nil {
+		return nil, err
 	}
-	return &Client{cfg: cfg, failed: make(map[string]time.Time)}, nil
+	return c, nil
 }
 
 // Do sends a request and returns the whole answer. The error is not nil only
--- a/client/directory.go
+++ b/client/directory.go
@@ -130,7 +130,7 @@
 func (c *Client) ask(ctx context.Context, address string) (directory, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	question := "http://" + address + "/v1/directory/" + url.PathEscape(c.cfg.Service) + "?zone=" + url.QueryEscape(c.cfg.Zone)
+	question := c.scheme + "://" + address + "/v1/directory/" + url.PathEscape(c.cfg.Service) + "?zone=" + url.QueryEscape(c.cfg.Zone)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, question, nil)
 	if err != nil {
 		return directory{}, errors.WithStack(err)
--- a/client/send.go
+++ b/client/send.go
@@ -59,7 +59,7 @@
 // transport.
 func (c *Client) outbound(ctx context.Context, address string, req Request, id string) (*http.Request, error) {
 	body := io.NopCloser(struct{ io.Reader }{bytes.NewReader(req.Body)})
-	out, err := http.NewRequestWithContext(ctx, req.Method, "http://"+address+req.Path, body)
+	out, err := http.NewRequestWithContext(ctx, req.Method, c.scheme+"://"+address+req.Path, body)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/cmd/crocushinge/fleet.go
+++ b/cmd/crocushinge/fleet.go
@@ -119,7 +119,7 @@
 	group.SetLimit(statusConcurrency)
 	for i, p := range first.Peers {
 		h := &state.Hosts[i+1]
-		peer := &client{address: p.APIAddress, token: c.token, http: c.http}
+		peer := &client{addresses: []string{p.APIAddress}, scheme: c.scheme, token: c.token, http: c.http, notes: c.notes}
 		group.Go(func() error {
 			s, err := peer.status(ctx)
 			if err != nil {
--- a/cmd/crocushinge/main.go
+++ b/cmd/crocushinge/main.go
@@ -53,7 +53,8 @@
 
 func globalFlags() []cli.Flag {
 	return []cli.Flag{
-		&cli.StringFlag{Name: "api", Usage: "`ADDRESS` of a host's API", Value: "127.0.0.1:8081", Sources: cli.EnvVars("CROCUSHINGE_API")},
+		&cli.StringSliceFlag{Name: "api", Usage: "`ADDRESS` of a host's API; the next one is asked when one cannot be reached", Value: []string{"127.0.0.1:8081"}, Sources: cli.EnvVars("CROCUSHINGE_API")},
+		&cli.StringFlag{Name: "ca", Usage: "`FILE` of the CAs of the hosts' API certificates, or " + systemCAs + " for those of this machine; asks by TLS", Sources: cli.EnvVars("CROCUSHINGE_CA")},
 		&cli.StringFlag{Name: "token", Usage: "operator `TOKEN`; it shows in the list of processes, so prefer --token-file", Sources: cli.EnvVars("CROCUSHINGE_TOKEN")},
 		&cli.StringFlag{Name: "token-file", Usage: "`FILE` that holds the operator token", Sources: cli.EnvVars("CROCUSHINGE_TOKEN_FILE")},
 		&cli.StringFlag{Name: "output", Usage: "`FORMAT` of the output: text or json", Value: outputText},
--- a/cmd/crocushinge/main_test.go
+++ b/cmd/crocushinge/main_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/crocushinge/crocushinge/credential/credentialtest"
 	"github.com/crocushinge/crocushinge/daemon"
 	"github.com/crocushinge/crocushinge/platform/memory"
 	"github.com/crocushinge/crocushinge/publish"
@@ -35,11 +36,19 @@
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
+	return newFleetWith(t, credentialtest.Files{})
+}
+
+// newFleetWith runs a host that has TLS by the files, if any.
+func newFleetWith(t *testing.T, files credentialtest.Files) *fleet {
+	t.Helper()
+	tls := daemon.TLSSettings{CertificateFile: files.Certificate, KeyFile: files.Key, CAFile: files.CA}
 	store := memory.New()
 	digest := sha256.Sum256([]byte(anaToken))
 	d, err := daemon.New(daemon.Settings{
 		Host: "one", Zone: "lima-a",
 		Address: "127.0.0.1:0", APIAddress: "127.0.0.1:0", FleetAddress: "127.0.0.1:0", FleetToken: "fleet",
+		CallerTLS: tls, APITLS: tls, FleetTLS: tls,
 		Operators: []daemon.OperatorSettings{{Name: "ana", TokenSHA256: hex.EncodeToString(digest[:])}},
 		Accounts:  []daemon.AccountSettings{{Name: "bookshop", KeySHA256: strings.Repeat("ab", sha256.Size)}},
 	}, daemon.Platform{Table: store, Objects: store, HostList: store}, zerolog.Nop())
@@ -284,7 +293,7 @@
 	f.write("a.yaml", contractText("a", "/a", "bookshop"))
 	code, _ := f.tool("publish", f.dir)
 	is.Equal(code, exitOK)
-	c := &client{address: f.api, token: anaToken}
+	c := newTestClient(f.api)
 	stale := planned{subject: "a", document: []byte(contractText("a", "/b", "bookshop")), proposal: "p2:a"}
 	r, err := c.propose(context.Background(), stale)
 	is.NoErr(err)
@@ -320,7 +329,7 @@
 			}
 			_ = json.NewEncoder(w).Encode(publish.Result{Status: publish.Accepted, Service: "a"})
 		}))
-		c := &client{address: strings.TrimPrefix(host.URL, "http://"), token: anaToken}
+		c := newTestClient(strings.TrimPrefix(host.URL, "http://"))
 		r, err := c.propose(context.Background(), planned{subject: "a", document: []byte("x"), proposal: "p1:a"})
 		host.Close()
 		is.NoErr(err)
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -37,7 +37,9 @@
 	Network *Network
 	// LeaveTime is how long a leaving host serves on. Default: the daemon's.
 	LeaveTime time.Duration
-	Log       zerolog.Logger
+	// Settings changes the settings of a host before it starts. Default: none.
+	Settings func(*daemon.Settings)
+	Log      zerolog.Logger
 }
 
 // Fleet is several hosts in one process before one platform.
@@ -120,6 +122,9 @@
 			s.Seeds = append(s.Seeds, f.hosts[other].daemon.Self().FleetAddress)
 		}
 	}
+	if f.cfg.Settings != nil {
+		f.cfg.Settings(&s)
+	}
 	return s
 }
 
