Keep an operator's drain in the table

Cause: a drain was remembered only by the host that took it, and ended with it. Change: a drain is a document with a subject of its own, accepted by compare-and-set, spread and read like a contract; it holds at once on the host that took it and on its set. The tool undoes and lists drains, with who, when and why, and says when a drain is not kept because the table is away, and what to do. Ruled out: a field of the contract, which the next publication would take back; a second mechanism beside publish.

--- a/cmd/crocushinge/check.go
+++ b/cmd/crocushinge/check.go
@@ -49,7 +49,9 @@
 		if f.Document.Accounts != nil {
 			return nil
 		}
-		names = append(names, f.Document.Contract.Accounts...)
+		if f.Document.Contract != nil {
+			names = append(names, f.Document.Contract.Accounts...)
+		}
 	}
 	return names
 }
--- a/cmd/crocushinge/fleet.go
+++ b/cmd/crocushinge/fleet.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"strings"
 	"time"
 
@@ -16,22 +15,6 @@
 	"github.com/crocushinge/crocushinge/wire"
 )
 
-func drain(ctx context.Context, cmd *cli.Command) error {
-	if cmd.Args().Len() != 2 {
-		return usageError("crocushinge drain takes two arguments: a service and a target")
-	}
-	c, err := newClient(cmd)
-	if err != nil {
-		return err
-	}
-	var answer wire.Drain
-	path := "/v1/drain/" + url.PathEscape(cmd.Args().Get(0)) + "/" + url.PathEscape(cmd.Args().Get(1))
-	if err := c.ask(ctx, question{method: http.MethodPost, path: path}, &answer); err != nil {
-		return err
-	}
-	return show(cmd, answer, func() { fmt.Fprintf(cmd.Root().Writer, "%s gets no more work\n", answer.Target) })
-}
-
 func status(ctx context.Context, cmd *cli.Command) error {
 	c, err := newClient(cmd)
 	if err != nil {
--- a/cmd/crocushinge/main.go
+++ b/cmd/crocushinge/main.go
@@ -82,7 +82,11 @@
 			&cli.StringFlag{Name: "proposal", Usage: "`ID` of an earlier removal to repeat"},
 		}},
 		{Name: "resolve", Usage: "decide what became of a proposal whose result is unknown", ArgsUsage: "PROPOSAL", Action: resolve},
-		{Name: "drain", Usage: "give a target no more work", ArgsUsage: "SERVICE TARGET", Action: drain},
+		{Name: "drain", Usage: "give a target no more work", ArgsUsage: "SERVICE TARGET", Action: drain, Flags: []cli.Flag{
+			&cli.StringFlag{Name: "reason", Usage: "`TEXT` that tells the other operators why"},
+		}},
+		{Name: "undrain", Usage: "give a drained target work again", ArgsUsage: "SERVICE TARGET", Action: undrain},
+		{Name: "drains", Usage: "list the drained targets", Action: listDrains},
 		{Name: "status", Usage: "show how a host is", Action: status, Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "fleet", Usage: "ask all hosts which revision they have in force"},
 		}},
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -146,7 +146,8 @@
 	// Revision is the fleet-wide revision that the change created.
 	Revision uint64
 	// Service is the subject of the change: the service whose contract
-	// changed, or AccountsSubject of an accounts document.
+	// changed, AccountsSubject of an accounts document, or DrainSubject of a
+	// target.
 	Service string
 	// Version counts the changes of this subject.
 	Version uint64
@@ -155,7 +156,10 @@
 	// Accounts is the new accounts document; nil for a service, and when the
 	// document was removed.
 	Accounts *Accounts
-	// Document is the contract or accounts document as the operator published
+	// Drain is the target that gets no more work; nil for any other subject,
+	// and when the drain was undone.
+	Drain *Drain
+	// Document is the contract, accounts document or drain as the operator published
 	// it; empty when it was removed.
 	Document []byte
 	// Proposal is the idempotency key of the publication.
--- a/contract/contractfile/parse.go
+++ b/contract/contractfile/parse.go
@@ -14,6 +14,7 @@
 const (
 	kindContract = "contract"
 	kindAccounts = "accounts"
+	kindDrain    = "drain"
 )
 
 // File is one document with the places of its fields.
@@ -64,10 +65,13 @@
 	case kindAccounts:
 		f.Document.Accounts, findings = f.readAccounts(doc, opts)
 		faults = f.Document.Accounts.Check()
+	case kindDrain:
+		f.Document.Drain, findings = f.readDrain(doc, opts)
+		faults = f.Document.Drain.Check()
 	default:
 		findings = finding.List{{
 			File: name, Line: 1, Column: 1, Message: "kind \"" + kind + "\" is not known",
-			Fix: "write one of " + kindContract + ", " + kindAccounts,
+			Fix: "write one of " + kindContract + ", " + kindAccounts + ", " + kindDrain,
 		}}
 	}
 	findings = f.merge(findings, faults)
--- a/contract/cross.go
+++ b/contract/cross.go
@@ -11,14 +11,19 @@
 type Document struct {
 	Contract *Contract
 	Accounts *Accounts
+	Drain    *Drain
 }
 
 // Subject returns the name under which changes of the document are kept.
 func (d Document) Subject() string {
-	if d.Accounts != nil {
+	switch {
+	case d.Accounts != nil:
 		return AccountsSubject(d.Accounts.Name)
+	case d.Drain != nil:
+		return DrainSubject(d.Drain.Service, d.Drain.Target)
+	default:
+		return d.Contract.Service
 	}
-	return d.Contract.Service
 }
 
 // CrossFault is a fault of one document in the light of the others.
@@ -63,11 +68,14 @@
 			seen[d.Subject()] = i
 			continue
 		}
-		if d.Accounts != nil {
+		switch {
+		case d.Accounts != nil:
 			c.report(i, "name", "rename one of the two", "accounts document %s is declared by two files", d.Accounts.Name)
-			continue
+		case d.Drain != nil:
+			c.report(i, "target", "delete one of the two", "target %s/%s is drained by two files", d.Drain.Service, d.Drain.Target)
+		default:
+			c.report(i, "service", "rename one of the two", "service %s is declared by two files", d.Contract.Service)
 		}
-		c.report(i, "service", "rename one of the two", "service %s is declared by two files", d.Contract.Service)
 	}
 }
 
--- a/daemon/api.go
+++ b/daemon/api.go
@@ -7,7 +7,6 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/target"
 	"github.com/crocushinge/crocushinge/wire"
 )
@@ -29,6 +28,8 @@
 	operator.Get("/proposals/{id}", d.getProposal)
 	operator.Post("/proposals/{id}/settle", d.postSettle)
 	operator.Post("/drain/{service}/{target}", d.postDrain)
+	operator.Delete("/drain/{service}/{target}", d.deleteDrain)
+	operator.Get("/drains", d.getDrains)
 	operator.Get("/timeline", d.getTimeline)
 	if err := app.Build(); err != nil {
 		return nil, errors.Wrap(err, "build API")
@@ -42,17 +43,6 @@
 
 func reply(ctx iris.Context, v any) { _ = ctx.JSON(v) }
 
-func (d *Daemon) postDrain(ctx iris.Context) {
-	key := target.Key{Service: ctx.Params().Get("service"), Name: ctx.Params().Get("target")}
-	if !d.declares(key) {
-		fail(ctx, http.StatusNotFound, errors.Errorf("no contract in force declares target %s", key))
-		return
-	}
-	d.control.send(ctx.Request().Context(), host.OperatorDrain{Target: key, Operator: operatorOf(ctx)})
-	ctx.StatusCode(http.StatusAccepted)
-	reply(ctx, wire.Drain{Target: key.String()})
-}
-
 // declares reports whether a contract in force declares the target.
 func (d *Daemon) declares(key target.Key) bool {
 	routing := d.control.snapshot.Load().Services[key.Service]
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -152,6 +152,11 @@
 	}
 }
 
+// deliver hands an event over and waits until it is handled.
+func (c *control) deliver(ctx context.Context, ev host.Event) error {
+	return c.call(ctx, func(*host.Core) { c.handle(ev) })
+}
+
 // run is the control thread.
 func (c *control) run(ctx context.Context) {
 	runtime.LockOSThread()
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -46,6 +46,7 @@
 	if slices.ContainsFunc(ev.Changes, isAccounts) {
 		c.rebuildAccounts()
 	}
+	c.applyDrains(now)
 	c.rebuildEntrySets(now)
 	c.dirty = true
 	c.record(now, timeline.Event{Kind: timeline.ConfigurationInForce, Revision: c.revision})
@@ -59,6 +60,11 @@
 	return ok
 }
 
+func isDrain(ch contract.Change) bool {
+	_, _, ok := contract.DrainedTarget(ch.Service)
+	return ok
+}
+
 // noteStore records when the table goes away and when it is back.
 func (c *Core) noteStore(now time.Time, err error) {
 	away := err != nil
@@ -82,7 +88,7 @@
 	sort.Slice(c.changes, func(i, j int) bool {
 		return c.changes[i].Revision < c.changes[j].Revision
 	})
-	if isAccounts(ch) {
+	if isAccounts(ch) || isDrain(ch) {
 		return
 	}
 	if ch.Contract == nil {
@@ -101,7 +107,7 @@
 // keepReadable replaces what could not be read in a change by what was in force
 // before. Its document stays, for peers that can read it.
 func (c *Core) keepReadable(now time.Time, ch contract.Change) contract.Change {
-	if len(ch.Document) == 0 || ch.Contract != nil || ch.Accounts != nil {
+	if len(ch.Document) == 0 || ch.Contract != nil || ch.Accounts != nil || ch.Drain != nil {
 		return ch
 	}
 	c.record(now, timeline.Event{
@@ -110,7 +116,7 @@
 	})
 	for _, previous := range c.changes {
 		if previous.Service == ch.Service {
-			ch.Contract, ch.Accounts = previous.Contract, previous.Accounts
+			ch.Contract, ch.Accounts, ch.Drain = previous.Contract, previous.Accounts, previous.Drain
 		}
 	}
 	return ch
--- a/host/core.go
+++ b/host/core.go
@@ -52,8 +52,10 @@
 	carriers map[string]map[ID]time.Time
 	// signs is what this host was told of the signs of each service, and unsent
 	// the signs that a peer was not told because the message was lost.
-	signs    map[string]*signState
-	unsent   map[ID][]service.Report
+	signs  map[string]*signState
+	unsent map[ID][]service.Report
+	// unkept holds the drains of operators that are not in force.
+	unkept   map[target.Key]OperatorDrain
 	ticks    int
 	changes  []contract.Change
 	routes   *route.Table
@@ -111,6 +113,7 @@
 		carriers:  make(map[string]map[ID]time.Time),
 		signs:     make(map[string]*signState),
 		unsent:    make(map[ID][]service.Report),
+		unkept:    make(map[target.Key]OperatorDrain),
 		routes:    route.NewTable(nil),
 		accounts:  caller.NewAccounts(cfg.Accounts),
 		dirty:     true,
@@ -153,6 +156,8 @@
 		c.requestEnded(now, ev)
 	case OperatorDrain:
 		c.drain(now, ev)
+	case OperatorUndrain:
+		c.undrain(now, ev)
 	case ShutdownRequested:
 		c.shutdown(now)
 	default:
@@ -245,16 +250,6 @@
 	})
 }
 
-func (c *Core) drain(now time.Time, ev OperatorDrain) {
-	key := ev.Target
-	if s, ok := c.services[key.Service]; ok {
-		c.record(now, timeline.Event{
-			Kind: timeline.OperatorDrained, Service: key.Service, Target: key.Name, Reason: "by " + ev.Operator,
-		})
-		c.applyTransitions(now, s.Drain(key.Name, target.SignOperator, now))
-	}
-}
-
 func (c *Core) shutdown(now time.Time) {
 	if c.self.Leaving {
 		return
--- /dev/null
+++ b/host/drains.go
@@ -0,0 +1,93 @@
+package host
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/target"
+	"github.com/crocushinge/crocushinge/timeline"
+)
+
+// drain takes an operator's drain. It holds on this host at once, and is told
+// to the entry set, until the configuration carries it or it is undone.
+func (c *Core) drain(now time.Time, ev OperatorDrain) {
+	key := ev.Target
+	s, ok := c.services[key.Service]
+	if !ok {
+		return
+	}
+	reason := "by " + ev.Operator
+	if ev.Reason != "" {
+		reason += ": " + ev.Reason
+	}
+	c.record(now, timeline.Event{Kind: timeline.OperatorDrained, Service: key.Service, Target: key.Name, Reason: reason})
+	if !c.drainInForce(key) {
+		c.unkept[key] = ev
+	}
+	c.applyTransitions(now, s.Drain(key.Name, target.SignOperator, now))
+}
+
+// undrain takes back a drain that only this host holds. One in force is undone
+// by a change of the configuration.
+func (c *Core) undrain(now time.Time, ev OperatorUndrain) {
+	key := ev.Target
+	c.record(now, timeline.Event{
+		Kind: timeline.OperatorUndrained, Service: key.Service, Target: key.Name, Reason: "by " + ev.Operator,
+	})
+	delete(c.unkept, key)
+	if s, ok := c.services[key.Service]; ok && !c.drainInForce(key) {
+		c.applyTransitions(now, s.Withdraw(key.Name, target.SignOperator, now))
+	}
+}
+
+// UnkeptDrains returns the drains that this host holds and that are not in
+// force, sorted by target.
+func (c *Core) UnkeptDrains() []OperatorDrain {
+	var out []OperatorDrain
+	for _, d := range c.unkept {
+		out = append(out, d)
+	}
+	slices.SortFunc(out, func(a, b OperatorDrain) int {
+		if a.Target.String() < b.Target.String() {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// drainInForce reports whether the configuration in force drains a target.
+func (c *Core) drainInForce(key target.Key) bool {
+	subject := contract.DrainSubject(key.Service, key.Name)
+	return slices.ContainsFunc(c.changes, func(ch contract.Change) bool { return ch.Service == subject && ch.Drain != nil })
+}
+
+// applyDrains brings the targets in line with the drains in force, after
+// changes that may have brought new drains or new targets.
+func (c *Core) applyDrains(now time.Time) {
+	for _, ch := range c.changes {
+		service, name, ok := contract.DrainedTarget(ch.Service)
+		if !ok {
+			continue
+		}
+		key := target.Key{Service: service, Name: name}
+		_, held := c.unkept[key]
+		if ch.Drain != nil {
+			delete(c.unkept, key)
+		}
+		s, declared := c.services[service]
+		switch {
+		case !declared:
+		case ch.Drain != nil:
+			c.applyTransitions(now, s.Drain(name, target.SignOperator, now))
+		case !held:
+			c.applyTransitions(now, s.Withdraw(name, target.SignOperator, now))
+		}
+	}
+	for key := range c.unkept {
+		if s, ok := c.services[key.Service]; ok {
+			c.applyTransitions(now, s.Drain(key.Name, target.SignOperator, now))
+		}
+	}
+}
--- a/host/event.go
+++ b/host/event.go
@@ -113,6 +113,15 @@
 
 	// OperatorDrain asks that a target gets no more work.
 	OperatorDrain struct {
+		Target target.Key
+		// Operator names who asked, and Reason why.
+		Operator string
+		Reason   string
+		At       time.Time
+	}
+
+	// OperatorUndrain takes back a drain that is not in force.
+	OperatorUndrain struct {
 		Target target.Key
 		// Operator names who asked.
 		Operator string
@@ -137,4 +146,5 @@
 func (ProbeAnswered) isEvent()     {}
 func (RequestEnded) isEvent()      {}
 func (OperatorDrain) isEvent()     {}
+func (OperatorUndrain) isEvent()   {}
 func (ShutdownRequested) isEvent() {}
--- a/target/target.go
+++ b/target/target.go
@@ -4,6 +4,7 @@
 package target
 
 import (
+	"strings"
 	"time"
 
 	"github.com/crocushinge/crocushinge/contract"
@@ -19,6 +20,12 @@
 // String returns "service/name".
 func (k Key) String() string { return k.Service + "/" + k.Name }
 
+// ParseKey reads "service/name".
+func ParseKey(text string) (key Key, ok bool) {
+	service, name, ok := strings.Cut(text, "/")
+	return Key{Service: service, Name: name}, ok
+}
+
 // State is the state of a target in the routing set of one host.
 type State int
 
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -24,9 +24,10 @@
 	OutcomeUnknown          Kind = "outcome-unknown"
 	RequestEnded            Kind = "request-ended"
 	// OperatorDrained events say who asked that a target gets no more work.
-	OperatorDrained Kind = "operator-drained"
-	StoreLost       Kind = "store-lost"
-	StoreBack       Kind = "store-back"
+	OperatorDrained   Kind = "operator-drained"
+	OperatorUndrained Kind = "operator-undrained"
+	StoreLost         Kind = "store-lost"
+	StoreBack         Kind = "store-back"
 )
 
 // Event is one change of state on one host.
--- a/wire/api.go
+++ b/wire/api.go
@@ -121,7 +121,37 @@
 	Next uint64 `json:"next,omitempty"`
 }
 
-// Drain acknowledges that a target gets no more work.
+// DrainState tells what became of an operator's drain, or of its undoing.
+type DrainState string
+
+// The states of a drain.
+const (
+	// DrainKept: the table keeps it; it is in force everywhere within seconds.
+	DrainKept DrainState = "kept"
+	// DrainUnkept: it holds on the hosts, but the table does not keep it.
+	DrainUnkept DrainState = "unkept"
+	// DrainUnknown: the table may keep it or not.
+	DrainUnknown DrainState = "unknown"
+	// DrainRejected: another change came first, or it has faults.
+	DrainRejected DrainState = "rejected"
+)
+
+// Drain is an operator's order that a target gets no more work.
 type Drain struct {
-	Target string `json:"target"`
+	// Target is "service/name".
+	Target   string     `json:"target"`
+	Operator string     `json:"operator"`
+	Reason   string     `json:"reason,omitempty"`
+	At       time.Time  `json:"at"`
+	State    DrainState `json:"state"`
+	// Revision is the one that it is in force from.
+	Revision uint64 `json:"revision,omitempty"`
+	Proposal string `json:"proposal,omitempty"`
+	// Error tells why it is not kept.
+	Error string `json:"error,omitempty"`
+}
+
+// Drains lists drains by target.
+type Drains struct {
+	Drains []Drain `json:"drains"`
 }
--- a/wire/record.go
+++ b/wire/record.go
@@ -69,7 +69,7 @@
 // NewSummary returns the summary of a change.
 func NewSummary(ch contract.Change) Summary {
 	sum := Summary{Change: ch, Digest: sha256.Sum256(ch.Document)}
-	sum.Change.Document, sum.Change.Contract, sum.Change.Accounts = nil, nil, nil
+	sum.Change.Document, sum.Change.Contract, sum.Change.Accounts, sum.Change.Drain = nil, nil, nil, nil
 	return sum
 }
 
@@ -132,6 +132,6 @@
 	if err := findings.Err(); err != nil {
 		return ch, errors.Wrapf(err, "document of %s at revision %d", ch.Service, ch.Revision)
 	}
-	ch.Contract, ch.Accounts = d.Contract, d.Accounts
+	ch.Contract, ch.Accounts, ch.Drain = d.Contract, d.Accounts, d.Drain
 	return ch, nil
 }
