Let the bench's peers pass news on, restart and compare lists

Cause: in bench/capacity the peers of the measured host passed no news on, a host that came back was never believed to be back, lists of hosts were compared for nothing, and being asked as a relay was not counted. So the rows of a rack, a zone and a region were lower bounds. The row of a rack showed no publication: peers are pinged first in the order in which they were learned, and the pings of the measured time had just gone past the 40 hosts of the rack. Ruled out: a process or a core with all services for each peer (16 MB each).

Each comparison of lists is taken to find a difference. Observations are drawn in a fixed order, so that rates of messages repeat.

--- a/bench/capacity/control.go
+++ b/bench/capacity/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"runtime"
 	"slices"
@@ -23,8 +24,9 @@
 
 // Parts of a run on the virtual clock. A host that has just started fronts
 // every service until it knows its peers, and goes on exchanging evidence of
-// what it carried for a minute.
+// what it carried for a minute. The hosts have known each other for knownTime.
 const (
+	knownTime   = time.Hour
 	settleTime  = 90 * time.Second
 	measureTime = 120 * time.Second
 )
@@ -73,10 +75,11 @@
 
 // driver feeds one core and answers its effects.
 type driver struct {
-	size  Size
-	day   day
-	core  *host.Core
-	peers []host.Identity
+	size Size
+	day  day
+	news *news
+	core *host.Core
+	// index finds a host by its id and by its fleet address.
 	index map[host.ID]int
 	rng   *rand.Rand
 	now   time.Time
@@ -85,7 +88,9 @@
 	queue    []host.Event
 	revision uint64
 	snapshot *host.Snapshot
-	used     usage
+	// fronted are the services of the snapshot that this host fronts.
+	fronted []*service.Routing
+	used    usage
 }
 
 func newCore(size Size) *host.Core {
@@ -107,8 +112,9 @@
 
 // measureControl runs one host at full size for measureTime of virtual time.
 func measureControl(size Size, day day) (usage, error) {
+	news := workOutNews(size, day)
 	before := heapMB()
-	d, err := newDriver(size, day)
+	d, err := newDriver(size, day, news)
 	if err != nil {
 		return usage{}, err
 	}
@@ -132,35 +138,39 @@
 	return d.used.perSecond(measureTime), nil
 }
 
-func newDriver(size Size, day day) (*driver, error) {
+func newDriver(size Size, day day, news *news) (*driver, error) {
 	list, _, err := decodeAll(changes(size))
 	if err != nil {
 		return nil, err
 	}
 	d := &driver{
-		size: size, day: day, core: newCore(size), index: make(map[host.ID]int),
+		size: size, day: day, news: news, core: newCore(size), index: make(map[host.ID]int),
 		rng: rand.New(rand.NewPCG(2, 2)), now: virtualStart, revision: uint64(size.Services),
 	}
-	for i := 1; i < size.Hosts; i++ {
-		d.peers = append(d.peers, identity(size, i))
-		d.index[d.peers[i-1].ID] = i
+	for i := range size.Hosts {
+		d.index[identity(size, i).ID] = i
+		d.index[host.ID(identity(size, i).FleetAddress)] = i
 	}
 	d.handle(host.Tick{})
 	d.handle(host.ConfigurationRead{Changes: list, Revision: d.revision, FromStore: true})
-	d.handle(host.SyncAnswered{Message: d.message(d.peers[0]), Members: d.members()})
+	d.handle(host.SyncAnswered{Message: d.message(1), Members: d.members()})
+	d.now = d.now.Add(knownTime)
 	return d, nil
 }
 
 func (d *driver) members() []host.Update {
 	var out []host.Update
-	for _, p := range d.peers {
-		out = append(out, host.Update{Identity: p, State: host.PeerAlive})
+	for i := 1; i < d.size.Hosts; i++ {
+		out = append(out, host.Update{Identity: identity(d.size, i), State: host.PeerAlive})
 	}
 	return out
 }
 
-func (d *driver) message(from host.Identity) host.Message {
-	return host.Message{From: from, Revision: d.revision, Ready: true}
+// message is one of peer i, with news of third hosts.
+func (d *driver) message(i int) host.Message {
+	return host.Message{
+		From: d.news.identity(d.size, i, d.now), Revision: d.revision, Ready: true, Updates: d.news.hear(d.now, d.rng),
+	}
 }
 
 // run lets virtual time pass.
@@ -185,13 +195,13 @@
 
 // hearPing takes in the ping of a random peer, as many as the host sends.
 func (d *driver) hearPing() {
-	p := d.peers[d.rng.IntN(len(d.peers))]
-	if d.isAway(p.ID) {
+	i := 1 + d.rng.IntN(d.size.Hosts-1)
+	if d.isAway(i) {
 		return
 	}
-	m := d.message(p)
+	m := d.message(i)
 	d.handle(host.MessageHeard{Message: m})
-	answer := d.core.Message(d.now, p.ID)
+	answer := d.core.Message(d.now, m.From.ID)
 	d.used.received++
 	d.used.receivedBytes += float64(messageSize(m) + messageSize(answer))
 }
@@ -199,25 +209,16 @@
 // observations are those of this host's share of the traffic: requests of the
 // services that it fronts.
 func (d *driver) observations(share float64) []link.Observation {
-	if d.snapshot == nil {
-		return nil
-	}
 	n := int(share)
 	if d.rng.Float64() < share-float64(n) {
 		n++
 	}
-	var fronted []*service.Routing
-	for name := range d.snapshot.EntrySets {
-		if d.snapshot.Fronts(name) && len(d.snapshot.Services[name].Links) > 0 {
-			fronted = append(fronted, d.snapshot.Services[name])
-		}
-	}
 	var out []link.Observation
 	for range n {
-		if len(fronted) == 0 {
+		if len(d.fronted) == 0 {
 			break
 		}
-		r := fronted[d.rng.IntN(len(fronted))]
+		r := d.fronted[d.rng.IntN(len(d.fronted))]
 		l := r.Links[d.rng.IntN(len(r.Links))]
 		latency := time.Duration(20+d.rng.ExpFloat64()*10) * time.Millisecond
 		out = append(out, link.Observation{Target: l.Target, Outcome: link.Succeeded, Latency: latency, At: d.now})
@@ -225,14 +226,24 @@
 	return out
 }
 
-func (d *driver) isAway(id host.ID) bool { return d.away && d.day.away(d.size, d.index[id]) }
+// listFronted notes the services that this host fronts, sorted by name.
+func (d *driver) listFronted() {
+	d.fronted = nil
+	for _, name := range slices.Sorted(maps.Keys(d.snapshot.EntrySets)) {
+		if d.snapshot.Fronts(name) && len(d.snapshot.Services[name].Links) > 0 {
+			d.fronted = append(d.fronted, d.snapshot.Services[name])
+		}
+	}
+}
+
+func (d *driver) isAway(i int) bool { return d.away && d.day.away(d.size, i) }
 
 // handle feeds one event, counts the effects and answers them.
 func (d *driver) handle(ev host.Event) {
 	began := time.Now()
 	effects := d.core.Handle(d.now, ev)
 	d.used.worstStep = max(d.used.worstStep, time.Since(began))
-	for _, e := range effects {
+	for _, e := range slices.Clone(effects) {
 		d.carryOut(e)
 	}
 }
@@ -241,25 +252,14 @@
 	switch e := e.(type) {
 	case host.Publish:
 		d.snapshot = e.Snapshot
+		d.listFronted()
 		d.used.publications++
 	case host.SendPing:
-		d.exchange(messageSize(e.Message))
-		if d.isAway(e.To.ID) {
-			d.queue = append(d.queue, host.PingFailed{Subject: e.To.ID})
-			return
-		}
-		answer := d.message(d.peers[d.index[e.To.ID]-1])
-		d.used.sentBytes += float64(messageSize(answer))
-		d.queue = append(d.queue, host.PingAnswered{Message: answer})
+		d.ping(e)
 	case host.SendIndirectPing:
-		d.exchange(0)
-		if d.isAway(e.Via.ID) {
-			d.queue = append(d.queue, host.IndirectAnswered{Subject: e.Subject.ID, Err: platform.ErrUnavailable})
-			return
-		}
-		d.queue = append(d.queue, host.IndirectAnswered{Subject: e.Subject.ID, Reached: !d.isAway(e.Subject.ID)})
+		d.pingIndirectly(e)
 	case host.SendSync:
-		d.exchange(messageSize(e.Message))
+		d.sync(e)
 	case host.SendReports:
 		d.exchange(reportsSize(e.Reports))
 		d.used.received++
@@ -267,10 +267,10 @@
 		d.queue = append(d.queue, host.ReportsHeard{From: e.To, Reports: d.reportsOf(e.To.ID, e.Reports)})
 	case host.ReadConfiguration:
 		d.used.reads++
-		d.queue = append(d.queue, host.ConfigurationRead{Revision: e.After, FromStore: true, Err: d.storeErr()})
+		d.queue = append(d.queue, host.ConfigurationRead{Revision: e.After, FromStore: true, Err: d.day.storeErr()})
 	case host.ReadHostList:
 		d.used.hostLists++
-		d.queue = append(d.queue, host.HostListRead{Err: d.storeErr()})
+		d.queue = append(d.queue, host.HostListRead{Err: d.day.storeErr()})
 	case host.SendProbe:
 		d.used.probes++
 		d.queue = append(d.queue, host.ProbeAnswered{Target: e.Target, OK: true, Latency: probeTime})
@@ -282,13 +282,56 @@
 // probeTime is how long a target takes to answer a probe.
 const probeTime = 25 * time.Millisecond
 
+func (d *driver) ping(e host.SendPing) {
+	d.exchange(messageSize(e.Message))
+	i := d.index[e.To.ID]
+	if d.isAway(i) {
+		d.queue = append(d.queue, host.PingFailed{Subject: e.To.ID})
+		return
+	}
+	answer := d.message(i)
+	d.used.sentBytes += float64(messageSize(answer))
+	d.queue = append(d.queue, host.PingAnswered{Message: answer})
+}
+
+// pingIndirectly asks a relay. This host is a relay for others as often as
+// others are for it.
+func (d *driver) pingIndirectly(e host.SendIndirectPing) {
+	size := indirectSize(e.Subject)
+	d.exchange(size)
+	d.used.received++
+	d.used.receivedBytes += float64(size)
+	d.exchange(messageSize(d.core.Message(d.now, e.Subject.ID)))
+	answer := host.IndirectAnswered{Subject: e.Subject.ID, Reached: !d.isAway(d.index[e.Subject.ID])}
+	if d.isAway(d.index[e.Via.ID]) {
+		answer.Err = platform.ErrUnavailable
+	}
+	d.queue = append(d.queue, answer)
+}
+
+// sync compares the list of hosts with a peer, and is asked as often. At each
+// comparison one of the two has not heard of some change.
+func (d *driver) sync(e host.SendSync) {
+	d.exchange(messageSize(e.Message))
+	i := d.index[host.ID(e.To)]
+	if d.isAway(i) {
+		return
+	}
+	answer, members := d.message(i), d.core.Members()
+	size := messageSize(answer) + membersSize(members)
+	d.used.sentBytes += float64(size)
+	d.used.received++
+	d.used.receivedBytes += float64(messageSize(e.Message) + size)
+	d.queue = append(d.queue, host.SyncAnswered{Message: answer, Members: members})
+}
+
 func (d *driver) exchange(bytes int) {
 	d.used.sent++
 	d.used.sentBytes += float64(bytes)
 }
 
-func (d *driver) storeErr() error {
-	if d.day.store {
+func (d day) storeErr() error {
+	if d.store {
 		return nil
 	}
 	return platform.ErrUnavailable
@@ -311,6 +354,14 @@
 
 func messageSize(m host.Message) int { return proto.Size(wire.MessageToProto(m)) }
 
+func indirectSize(subject host.Identity) int {
+	return proto.Size(&fleetv1.IndirectPingRequest{Subject: wire.PeerToProto(subject), TimeoutMillis: 1000})
+}
+
+func membersSize(members []host.Update) int {
+	return proto.Size(&fleetv1.SyncResponse{Members: wire.UpdatesToProto(members)})
+}
+
 func reportsSize(list []service.Report) int {
 	return proto.Size(&fleetv1.ReportRequest{Reports: wire.ReportsToProto(list)})
 }
