Test what a host believes of a peer's list of hosts

Cause: taking the rule out of syncAnswered, that a suspicion in a peer's list is not believed, left every test green. Change: a table of lists, known, later, earlier and unknown hosts. Conclusion: two parts of a fleet that meet again do not declare each other's hosts gone, and a test holds it.

--- /dev/null
+++ b/host/sync_test.go
@@ -0,0 +1,52 @@
+package host
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+// TestSyncAnswerTellsOnlyWhatIsLater compares the lists of two hosts that were
+// parted: what each believes of the other's hosts must not count.
+func TestSyncAnswerTellsOnlyWhatIsLater(t *testing.T) {
+	known := Identity{ID: "b", Incarnation: 2, Sequence: 1, FleetAddress: "10.0.0.2:1"}
+	later := known
+	later.Sequence = 2
+	earlier := known
+	earlier.Incarnation = 1
+	newer := Identity{ID: "c", Incarnation: 1, FleetAddress: "10.0.0.3:1"}
+	for name, test := range map[string]struct {
+		told Update
+		id   ID
+		want PeerState
+	}{
+		"suspicion of a known host":      {Update{Identity: known, State: PeerSuspect}, "b", PeerAlive},
+		"end of a known host":            {Update{Identity: known, State: PeerGone}, "b", PeerAlive},
+		"end of an earlier process":      {Update{Identity: earlier, State: PeerGone}, "b", PeerAlive},
+		"later identity under suspicion": {Update{Identity: later, State: PeerSuspect}, "b", PeerAlive},
+		"unknown host under suspicion":   {Update{Identity: newer, State: PeerSuspect}, "c", PeerAlive},
+		"unknown host that is alive":     {Update{Identity: newer, State: PeerAlive}, "c", PeerAlive},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			c := New(Config{
+				Self:   Identity{ID: "a", Incarnation: 1, FleetAddress: "10.0.0.1:1"},
+				Zones:  zone.NewMap(nil, nil),
+				Timing: DefaultTiming(),
+				Rand:   rand.New(rand.NewPCG(1, 1)),
+			})
+			c.Handle(now, MessageHeard{Message: Message{From: known}})
+			answer := Message{From: Identity{ID: "d", Incarnation: 1, FleetAddress: "10.0.0.4:1"}}
+			c.Handle(now, SyncAnswered{Message: answer, Members: []Update{test.told}})
+			is.Equal(c.peers[test.id].State, test.want)
+			if test.id == "b" {
+				is.Equal(c.peers["b"].Identity.Incarnation, known.Incarnation)
+			}
+		})
+	}
+}
