Bound the attempts of an order by their number, not by the targets tried

Cause: a test for a target that answers no attempt to connect (none existed) got 504 after the whole deadline in place of an answer after three attempts. dispatchOnce counted the targets tried, and a service with one target, or with one left, has only one to count: it went on until the budget or the deadline ended it. Ruled out: the dial timeout (1 s, kept), the transport.

Change: attempts are counted, as for idempotent requests.

Before: an order to the one silent target took 5 s and ended in 504, up to 10 attempts. After: at most 3.6 s, 502 and "not run". The test runs on a virtual clock and fails without the change.

--- a/traffic/once.go
+++ b/traffic/once.go
@@ -138,12 +138,12 @@
 	state := h.state(req.match.Service)
 	state.retries.Earn()
 	tried := make(map[*link.Link]bool)
-	for {
+	for retry := 0; ; retry++ {
 		a, err := h.dispatch(ctx, req, tried)
-		if err == nil || a == nil || !a.certainlyNotRun() || len(tried) >= maxAttempts-1 {
+		if err == nil || a == nil || !a.certainlyNotRun() || retry+1 >= maxAttempts {
 			return a, err
 		}
-		if !state.retries.Spend() || !pause(ctx, caller.Backoff(len(tried), rand.Float64())) {
+		if !state.retries.Spend() || !pause(ctx, caller.Backoff(retry, rand.Float64())) {
 			return a, err
 		}
 		h.counters.Retries.Add(1)
