Judge an answer by its own use of the connection

Cause: TestConnectionsToATargetAreBounded hung once, its target entered seven times by four requests. net/http gives a connection whose answer has no body to the next waiting request before RoundTrip returns, and that request's GotConn reset the count by which the first one tells an early answer from its own. The first then took its own answer to be another request's: an idempotent request was sent again, an order ended in "unknown".

Change: each request has its own record of what its use of the connection has sent and received; the connection points to the latest.

--- a/traffic/conn.go
+++ b/traffic/conn.go
@@ -37,12 +37,18 @@
 	net.Conn
 	// writes counts the calls of Write, or is sealed.
 	writes atomic.Int64
-	// read counts the bytes received.
-	read atomic.Int64
-	// next is set until the first write of the next request.
-	next atomic.Bool
-	// readBefore is what had been received before that write.
-	readBefore atomic.Int64
+	// use is the request that the connection carries, or carried last.
+	use atomic.Pointer[use]
+}
+
+// use is what one request has seen of its connection. It outlives the request's
+// turn: the transport may give the connection to the next request before the
+// handler of this one looks at its answer.
+type use struct {
+	// sent is set with the first write.
+	sent atomic.Bool
+	// received is set with the first bytes received after that.
+	received atomic.Bool
 }
 
 // Write implements net.Conn.
@@ -56,8 +62,8 @@
 			break
 		}
 	}
-	if c.next.CompareAndSwap(true, false) {
-		c.readBefore.Store(c.read.Load())
+	if u := c.use.Load(); u != nil {
+		u.sent.Store(true)
 	}
 	return c.Conn.Write(p)
 }
@@ -65,7 +71,9 @@
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.read.Add(int64(n))
+	if u := c.use.Load(); u != nil && n > 0 && u.sent.Load() {
+		u.received.Store(true)
+	}
 	return n, err
 }
 
@@ -79,6 +87,7 @@
 	found bool
 	// conn is the HTTP/1.1 connection, or nil.
 	conn   *trackedConn
+	use    *use
 	writes int64
 	// repeated is set when the transport took a second connection after
 	// something may have been sent on the first.
@@ -101,16 +110,12 @@
 				return
 			}
 			u.writes = u.conn.writes.Load()
-			u.readBefore()
+			u.use = &use{}
+			u.conn.use.Store(u.use)
 		},
 	}
 }
 
-func (u *connUse) readBefore() {
-	u.conn.readBefore.Store(u.conn.read.Load())
-	u.conn.next.Store(true)
-}
-
 // nothingSent reports whether no byte of the request was sent. When it returns
 // true, none can be sent later either: the connection is sealed.
 func (u *connUse) nothingSent() bool {
@@ -129,5 +134,5 @@
 // answeredEarly reports whether the answer was received before the request was
 // sent, so that it belongs to an earlier request on the connection.
 func (u *connUse) answeredEarly() bool {
-	return u.conn != nil && u.conn.read.Load() == u.conn.readBefore.Load()
+	return u.use != nil && !u.use.received.Load()
 }
