Measure rates of false ejections with bounds, and check the stated targets

Change: bench/detect takes -rows and -baselines=false, prints the exact Poisson bound at 95%, and checks each stated target by code: met, open (too few target-hours) or MISSED, then exit code 1. Target-hours are parts of one hour with a seed each. The generator keeps offsets and links, and the latencies are sorted only when the service has slowed. Ruled out: a faster judge; its share of the profile is flat.

--- a/bench/detect/healthy.go
+++ b/bench/detect/healthy.go
@@ -12,7 +12,7 @@
 
 // heavyTail answers with a wide distribution, and each target pauses now and
 // then, which delays all of its requests at once.
-type heavyTail struct{ seed uint64 }
+type heavyTail struct{ offsets *offsets }
 
 const (
 	heavySigma = 1.0
@@ -25,7 +25,7 @@
 	if a.outcome == link.Succeeded {
 		a.latency = lognormal(rng, medianLatency, heavySigma)
 	}
-	phase := (r.at + offset(h.seed, r.target, pauseEvery)) % pauseEvery
+	phase := (r.at + h.offsets[r.target]) % pauseEvery
 	if phase < pauseTime {
 		a.latency += pauseTime - phase
 	}
@@ -34,10 +34,16 @@
 
 func (heavyTail) probe(int, time.Duration) bool { return true }
 
-// offset spreads the targets' periods.
-func offset(seed uint64, target int, period time.Duration) time.Duration {
-	rng := rand.New(rand.NewPCG(seed, uint64(target)))
-	return time.Duration(rng.Int64N(int64(period)))
+// offsets spread the targets' periods.
+type offsets [maxTargets]time.Duration
+
+func newOffsets(seed uint64, period time.Duration) *offsets {
+	var o offsets
+	for target := range o {
+		rng := rand.New(rand.NewPCG(seed, uint64(target)))
+		o[target] = time.Duration(rng.Int64N(int64(period)))
+	}
+	return &o
 }
 
 // slowdown makes all targets slower for a while, each minute.
@@ -60,7 +66,7 @@
 func (slowdown) probe(int, time.Duration) bool { return true }
 
 // shedding lets each target refuse half of its requests for a while.
-type shedding struct{ seed uint64 }
+type shedding struct{ offsets *offsets }
 
 const (
 	shedEvery = 2 * time.Minute
@@ -69,7 +75,7 @@
 )
 
 func (s shedding) answer(rng *rand.Rand, r request) answer {
-	phase := (r.at + offset(s.seed, r.target, shedEvery)) % shedEvery
+	phase := (r.at + s.offsets[r.target]) % shedEvery
 	if phase < shedTime && rng.Float64() < shedShare {
 		return answer{outcome: link.Refused, latency: failLatency}
 	}
@@ -80,7 +86,7 @@
 
 // coldStart replaces each target every few minutes; the new instance is slow
 // until it is warm.
-type coldStart struct{ seed uint64 }
+type coldStart struct{ offsets *offsets }
 
 const (
 	replaceEvery = 5 * time.Minute
@@ -90,7 +96,7 @@
 
 // replaced returns how long ago a target was replaced.
 func (c coldStart) replaced(target int, at time.Duration) time.Duration {
-	return (at + offset(c.seed, target, replaceEvery)) % replaceEvery
+	return (at + c.offsets[target]) % replaceEvery
 }
 
 func (c coldStart) answer(rng *rand.Rand, r request) answer {
@@ -107,7 +113,7 @@
 
 // misleading lets each target's health endpoint fail for a while, though the
 // target works.
-type misleading struct{ seed uint64 }
+type misleading struct{ offsets *offsets }
 
 const (
 	misleadEvery = 2 * time.Minute
@@ -117,5 +123,5 @@
 func (misleading) answer(rng *rand.Rand, _ request) answer { return healthyAnswer(rng) }
 
 func (m misleading) probe(target int, at time.Duration) bool {
-	return (at+offset(m.seed, target, misleadEvery))%misleadEvery >= misleadTime
+	return (at+m.offsets[target])%misleadEvery >= misleadTime
 }
--- a/bench/detect/main.go
+++ b/bench/detect/main.go
@@ -1,6 +1,8 @@
 // Command detect measures detection time and false ejections of the detection
 // in package service, beside two baselines, on generated observations. It runs
-// on virtual time and gives the same table for the same flags.
+// on virtual time and gives the same table for the same flags. Target-hours are
+// run in parts of one hour with a seed each, on several processors. It exits
+// with 1 when a stated target is missed.
 package main
 
 import (
@@ -29,18 +31,48 @@
 	flag.Uint64Var(&o.seed, "seed", defaultSeed, "seed of the generator")
 	flag.StringVar(&o.service, "service", "", "run this service only")
 	flag.StringVar(&o.kind, "kind", "", "run this kind of row only")
-	flag.IntVar(&o.workers, "workers", min(maxWorkers, runtime.GOMAXPROCS(0)), "rows measured at once")
+	flag.StringVar(&o.rows, "rows", allRows, "rows to run: all, gray or healthy")
+	flag.BoolVar(&o.baselines, "baselines", true, "measure the baselines too")
+	flag.IntVar(&o.workers, "workers", min(maxWorkers, runtime.GOMAXPROCS(0)), "runs at once")
 	flag.Parse()
 	fmt.Printf("%s, %s/%s, %d cores, %d workers\n", time.Now().Format(time.DateOnly),
 		runtime.GOOS, runtime.GOARCH, runtime.NumCPU(), o.workers)
+	began := time.Now()
 	rows := measureAll(o)
 	printTable(os.Stdout, o, rows)
+	missed := printVerdicts(os.Stdout, rows)
+	fmt.Printf("%s\n", time.Since(began).Round(time.Second))
+	if missed > 0 {
+		os.Exit(1)
+	}
 }
 
+// Values of the flag rows.
+const (
+	allRows     = "all"
+	grayRows    = "gray"
+	healthyRows = "healthy"
+)
+
 // options are the command's flags.
 type options struct {
 	trials, hours, safetyHours int
 	seed                       uint64
-	service, kind              string
+	service, kind, rows        string
+	baselines                  bool
 	workers                    int
 }
+
+// methods returns the detectors to measure; ours is the first.
+func (o options) methods() []method {
+	if o.baselines {
+		return methods
+	}
+	return methods[:1]
+}
+
+// wants reports whether a row is to be measured.
+func (o options) wants(r row) bool {
+	return (o.service == "" || o.service == r.d.name) && (o.kind == "" || o.kind == r.kind()) &&
+		(o.rows != grayRows || r.gray != nil) && (o.rows != healthyRows || r.healthy != nil)
+}
--- a/bench/detect/measure.go
+++ b/bench/detect/measure.go
@@ -58,11 +58,11 @@
 }
 
 var healthyKinds = []healthyKind{
-	{"heavy tail", func(seed uint64) behavior { return heavyTail{seed} }},
+	{"heavy tail", func(seed uint64) behavior { return heavyTail{newOffsets(seed, pauseEvery)} }},
 	{"service-wide slowdown", func(uint64) behavior { return slowdown{} }},
-	{"load shedding", func(seed uint64) behavior { return shedding{seed} }},
-	{"cold start", func(seed uint64) behavior { return coldStart{seed} }},
-	{"misleading health", func(seed uint64) behavior { return misleading{seed} }},
+	{"load shedding", func(seed uint64) behavior { return shedding{newOffsets(seed, shedEvery)} }},
+	{"cold start", func(seed uint64) behavior { return coldStart{newOffsets(seed, replaceEvery)} }},
+	{"misleading health", func(seed uint64) behavior { return misleading{newOffsets(seed, misleadEvery)} }},
 }
 
 // result is what one run yields.
@@ -113,7 +113,7 @@
 	}
 	var out []row
 	for _, r := range rows {
-		if (o.service == "" || o.service == r.d.name) && (o.kind == "" || o.kind == r.kind()) {
+		if o.wants(r) {
 			r.measure(o)
 			out = append(out, r)
 			fmt.Fprintf(os.Stderr, "%s, %s: %s\n", r.d.name, r.kind(), cell(r, r.measurements[0]))
@@ -127,7 +127,7 @@
 func (r *row) measure(o options) {
 	var group errgroup.Group
 	group.SetLimit(o.workers)
-	for _, m := range methods {
+	for _, m := range o.methods() {
 		results := make([]result, r.runs(o, m))
 		for i := range results {
 			group.Go(func() error {
--- a/bench/detect/ours.go
+++ b/bench/detect/ours.go
@@ -32,7 +32,9 @@
 type ours struct {
 	contract *contract.Contract
 	hosts    []*service.Service
-	keys     []target.Key
+	// links are those of each host, by target.
+	links [][]*link.Link
+	keys  []target.Key
 	// share is the slots of each host, by target.
 	share   [][]int
 	ticks   int
@@ -58,10 +60,19 @@
 		o.keys = append(o.keys, target.Key{Service: d.name, Name: targetName(i)})
 		o.ejectedAt[i] = -time.Hour
 	}
+	o.linkAll()
 	return o
 }
 
-func (o *ours) link(host, target int) *link.Link { return o.hosts[host].Link(targetName(target)) }
+// linkAll looks up the links of all hosts.
+func (o *ours) linkAll() {
+	o.links = make([][]*link.Link, len(o.hosts))
+	for h, s := range o.hosts {
+		for i := range o.keys {
+			o.links[h] = append(o.links[h], s.Link(targetName(i)))
+		}
+	}
+}
 
 func (o *ours) sends(host, target int) bool {
 	return o.hosts[host].Sends(targetName(target))
@@ -71,12 +82,12 @@
 	if !o.sends(r.host, r.target) {
 		return 0, false
 	}
-	return o.link(r.host, r.target).Acquire(epoch.Add(r.at))
+	return o.links[r.host][r.target].Acquire(epoch.Add(r.at))
 }
 
 func (o *ours) done(r request, slot int, ob link.Observation) {
 	o.deliver(r.at + ob.Latency)
-	o.link(r.host, r.target).Release(slot)
+	o.links[r.host][r.target].Release(slot)
 	ob.Target = o.keys[r.target]
 	ob.Started = epoch.Add(r.at)
 	ob.At = ob.Started.Add(ob.Latency)
@@ -159,6 +170,7 @@
 		o.count(s.Apply(&next, epoch.Add(at)), at)
 		s.SetShare(len(o.hosts), rank)
 	}
+	o.linkAll()
 }
 
 func (o *ours) ejections() []int { return o.ejected }
--- a/bench/detect/table.go
+++ b/bench/detect/table.go
@@ -14,12 +14,12 @@
 // printTable writes one table. Detection times count from the fault to the end
 // of new work on every host, in steps of the tick.
 func printTable(w io.Writer, o options, rows []row) {
-	fmt.Fprintf(w, "seed %d; %d requests/s to each target over its entry set; %d faults a row, %d for a baseline\n",
-		o.seed, requestRate, o.trials, max(1, o.trials/baselineShare))
+	fmt.Fprintf(w, "seed %d; %d requests/s to each target over its entry set; %d faults a row; %s\n",
+		o.seed, requestRate, o.trials, baselineNote(o))
 	fmt.Fprintln(w, "detection: p50 p99 missed (wrong ejections in these runs)")
 	fmt.Fprintln(w, "healthy: false ejections per 10,000 target-hours [ejections / target-hours, links cut]")
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tw, "service\tweight\tkind\tWald\t"+methodNames())
+	fmt.Fprintln(tw, "service\tweight\tkind\tWald\t"+methodNames(o))
 	for _, r := range rows {
 		fmt.Fprintf(tw, "%s\t%s\t%s\t%s", r.d.name, r.d.weight, r.kind(), wald(r))
 		for _, m := range r.measurements {
@@ -31,25 +31,52 @@
 	printTotals(w, rows)
 }
 
+// total is the false ejections of a service over all healthy kinds measured.
+type total struct {
+	d     deployment
+	wrong int
+	hours float64
+	kinds int
+}
+
+func totalOf(d deployment, rows []row) total {
+	t := total{d: d}
+	for _, r := range rows {
+		if r.d.name == d.name && r.healthy != nil {
+			t.wrong += summarize(r.measurements[0].results).wrong
+			t.hours += r.measurements[0].targetHours
+			t.kinds++
+		}
+	}
+	return t
+}
+
+// rate returns the false ejections in 10,000 target-hours.
+func (t total) rate() float64 { return float64(t.wrong) / t.hours * 10000 }
+
+// upper returns the upper bound of the rate, in 10,000 target-hours.
+func (t total) upper() float64 { return poissonBound(t.wrong) / t.hours * 10000 }
+
 // printTotals sums the false ejections of each service over all kinds.
 func printTotals(w io.Writer, rows []row) {
 	for _, d := range deployments {
-		wrong, hours := 0, 0.0
-		for _, r := range rows {
-			if r.d.name == d.name && r.healthy != nil {
-				wrong += summarize(r.measurements[0].results).wrong
-				hours += r.measurements[0].targetHours
-			}
-		}
-		if hours > 0 {
-			fmt.Fprintf(w, "%s: %d false ejections in %.0f target-hours over all healthy kinds\n", d.name, wrong, hours)
+		if t := totalOf(d, rows); t.hours > 0 {
+			fmt.Fprintf(w, "%s: %d false ejections in %.0f target-hours over %d healthy kinds; at most %.2f in 10,000 at %.0f%% confidence (exact Poisson)\n",
+				d.name, t.wrong, t.hours, t.kinds, t.upper(), 100*confidence)
 		}
 	}
 }
 
-func methodNames() string {
+func baselineNote(o options) string {
+	if !o.baselines {
+		return "baselines left out"
+	}
+	return fmt.Sprintf("baselines with 1/%d of the faults and target-hours", baselineShare)
+}
+
+func methodNames(o options) string {
 	var names []string
-	for _, m := range methods {
+	for _, m := range o.methods() {
 		names = append(names, m.name)
 	}
 	return strings.Join(names, "\t")
--- a/service/latencies.go
+++ b/service/latencies.go
@@ -151,20 +151,29 @@
 
 // stretch moves the edges out while the whole service is slower than it was.
 func (l *latencies) stretch() {
-	if l.next < recentSize {
+	if l.next < recentSize || !l.slowed() {
 		return
 	}
 	sorted := l.recent
 	slices.Sort(sorted[:])
 	slowdown := sorted[recentSize/2] / float64(l.edges[0])
-	if slowdown < slowdownNoise {
-		return
-	}
 	for i := range l.edges {
 		l.edges[i] = time.Duration(float64(l.edges[i]) * slowdown)
 	}
 }
 
+// slowed reports whether the median of the newest latencies is noticeably
+// above that of the long run, without sorting them.
+func (l *latencies) slowed() bool {
+	slower := 0
+	for _, d := range l.recent {
+		if d/float64(l.edges[0]) >= slowdownNoise {
+			slower++
+		}
+	}
+	return slower > recentSize/2
+}
+
 // Nats returns the evidence that a latency brings for a slow target, in nats;
 // 0 while too little is known of the service.
 func (l *latencies) Nats(d time.Duration) float64 {
