Eject nothing at the beginning of a slowdown of a small service

Change: 40% of the others are enough when the evidence against them is strong, 0.3 of the threshold. Test: TestBeginningOfASlowdownEjectsNothing, red before and red again with each guard taken out (the strong rule, its share, its level).

--- a/service/detection_test.go
+++ b/service/detection_test.go
@@ -175,3 +175,31 @@
 	is.True(!m.path.IsCut())
 	is.True(s.linkThreshold(m, target.Failing, epoch.Add(11*time.Second)) < full)
 }
+
+// At the beginning of a slowdown of the whole service few targets have had
+// requests enough to be suspected.
+func TestBeginningOfASlowdownEjectsNothing(t *testing.T) {
+	cases := []struct {
+		name   string
+		others []float64
+		state  target.State
+	}{
+		{"two others strongly suspected", []float64{8, 8}, target.Active},
+		{"one other strongly suspected", []float64{8}, target.Ejected},
+		{"two others noticeable", []float64{6, 6}, target.Ejected},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New(testContract(6, 12), Place{Zone: "a"}, epoch)
+			h := s.threshold
+			for i, nats := range c.others {
+				s.members[i].target.Pool().Add(target.Slow, nats, h, epoch)
+			}
+			last := s.members[5]
+			last.target.Pool().Add(target.Slow, float64(h), h, epoch)
+			s.judge(last, epoch)
+			is.Equal(last.target.State(), c.state)
+		})
+	}
+}
--- a/service/judge.go
+++ b/service/judge.go
@@ -21,6 +21,11 @@
 	// wideShare is the share of the other targets that must be noticeable for
 	// a disturbance to count as service-wide.
 	wideShare = 0.4
+	// strongShare is the share of the threshold from which the evidence against
+	// another target is strong: at the beginning of a disturbance few targets
+	// have had requests enough to be noticeable. Strong ones count already when
+	// they are just wideShare of the others.
+	strongShare = 0.3
 	// heldShare is the share of the threshold to which evidence is cut back
 	// while a disturbance is service-wide.
 	heldShare = 0.8
@@ -89,17 +94,23 @@
 // serviceWide reports whether so many of the other targets are under the same
 // suspicion that the service as a whole is disturbed, not the member.
 func (s *Service) serviceWide(m *member, k target.Suspicion) bool {
-	others, suspected := 0, 0
+	others, suspected, strongly := 0, 0, 0
+	strong := strongShare * float64(s.threshold)
 	for _, other := range s.members {
 		if other == m || !other.target.TakesWork() {
 			continue
 		}
 		others++
-		if other.target.Pool().Sum()[k] >= noticeable {
+		sum := other.target.Pool().Sum()[k]
+		if sum >= noticeable {
 			suspected++
 		}
+		if sum >= strong {
+			strongly++
+		}
 	}
-	return others >= 2 && float64(suspected) > wideShare*float64(others)
+	limit := wideShare * float64(others)
+	return others >= 2 && (float64(suspected) > limit || float64(strongly) >= limit)
 }
 
 func median(values []float64) float64 {
