Ask for more evidence that a target is slow at weight detection

In the ten ejections that were read the evidence was for slowness, at 13.1 to 16 nats against the threshold of 13.1, which 2e-6 a request allows. In six, one of the two hosts of the target had cut its link at 7.9 nats and the other brought two late answers. Three of the ten were on probation, at half of it, after a wrong ejection. Ruled out: the same threshold for failures, which would find a target that fails all work later than five consecutive failures do; 1e-7 and 2e-8, which find one-way links after 2.2 s. Change: thresholds are kept for each suspicion; at weight detection slow takes 2e-7. The other weights are as before.

--- a/bench/detect/table.go
+++ b/bench/detect/table.go
@@ -135,6 +135,6 @@
 	default:
 		return "-"
 	}
-	requests := target.WaldBound(target.ThresholdFor(r.d.weight), failures)
+	requests := target.WaldBound(target.ThresholdsFor(r.d.weight)[target.Failing], failures)
 	return fmt.Sprintf("%.0fms", requests/requestRate*1000)
 }
--- a/service/detection_test.go
+++ b/service/detection_test.go
@@ -192,7 +192,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			s := New(testContract(6, 12), Place{Zone: "a"}, epoch)
-			h := s.threshold
+			h := s.thresholds[target.Slow]
 			for i, nats := range c.others {
 				s.members[i].target.Pool().Add(target.Slow, nats, h, epoch)
 			}
--- a/service/doubt.go
+++ b/service/doubt.go
@@ -67,7 +67,7 @@
 func (s *Service) alone(m *member, now time.Time) bool {
 	p := m.target.Pool()
 	for k := range target.Suspicions {
-		if p.Own()[k] < float64(s.threshold.OnProbation()) {
+		if p.Own()[k] < float64(s.thresholds[k].OnProbation()) {
 			continue
 		}
 		fresh := m.path.IsCut() || now.Sub(p.BadAt(k)) < staleTime
--- a/service/floor_test.go
+++ b/service/floor_test.go
@@ -180,7 +180,7 @@
 	s := New(c, Place{}, epoch)
 	eject := func(name string, nats float64) {
 		m := s.byName[name]
-		m.target.Pool().Add(target.Failing, nats, s.threshold, epoch)
+		m.target.Pool().Add(target.Failing, nats, s.thresholds[target.Failing], epoch)
 		s.move(m, target.Ejected, "test", epoch)
 	}
 	eject("checkout-0", 20)
--- a/service/judge.go
+++ b/service/judge.go
@@ -38,14 +38,25 @@
 			s.judgeSuspicion(m, k, now)
 		}
 	}
-	if m.withheld != NotWithheld && m.target.Pool().Sum().Max() < float64(s.threshold.OnProbation()) {
+	if m.withheld != NotWithheld && s.calm(m) {
 		m.withheld = NotWithheld
 	}
 }
 
+// calm reports whether the evidence against a member is far from a verdict.
+func (s *Service) calm(m *member) bool {
+	sum := m.target.Pool().Sum()
+	for k := range target.Suspicions {
+		if sum[k] >= float64(s.thresholds[k].OnProbation()) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Service) judgeSuspicion(m *member, k target.Suspicion, now time.Time) {
 	t := m.target
-	h := s.thresholdOf(m)
+	h := s.thresholdOf(m, k)
 	verdict := t.Judge(k, h, now)
 	broken := s.linkSuspected(m, k, now)
 	if verdict == target.Unproved && !broken {
@@ -68,18 +79,19 @@
 	}
 }
 
-// thresholdOf returns the threshold for a member in its present state.
-func (s *Service) thresholdOf(m *member) target.Threshold {
+// thresholdOf returns the threshold of a suspicion for a member in its present
+// state.
+func (s *Service) thresholdOf(m *member, k target.Suspicion) target.Threshold {
 	if m.target.State() == target.Probation {
-		return s.threshold.OnProbation()
+		return s.thresholds[k].OnProbation()
 	}
-	return s.threshold
+	return s.thresholds[k]
 }
 
 // evidenceOf describes the evidence that led to an ejection.
 func (s *Service) evidenceOf(m *member, k target.Suspicion) string {
 	return fmt.Sprintf("%s: evidence %.1f nats, threshold %.1f",
-		k, m.target.Pool().Sum()[k], float64(s.thresholdOf(m)))
+		k, m.target.Pool().Sum()[k], float64(s.thresholdOf(m, k)))
 }
 
 // withhold notes once for each cause that an ejection does not happen.
@@ -95,7 +107,7 @@
 // suspicion that the service as a whole is disturbed, not the member.
 func (s *Service) serviceWide(m *member, k target.Suspicion) bool {
 	others, suspected, strongly := 0, 0, 0
-	strong := strongShare * float64(s.threshold)
+	strong := strongShare * float64(s.thresholds[k])
 	for _, other := range s.members {
 		if other == m || !other.target.TakesWork() {
 			continue
--- a/service/observe.go
+++ b/service/observe.go
@@ -49,11 +49,11 @@
 	t.Pool().CountObservation(o.At)
 	t.Failures().Add(failed)
 	if failed {
-		t.Pool().Add(target.Failing, s.rates.Failure(), s.threshold, o.At)
+		t.Pool().Add(target.Failing, s.rates.Failure(), s.thresholds[target.Failing], o.At)
 		return
 	}
 	t.ClearProbes()
-	t.Pool().Add(target.Failing, s.rates.Success(), s.threshold, o.At)
+	t.Pool().Add(target.Failing, s.rates.Success(), s.thresholds[target.Failing], o.At)
 }
 
 // countLatency counts how long the request took, less what was counted while
@@ -67,7 +67,7 @@
 		return
 	}
 	nats := s.latencies.Nats(latency) - m.open[o.Started.UnixNano()]
-	m.target.Pool().Add(target.Slow, nats, s.threshold, o.At)
+	m.target.Pool().Add(target.Slow, nats, s.thresholds[target.Slow], o.At)
 	if o.Outcome == link.Succeeded && !s.standsOut(m) {
 		s.latencies.Add(latency)
 	}
@@ -76,7 +76,7 @@
 // standsOut reports whether a member alone is suspected of being slow. Its
 // latencies are kept out of the service's distribution.
 func (s *Service) standsOut(m *member) bool {
-	suspected := m.target.Pool().Sum()[target.Slow] >= float64(s.threshold.OnProbation())
+	suspected := m.target.Pool().Sum()[target.Slow] >= float64(s.thresholds[target.Slow].OnProbation())
 	return suspected && !s.serviceWide(m, target.Slow)
 }
 
@@ -98,7 +98,7 @@
 		nats := s.latencies.Nats(age)
 		if more := nats - m.open[key]; more > 0 {
 			m.target.Pool().CountObservation(now)
-			m.target.Pool().Add(target.Slow, more, s.threshold, now)
+			m.target.Pool().Add(target.Slow, more, s.thresholds[target.Slow], now)
 			m.open[key] = nats
 		}
 	})
--- a/service/path.go
+++ b/service/path.go
@@ -10,9 +10,9 @@
 // link, in nats.
 func (s *Service) linkThreshold(m *member, k target.Suspicion, now time.Time) target.Threshold {
 	if m.path.OnTrial(now) {
-		return s.threshold.OnLink(k) * trialShare
+		return s.thresholds[k].OnLink(k) * trialShare
 	}
-	return s.threshold.OnLink(k)
+	return s.thresholds[k].OnLink(k)
 }
 
 // linkSuspected reports whether this host's own evidence is enough to cut its
--- a/service/probe.go
+++ b/service/probe.go
@@ -49,7 +49,7 @@
 		s.countCleanProbe(m, now)
 	}
 	if m.target.TakesWork() {
-		m.target.AddProbe(p.Passed, s.threshold)
+		m.target.AddProbe(p.Passed, s.thresholds[target.Failing])
 		s.judge(m, now)
 	}
 	return s.take()
--- a/service/report.go
+++ b/service/report.go
@@ -93,7 +93,7 @@
 // host. Reports may be lost, doubled and reordered.
 func (s *Service) ObserveReport(from string, r Report, now time.Time) []Transition {
 	m, ok := s.byName[r.Target.Name]
-	if !ok || !m.target.Pool().Hear(from, r.News, s.threshold, now) {
+	if !ok || !m.target.Pool().Hear(from, r.News, s.thresholds, now) {
 		return nil
 	}
 	s.reporters[from] = true
--- a/service/service.go
+++ b/service/service.go
@@ -47,7 +47,7 @@
 	// members are in the order of the contract.
 	members    []*member
 	byName     map[string]*member
-	threshold  target.Threshold
+	thresholds target.Thresholds
 	rates      target.Rates
 	latencies  *latencies
 	nextRates  time.Time
@@ -88,7 +88,7 @@
 func (s *Service) declare(c *contract.Contract, state target.State, now time.Time) {
 	s.Contract = c
 	s.routing = nil
-	s.threshold = target.ThresholdFor(c.Weight)
+	s.thresholds = target.ThresholdsFor(c.Weight)
 	known := s.byName
 	s.members = nil
 	s.byName = make(map[string]*member, len(c.Targets))
--- a/target/news.go
+++ b/target/news.go
@@ -32,7 +32,7 @@
 
 // Hear takes in a peer's news. Old and repeated news change nothing; the first
 // news of a peer are the base for the next. It returns false for old news.
-func (p *Pool) Hear(from string, n News, h Threshold, now time.Time) bool {
+func (p *Pool) Hear(from string, n News, h Thresholds, now time.Time) bool {
 	i, known := p.peer(from)
 	if !known {
 		p.peers = slices.Insert(p.peers, i, &share{host: from, total: n.Total})
@@ -46,7 +46,7 @@
 	}
 	p.disown(s, n.LinkCut)
 	for k := range Suspicions {
-		p.contribute(s, k, n.Total[k]-s.total[k], h)
+		p.contribute(s, k, n.Total[k]-s.total[k], h[k])
 	}
 	s.zone, s.total, s.sequence = n.Zone, n.Total, n.Sequence
 	s.observations, s.leaving = n.Observations, n.Leaving
--- a/target/pool_test.go
+++ b/target/pool_test.go
@@ -11,9 +11,10 @@
 )
 
 var (
-	epoch     = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	threshold = ThresholdFor(contract.WeightBalanced)
-	rates     = RatesAround(0)
+	epoch      = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	thresholds = ThresholdsFor(contract.WeightBalanced)
+	threshold  = thresholds[Failing]
+	rates      = RatesAround(0)
 )
 
 // claim lets a peer add evidence to what it reported before.
@@ -37,7 +38,7 @@
 	n.Observations++
 	n.Total[Failing] += nats
 	c.news[host] = n
-	c.pool.Hear(host, n, threshold, epoch)
+	c.pool.Hear(host, n, thresholds, epoch)
 }
 
 func TestOneHostCannotBringAVerdictAlone(t *testing.T) {
@@ -109,7 +110,7 @@
 	n := c.news["b1"]
 	n.Sequence++
 	n.LinkCut = true
-	p.Hear("b1", n, threshold, epoch)
+	p.Hear("b1", n, thresholds, epoch)
 	is.Equal(p.Sum()[Failing], 0.0)
 }
 
@@ -154,3 +155,15 @@
 	c.add("c1", float64(threshold)/3)
 	is.Equal(tg.Judge(Failing, threshold, epoch), Unproved)
 }
+
+func TestWeightsOrderTheThresholds(t *testing.T) {
+	is := is.New(t)
+	detection := ThresholdsFor(contract.WeightDetection)
+	balanced := ThresholdsFor(contract.WeightBalanced)
+	safety := ThresholdsFor(contract.WeightSafety)
+	for k := range Suspicions {
+		is.True(detection[k] < balanced[k])
+		is.True(balanced[k] < safety[k])
+	}
+	is.True(detection[Slow] > detection[Failing]) // healthy latencies vary more than failures
+}
--- a/target/threshold.go
+++ b/target/threshold.go
@@ -12,6 +12,10 @@
 	falseEjectionDetection = 2e-6
 	falseEjectionBalanced  = 1e-8
 	falseEjectionSafety    = 1e-10
+	// falseEjectionSlowDetection is the one for Slow at weight detection.
+	// Healthy latencies vary far more than healthy failures do, and a slow
+	// target completes the test with few requests at any threshold.
+	falseEjectionSlowDetection = 2e-7
 )
 
 // Shares of the threshold.
@@ -36,19 +40,26 @@
 // Threshold is the evidence at which a target is ejected, in nats.
 type Threshold float64
 
-// ThresholdFor translates a contract's weight between detection time and false
-// ejections.
-func ThresholdFor(w contract.Weight) Threshold {
+// Thresholds holds the threshold of each suspicion.
+type Thresholds [Suspicions]Threshold
+
+// ThresholdsFor translates a contract's weight between detection time and
+// false ejections.
+func ThresholdsFor(w contract.Weight) Thresholds {
 	switch w {
 	case contract.WeightDetection:
-		return Threshold(-math.Log(falseEjectionDetection))
+		return Thresholds{Failing: thresholdAt(falseEjectionDetection), Slow: thresholdAt(falseEjectionSlowDetection)}
 	case contract.WeightSafety:
-		return Threshold(-math.Log(falseEjectionSafety))
+		return Thresholds{Failing: thresholdAt(falseEjectionSafety), Slow: thresholdAt(falseEjectionSafety)}
 	default:
-		return Threshold(-math.Log(falseEjectionBalanced))
+		return Thresholds{Failing: thresholdAt(falseEjectionBalanced), Slow: thresholdAt(falseEjectionBalanced)}
 	}
 }
 
+// thresholdAt returns the threshold of Wald's test at a probability of a false
+// ejection.
+func thresholdAt(probability float64) Threshold { return Threshold(-math.Log(probability)) }
+
 // OnProbation returns the threshold for a target on probation.
 func (h Threshold) OnProbation() Threshold { return h * probationShare }
 
