Say which rate keeps to the 3 ms, beside the highest one served

Cause: the bench called a rate sustained up to a p99 of 50 ms, and the 3 ms were then asked for at that rate: a rate found where 50 ms are allowed says little of a host that must add 3. On one machine it is the rate at which callers, host and targets together use up the processors. Ruled out: taking the highest rate within 3 ms as "highest sustained" alone; the bound would then hold by definition. Change: the bench prints the highest rate up to which every rate adds at most 3 ms for 99 in 100, beside the users' mean of 89,000 / 890 = 100/s a host, and still the highest rate served by the earlier criterion, with the bound there as met or missed. New columns: how late requests were sent by the callers' own process, the p99 of each turn, and allocations a request, from the host's metrics. Five turns in place of three. The callers' histograms are made once rather than at each turn, where 39 MB were in use (collector's trace). Guards taken out: each of the conditions in measure.go; TestRatesFound fails.

--- a/bench/latency/load.go
+++ b/bench/latency/load.go
@@ -1,17 +1,12 @@
 package main
 
 import (
-	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
 )
 
@@ -27,46 +22,48 @@
 	key       string
 	client    *http.Client
 	next      atomic.Uint64
+	workers   []*sample
 }
 
 func newCaller(addresses []string, key string) *caller {
-	return &caller{addresses: addresses, key: key, client: &http.Client{
+	c := &caller{addresses: addresses, key: key, client: &http.Client{
 		Timeout:   5 * time.Second,
 		Transport: &http.Transport{MaxIdleConnsPerHost: workers, DisableCompression: true},
 	}}
+	for range workers {
+		c.workers = append(c.workers, newSample())
+	}
+	return c
 }
 
 // load sends requests at a constant rate, however long their answers take, and
 // records each latency from the moment at which the request was due.
-func (c *caller) load(rate float64, length time.Duration, into *hdrhistogram.Histogram) (sent, failed int64) {
+func (c *caller) load(rate float64, length time.Duration) *sample {
 	due := make(chan time.Time, backlog)
-	histograms := make([]*hdrhistogram.Histogram, workers)
-	var failures atomic.Int64
 	var group sync.WaitGroup
-	for i := range histograms {
-		histograms[i] = newHistogram()
+	for _, worker := range c.workers {
+		worker.reset()
 		group.Go(func() {
 			for at := range due {
-				if c.call() != nil {
-					failures.Add(1)
-				}
-				_ = histograms[i].RecordValue(max(lowestLatency, int64(time.Since(at))))
+				late := time.Since(at)
+				err := c.call()
+				worker.record(time.Since(at), late, err)
 			}
 		})
 	}
 	start := time.Now()
-	n := int64(rate * length.Seconds())
-	for i := range n {
+	for i := range int64(rate * length.Seconds()) {
 		at := start.Add(time.Duration(float64(i) / rate * float64(time.Second)))
 		time.Sleep(time.Until(at))
 		due <- at
 	}
 	close(due)
 	group.Wait()
-	for _, h := range histograms {
-		into.Merge(h)
+	total := newSample()
+	for _, worker := range c.workers {
+		total.merge(worker)
 	}
-	return n, failures.Load()
+	return total
 }
 
 // call sends one request and reads the whole answer.
@@ -92,42 +89,3 @@
 	}
 	return nil
 }
-
-// clockTick is the unit of processor time in /proc.
-const clockTick = 10 * time.Millisecond
-
-// Fields of /proc/PID/stat behind the name of the command.
-const (
-	fieldUserTime   = 11
-	fieldSystemTime = 12
-)
-
-// processTime returns the processor time that a process has used.
-func processTime(pid int) (time.Duration, error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, errors.Wrap(err, "processor time of the host")
-	}
-	_, behind, _ := strings.Cut(string(data), ") ")
-	fields := strings.Fields(behind)
-	if len(fields) <= fieldSystemTime {
-		return 0, errors.Errorf("processor time of the host: %q", data)
-	}
-	var ticks int64
-	for _, i := range []int{fieldUserTime, fieldSystemTime} {
-		n, err := strconv.ParseInt(fields[i], 10, 64)
-		if err != nil {
-			return 0, errors.Wrap(err, "processor time of the host")
-		}
-		ticks += n
-	}
-	return time.Duration(ticks) * clockTick, nil
-}
-
-func loadAverage() string {
-	data, err := os.ReadFile("/proc/loadavg")
-	if err != nil {
-		return "unknown"
-	}
-	return strings.Join(strings.Fields(string(data))[:3], " ")
-}
--- a/bench/latency/main.go
+++ b/bench/latency/main.go
@@ -1,5 +1,5 @@
 // Command latency measures what one host adds to a request: latency, processor
-// time and failures. The host runs as a process of its own:
+// time, allocations and failures. The host runs as a process of its own:
 //
 //	go build -o crocushinged ./cmd/crocushinged
 //	./crocushinged --settings examples/host.yaml &
@@ -37,15 +37,23 @@
 	lastRate   = 40000
 )
 
-// A rate is sustained while this share of the requests is answered and the
-// 99th percentile stays below the bound.
+// A rate is served while this share of the requests is answered and the 99th
+// percentile stays below the bound. It shows where the host, the callers and
+// the targets together reach what the machine can do.
 const (
-	sustainedShare = 0.999
-	sustainedP99   = 50 * time.Millisecond
+	servedShare = 0.999
+	servedP99   = 50 * time.Millisecond
+)
+
+// The users' words: 3 ms added to a request for 99 in 100; 89,000 requests a
+// second before 890 hosts.
+const (
+	addedBound = 3 * time.Millisecond
+	hostRate   = 89000 / 890
 )
 
 // turns is how often each rate is measured directly and through the host.
-const turns = 3
+const turns = 5
 
 func main() {
 	cmd := &cli.Command{
@@ -53,6 +61,7 @@
 		Usage: "measure what one host adds to a request",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "host", Usage: "`ADDRESS` of the host", Value: "127.0.0.1:8080"},
+			&cli.StringFlag{Name: "api", Usage: "`ADDRESS` of the host's API", Value: "127.0.0.1:8081"},
 			&cli.StringFlag{Name: "key", Usage: "`KEY` of the account", Value: "bookshop-key"},
 			&cli.IntFlag{Name: "pid", Usage: "process `ID` of the host, for its processor time", Required: true},
 			&cli.DurationFlag{Name: "turn", Usage: "`TIME` of one turn", Value: 5 * time.Second},
@@ -74,30 +83,20 @@
 	b := bench{
 		direct: newCaller(targets, ""),
 		host:   newCaller([]string{cmd.String("host")}, cmd.String("key")),
-		pid:    cmd.Int("pid"),
-		turn:   cmd.Duration("turn"),
+		process: process{
+			pid:     cmd.Int("pid"),
+			metrics: "http://" + cmd.String("api") + "/metrics",
+		},
+		turn: cmd.Duration("turn"),
 	}
 	if err := b.awaitHost(); err != nil {
 		return err
 	}
-	printHead()
-	for _, rate := range []float64{lowRate, highRate} {
-		if err := b.measure(rate).print(); err != nil {
-			return err
-		}
-	}
-	return b.search()
-}
-
-func printHead() {
 	fmt.Printf("%s, %s/%s, %d processors, %s, load average %s\n",
 		time.Now().UTC().Format("2006-01-02 15:04 MST"), runtime.GOOS, runtime.GOARCH,
 		runtime.NumCPU(), runtime.Version(), loadAverage())
-	fmt.Println("open loop; latency from the scheduled start; direct and through the host by turns")
-	fmt.Printf("%9s %8s %8s | %26s | %26s | %26s | %9s\n", "", "", "",
-		"direct ms", "through the host ms", "added ms", "host CPU")
-	fmt.Printf("%9s %8s %8s | %8s %8s %8s | %8s %8s %8s | %8s %8s %8s | %9s\n",
-		"rate /s", "sent", "failed", "p50", "p99", "p99.9", "p50", "p99", "p99.9", "p50", "p99", "p99.9", "us/req")
+	printHead()
+	return b.run()
 }
 
 // serveTarget runs a target that answers at once.
