Count an outcome before it is queued

Cause, found by reading: Settle queued an outcome and counted it afterwards. A shutdown that looked between the two saw nothing waiting and stopped the writer. Change: it is counted first, and taken back when the queue is full. No test: the window is between two instructions of one goroutine. Conclusion: Drain counts at least what waits.

--- a/claim/writer.go
+++ b/claim/writer.go
@@ -52,11 +52,13 @@
 // the table holds the outcome; it is nil when the queue is full.
 func (w *Writer) Settle(key Key, settled caller.Claim) <-chan struct{} {
 	s := settlement{key: key, claim: settled, done: make(chan struct{})}
+	// Counted before Run can take it, so that Drain does not miss it.
+	w.open.Add(1)
 	select {
 	case w.queue <- s:
-		w.open.Add(1)
 		return s.done
 	default:
+		w.open.Add(-1)
 		w.Dropped.Add(1)
 		return nil
 	}
