--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -35,6 +35,8 @@
 // Config is what a test fleet is built from.
 type Config struct {
 	Network *Network
+	// Zones are the availability zones. Default: Zones, all of one region.
+	Zones []daemon.ZoneSettings
 	// LeaveTime is how long a leaving host serves on. Default: the daemon's.
 	LeaveTime time.Duration
 	// Settings changes the settings of a host before it starts. Default: none.
@@ -47,10 +49,11 @@
 	Network *Network
 	Store   *memory.Platform
 
-	cfg   Config
-	reads atomic.Int64
-	mu    sync.Mutex
-	hosts map[string]*running
+	cfg    Config
+	reads  atomic.Int64
+	writes atomic.Int64
+	mu     sync.Mutex
+	hosts  map[string]*running
 	// zones holds the zone of each host that was ever started.
 	zones  map[string]string
 	ended  sync.WaitGroup
@@ -64,8 +67,20 @@
 	done   chan struct{}
 }
 
+// oneRegion returns Zones as those of one region.
+func oneRegion() []daemon.ZoneSettings {
+	var out []daemon.ZoneSettings
+	for _, z := range Zones {
+		out = append(out, daemon.ZoneSettings{ID: z, Region: "lima"})
+	}
+	return out
+}
+
 // New returns a fleet without hosts.
 func New(cfg Config) *Fleet {
+	if len(cfg.Zones) == 0 {
+		cfg.Zones = oneRegion()
+	}
 	return &Fleet{Network: cfg.Network, Store: memory.New(), cfg: cfg, hosts: make(map[string]*running), zones: make(map[string]string)}
 }
 
@@ -80,7 +95,7 @@
 	if f.cfg.LeaveTime > 0 {
 		opts = append(opts, daemon.WithLeaveTime(f.cfg.LeaveTime))
 	}
-	view := storeView{network: f.Network, place: name, store: f.Store, reads: &f.reads}
+	view := storeView{network: f.Network, place: name, store: f.Store, reads: &f.reads, writes: &f.writes}
 	d, err := daemon.New(settings, view.platform(), f.cfg.Log, opts...)
 	if err != nil {
 		return errors.Wrapf(err, "start %s", name)
@@ -105,7 +120,7 @@
 
 func (f *Fleet) settings(name string) daemon.Settings {
 	if f.zones[name] == "" {
-		f.zones[name] = Zones[len(f.zones)%len(Zones)]
+		f.zones[name] = f.cfg.Zones[len(f.zones)%len(f.cfg.Zones)].ID
 	}
 	sum := sha256.Sum256([]byte(Key))
 	s := daemon.Settings{
@@ -114,9 +129,7 @@
 		FleetToken: "fleet", OperatorToken: "operator",
 		Accounts: []daemon.AccountSettings{{Name: Account, KeySHA256: hex.EncodeToString(sum[:])}},
 	}
-	for _, z := range Zones {
-		s.Zones = append(s.Zones, daemon.ZoneSettings{ID: z, Region: "lima"})
-	}
+	s.Zones = f.cfg.Zones
 	for _, other := range f.names() {
 		if other != name && len(s.Seeds) < seedHosts {
 			s.Seeds = append(s.Seeds, f.hosts[other].daemon.Self().FleetAddress)
@@ -200,6 +213,9 @@
 // Reads returns the reads of the table by all hosts.
 func (f *Fleet) Reads() int64 { return f.reads.Load() }
 
+// Writes returns the writes to the table by all hosts.
+func (f *Fleet) Writes() int64 { return f.writes.Load() }
+
 // All reports whether a condition holds for every host that runs.
 func (f *Fleet) All(holds func(*host.Snapshot) bool) bool {
 	for _, s := range f.Snapshots() {
@@ -213,10 +229,16 @@
 // Contract returns a contract of one service with targets of 4 slots. GET on
 // /SERVICE is idempotent, POST on /SERVICE/orders is not.
 func Contract(service string, targets ...*Target) string {
+	return ContractIn(oneRegion(), service, targets...)
+}
+
+// ContractIn returns a contract like Contract, with the targets dealt over
+// zones.
+func ContractIn(zones []daemon.ZoneSettings, service string, targets ...*Target) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "service: %s\ntargets:\n", service)
 	for i, t := range targets {
-		fmt.Fprintf(&b, "  - {name: %s, address: %q, zone: %s, slots: 4, connections: 400}\n", t.Name, t.Address, Zones[i%len(Zones)])
+		fmt.Fprintf(&b, "  - {name: %s, address: %q, zone: %s, slots: 4, connections: 400}\n", t.Name, t.Address, zones[i%len(zones)].ID)
 	}
 	fmt.Fprintf(&b, "routes:\n  - {path: /%s, methods: [GET], idempotent: true, deadline: 2s}\n", service)
 	fmt.Fprintf(&b, "  - {path: /%s/orders, methods: [POST], idempotent: false, deadline: 5s}\n", service)
--- a/fleettest/harness_test.go
+++ b/fleettest/harness_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/crocushinge/crocushinge/daemon"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/publish"
 )
@@ -34,16 +35,26 @@
 // ... on a virtual clock, and checks at its end that no promise to a caller
 // was broken.
 func inBubble(t *testing.T, hosts, targets int, test func(*testFleet)) {
+	t.Helper()
+	inZones(t, nil, hosts, targets, test)
+}
+
+// inZones is inBubble with the hosts and targets dealt over the given zones.
+func inZones(t *testing.T, zones []daemon.ZoneSettings, hosts, targets int, test func(*testFleet)) {
 	t.Helper()
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		network := NewMemory(*seed)
 		network.Delay(2 * time.Millisecond)
 		f := &testFleet{
-			Fleet: New(Config{Network: network, Log: zerolog.Nop()}),
+			Fleet: New(Config{Network: network, Zones: zones, Log: zerolog.Nop()}),
 			t:     t, ctx: t.Context(),
 		}
+		// A test that fails leaves its load and watchers running.
+		var cancel context.CancelFunc
+		f.ctx, cancel = context.WithCancel(f.ctx)
 		defer f.close()
+		defer cancel()
 		for i := range targets {
 			target, err := StartTarget(network, fmt.Sprint("t", i))
 			f.must(err)
@@ -92,7 +103,7 @@
 // publish replaces the contract of the service "prices".
 func (f *testFleet) publish(through string, targets ...*Target) {
 	f.t.Helper()
-	result, err := f.Publish(f.ctx, through, fmt.Sprint("p", f.version), "prices", Contract("prices", targets...), f.version)
+	result, err := f.Publish(f.ctx, through, fmt.Sprint("p", f.version), "prices", ContractIn(f.cfg.Zones, "prices", targets...), f.version)
 	f.must(err)
 	f.check(result.Status == publish.Accepted, "proposal: %+v", result)
 	f.version = result.Version
--- a/fleettest/network.go
+++ b/fleettest/network.go
@@ -27,6 +27,8 @@
 	conns  map[*conn]bool
 	// carried counts the bytes of each way.
 	carried map[way]uint64
+	// dials counts the connections that were opened.
+	dials int64
 	// changed is closed and replaced when the faults change.
 	changed chan struct{}
 }
@@ -98,6 +100,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns[c] = true
+	n.dials++
 	return c, nil
 }
 
@@ -190,6 +193,13 @@
 	n.carried[w] += uint64(bytes)
 }
 
+// Dials returns how many connections were opened.
+func (n *Network) Dials() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials
+}
+
 // Bytes returns the bytes that were carried on the ways that match, without
 // the headers of TCP and IP.
 func (n *Network) Bytes(match func(from, to string) bool) uint64 {
--- a/fleettest/platform.go
+++ b/fleettest/platform.go
@@ -20,6 +20,7 @@
 	place   string
 	store   *memory.Platform
 	reads   *atomic.Int64
+	writes  *atomic.Int64
 }
 
 func (v storeView) platform() daemon.Platform {
@@ -54,6 +55,7 @@
 
 // Write implements platform.Table.
 func (v storeView) Write(ctx context.Context, puts ...platform.Put) error {
+	v.writes.Add(1)
 	if err := v.reach(); err != nil {
 		return err
 	}
--- a/fleettest/target.go
+++ b/fleettest/target.go
@@ -42,6 +42,7 @@
 	mu     sync.Mutex
 	how    Behaviour
 	runs   []Run
+	probes int
 	open   int
 	most   int
 }
@@ -72,6 +73,19 @@
 	return append([]Run(nil), t.runs...)
 }
 
+// Probes returns how often the target's health endpoint was asked.
+func (t *Target) Probes() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.probes
+}
+
+func (t *Target) countProbe() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.probes++
+}
+
 // MostOpen returns the greatest number of requests that were open at once.
 func (t *Target) MostOpen() int {
 	t.mu.Lock()
@@ -88,6 +102,7 @@
 // ServeHTTP implements http.Handler.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
+		t.countProbe()
 		t.sign(w)
 		return
 	}
