--- a/host/membership_test.go
+++ b/host/membership_test.go
@@ -207,3 +207,24 @@
 	is.True(c.all(func(name string, _ *node) bool { return c.state(name, "h07") == PeerGone }))
 	is.True(!fronts())
 }
+
+// TestFewSurvivorsWithoutTheStore leaves few of 24 hosts alive while the store
+// is away. As long as two reach each other they are not cut off, and declare the
+// others gone; a single one cannot tell the two apart, and declares none.
+func TestFewSurvivorsWithoutTheStore(t *testing.T) {
+	tests := []struct{ left, gone int }{{left: 1, gone: 0}, {left: 2, gone: 22}, {left: 3, gone: 21}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.left), func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 24)
+			c.run(20 * time.Second)
+			c.storeDown = true
+			c.takeDown(c.names[tt.left:]...)
+			c.run(2 * time.Minute)
+			is.True(c.all(func(_ string, n *node) bool { return len(n.core.peers)-n.core.countPeers().notGone == tt.gone }))
+			c.wake(c.names[tt.left:]...)
+			c.run(2 * time.Minute)
+			is.True(c.all(func(_ string, n *node) bool { return n.core.countPeers().alive == 23 }))
+		})
+	}
+}
