Spread the targets over several transports

Cause: all requests to targets of one protocol and share went by one http.Transport, which takes one lock to choose a connection and again to keep it. A thread that loses its processor while it holds the lock stops all requests of the host. Ruled out: a transport for each target, which would have to be taken away when its target goes; a home-made pool. Change: there are 32 transports for each kind, and the address of a target chooses one of them, so that one still counts all connections to a target. Guards taken out: with one transport for all, and with one chosen at random, TestTargetsAreSpreadOverTransports fails.

--- a/traffic/transport.go
+++ b/traffic/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"maps"
 	"net"
 	"net/http"
@@ -46,51 +47,71 @@
 	return context.WithValue(ctx, kindKey{}, kind)
 }
 
+// transportShards is how many transports there are for each kind of target. A
+// transport takes one lock for each request's connection; targets of different
+// shards don't wait for each other's.
+const transportShards = 32
+
 // Targets is the transport to targets. It speaks the protocol of the request's
 // contract and keeps this host's share of a target's connections. It is safe
 // for concurrent use.
 type Targets struct {
 	dial Dial
 	// kinds is replaced as a whole when a kind is added under mu.
-	kinds atomic.Pointer[map[targetKind]*http.Transport]
+	kinds atomic.Pointer[map[targetKind]*shards]
 	mu    sync.Mutex
+	seed  maphash.Seed
 }
 
+// shards are the transports to targets of one kind. All requests to one target
+// go by the same, which counts the target's connections.
+type shards [transportShards]*http.Transport
+
 var _ http.RoundTripper = (*Targets)(nil)
 
 // NewTargets returns the transport to targets.
 func NewTargets(dial Dial) *Targets {
-	t := &Targets{dial: dial}
-	t.kinds.Store(&map[targetKind]*http.Transport{})
+	t := &Targets{dial: dial, seed: maphash.MakeSeed()}
+	t.kinds.Store(&map[targetKind]*shards{})
 	return t
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Targets) RoundTrip(r *http.Request) (*http.Response, error) {
 	kind, _ := r.Context().Value(kindKey{}).(targetKind)
-	return t.transport(kind).RoundTrip(r)
+	return t.transport(kind, r.URL.Host).RoundTrip(r)
 }
 
-func (t *Targets) transport(kind targetKind) *http.Transport {
-	if transport, ok := (*t.kinds.Load())[kind]; ok {
-		return transport
+// transport returns the transport to a target at an address.
+func (t *Targets) transport(kind targetKind, address string) *http.Transport {
+	return t.shards(kind)[maphash.String(t.seed, address)%transportShards]
+}
+
+func (t *Targets) shards(kind targetKind) *shards {
+	if s, ok := (*t.kinds.Load())[kind]; ok {
+		return s
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if transport, ok := (*t.kinds.Load())[kind]; ok {
-		return transport
+	if s, ok := (*t.kinds.Load())[kind]; ok {
+		return s
+	}
+	s := new(shards)
+	for i := range s {
+		s[i] = newTargetTransport(t.dial, kind)
 	}
-	transport := newTargetTransport(t.dial, kind)
 	kinds := maps.Clone(*t.kinds.Load())
-	kinds[kind] = transport
+	kinds[kind] = s
 	t.kinds.Store(&kinds)
-	return transport
+	return s
 }
 
 // CloseIdleConnections closes the connections that carry no request.
 func (t *Targets) CloseIdleConnections() {
-	for _, transport := range *t.kinds.Load() {
-		transport.CloseIdleConnections()
+	for _, s := range *t.kinds.Load() {
+		for _, transport := range s {
+			transport.CloseIdleConnections()
+		}
 	}
 }
 
--- a/traffic/transport_test.go
+++ b/traffic/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -78,3 +79,18 @@
 	}
 	group.Wait()
 }
+
+func TestTargetsAreSpreadOverTransports(t *testing.T) {
+	is := is.New(t)
+	targets := NewTargets(DialTCP)
+	kind := targetKind{contract.HTTP1, 1}
+	used := make(map[*http.Transport]bool)
+	for i := range 1000 {
+		address := fmt.Sprintf("10.0.0.1:%d", i)
+		chosen := targets.transport(kind, address)
+		used[chosen] = true
+		// One transport counts all connections to a target.
+		is.True(targets.transport(kind, address) == chosen)
+	}
+	is.Equal(len(used), transportShards)
+}
