--- a/bench/overload/main.go
+++ b/bench/overload/main.go
@@ -19,10 +19,12 @@
 	slots       = 4
 	serviceTime = 100 * time.Millisecond
 	deadline    = time.Second
-	// capacity is in requests a second.
-	capacity = targets * slots * float64(time.Second/serviceTime)
 )
 
+// shortDeadline is that of the scenarios in which targets queue silently: less
+// than a request takes when all declared slots are in use.
+const shortDeadline = 350 * time.Millisecond
+
 // scenario is one row of the table.
 type scenario struct {
 	name string
@@ -35,6 +37,32 @@
 	unbounded bool
 	// shared puts every request under one account.
 	shared bool
+	// working is how many requests a target works on at once, if that is less
+	// than its declared slots. It queues the rest without a sign.
+	working int
+	// deadline is that of the requests, if it is not the usual one.
+	deadline time.Duration
+}
+
+// slots returns how many requests a target works on at once.
+func (s scenario) slots() int {
+	if s.working > 0 {
+		return s.working
+	}
+	return slots
+}
+
+// capacity is what the targets can do, in requests a second.
+func (s scenario) capacity() float64 {
+	return float64(targets*s.slots()) * float64(time.Second/serviceTime)
+}
+
+// limit returns the deadline of the requests.
+func (s scenario) limit() time.Duration {
+	if s.deadline > 0 {
+		return s.deadline
+	}
+	return deadline
 }
 
 var scenarios = []scenario{
@@ -48,19 +76,29 @@
 	{name: "no bounds", load: 3, unbounded: true},
 	{name: "limits, one account floods", load: 3, flood: 0.9},
 	{name: "no shares, one account floods", load: 3, flood: 0.9, shared: true},
+	{name: "silent queues", load: 1, working: 1, deadline: shortDeadline},
+	{name: "silent queues", load: 0.8, working: 1, deadline: shortDeadline},
+	{name: "silent queues", load: 3, working: 1, deadline: shortDeadline},
+	{name: "silent queues", load: 5, working: 1, deadline: shortDeadline},
 }
 
 func main() {
 	length := flag.Duration("length", 5*time.Second, "length of each row's measurement")
-	flag.Parse()
 	hostname, _ := os.Hostname()
+	only := flag.String("scenario", "", "run the scenarios of this name only")
+	flag.Parse()
 	fmt.Printf("overload: %d targets of %d slots, %s a request, capacity %.0f requests/s, deadline %s\n",
-		targets, slots, serviceTime, capacity, deadline)
+		targets, slots, serviceTime, scenario{}.capacity(), deadline)
+	fmt.Printf("silent queues: targets work on 1 request at once, capacity %.0f requests/s, deadline %s\n",
+		scenario{working: 1}.capacity(), shortDeadline)
 	fmt.Printf("%s, %s, %d CPUs, %s, %s a row\n\n", time.Now().Format(time.DateOnly), hostname, runtime.NumCPU(), runtime.Version(), *length)
 	fmt.Printf("%-30s %5s %10s %9s %10s %9s %9s %9s\n",
 		"scenario", "load", "goodput/s", "of 1x", "refused/s", "p50 ms", "p99 ms", "others ok")
 	var base float64
 	for _, s := range scenarios {
+		if *only != "" && s.name != *only {
+			continue
+		}
 		r := run(s, *length)
 		if s.load == 1 && !s.unbounded {
 			base = r.goodput()
--- a/bench/overload/run.go
+++ b/bench/overload/run.go
@@ -38,13 +38,13 @@
 	net := make(network)
 	c := &contract.Contract{
 		Service: serviceName,
-		Routes:  []contract.Route{{Path: "/", Idempotent: true, Deadline: deadline}},
+		Routes:  []contract.Route{{Path: "/", Idempotent: true, Deadline: s.limit()}},
 		Queue:   contract.Queue{Length: 64, Wait: 400 * time.Millisecond},
 		MaxBody: 1 << 10,
 	}
 	for i := range targets {
 		address := fmt.Sprintf("target-%d", i)
-		net[address] = newStandIn()
+		net[address] = newStandIn(s.slots())
 		spec := contract.Target{Name: address, Address: address, Slots: slots}
 		if s.unbounded {
 			spec.Slots = unboundedSlots
@@ -94,7 +94,7 @@
 	var group sync.WaitGroup
 	began := time.Now()
 	for due := began; due.Before(began.Add(warmUp + length)); {
-		due = due.Add(time.Duration(rng.ExpFloat64() / (s.load * capacity) * float64(time.Second)))
+		due = due.Add(time.Duration(rng.ExpFloat64() / (s.load * s.capacity()) * float64(time.Second)))
 		time.Sleep(time.Until(due))
 		account := s.account(rng)
 		measured := due.After(began.Add(warmUp))
@@ -104,7 +104,7 @@
 			if measured {
 				mu.Lock()
 				defer mu.Unlock()
-				r.add(account, outcome, time.Since(at))
+				r.add(s, account, outcome, time.Since(at))
 			}
 		})
 	}
@@ -133,8 +133,8 @@
 	return w.header.Get(traffic.HeaderResult)
 }
 
-func (r *result) add(account, outcome string, latency time.Duration) {
-	good := outcome == caller.Completed.String() && latency <= deadline
+func (r *result) add(s scenario, account, outcome string, latency time.Duration) {
+	good := outcome == caller.Completed.String() && latency <= s.limit()
 	switch {
 	case good:
 		_ = r.served.RecordValue(latency.Microseconds())
--- a/bench/overload/target.go
+++ b/bench/overload/target.go
@@ -13,7 +13,7 @@
 	slots chan struct{}
 }
 
-func newStandIn() *standIn { return &standIn{slots: make(chan struct{}, slots)} }
+func newStandIn(slots int) *standIn { return &standIn{slots: make(chan struct{}, slots)} }
 
 // work waits for a slot, works, and reports the end.
 func (t *standIn) work(done chan<- struct{}) {
--- a/caller/gate.go
+++ b/caller/gate.go
@@ -82,8 +82,9 @@
 	lines    []*line
 	waiting  int
 	inFlight int
-	// hold is the moving average of how long a slot is held.
-	hold time.Duration
+	// hold is the moving average of how long a slot is held, and deviation
+	// that of the distance from it.
+	hold, deviation time.Duration
 	// pace adapts how many slots are used at once.
 	pace pace
 }
@@ -142,6 +143,7 @@
 
 func (g *Gate) take(e Entry) bool {
 	if g.pace.full(g.inFlight) || !e.Take() {
+		g.pace.pressed = e.Now
 		return false
 	}
 	g.inFlight++
@@ -237,17 +239,26 @@
 }
 
 // Leave frees a slot that was held for some time, and hands it on.
-func (g *Gate) Leave(now time.Time, held time.Duration, shed bool) {
+func (g *Gate) Leave(now time.Time, held time.Duration, end SlotEnd) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.pace.observe(now, g.inFlight, g.hold, shed)
+	g.pace.observe(now, g.inFlight, g.hold, held, end)
 	g.inFlight--
+	g.deviation += ((held - g.hold).Abs() - g.deviation) / holdDecay
 	g.hold += (held - g.hold) / holdDecay
 	g.serve(now)
 }
 
-// holdDecay is the number of requests over which the hold time is averaged.
-const holdDecay = 16
+const (
+	// holdDecay is the number of requests over which the hold time is averaged.
+	holdDecay = 16
+	// holdMargin is how many mean deviations above the average most requests
+	// stay.
+	holdMargin = 2
+)
+
+// usualHold returns the time in which most requests free their slot.
+func (g *Gate) usualHold() time.Duration { return g.hold + holdMargin*g.deviation }
 
 // Kick lets waiting requests try again, after slots were added or enabled.
 func (g *Gate) Kick(now time.Time) {
@@ -261,7 +272,7 @@
 	for blocked := 0; blocked < len(g.lines); {
 		l := g.lines[0]
 		w := l.waiters[0]
-		if now.Add(g.hold).After(w.entry.Deadline) {
+		if now.Add(g.usualHold()).After(w.entry.Deadline) {
 			g.refuse(w, QueueTooSlow)
 			continue
 		}
--- a/caller/gate_test.go
+++ b/caller/gate_test.go
@@ -46,7 +46,7 @@
 	}
 	time.Sleep(hold)
 	s.free.Add(1)
-	g.Leave(time.Now(), hold, false)
+	g.Leave(time.Now(), hold, caller.SlotUsed)
 	return nil
 }
 
@@ -207,15 +207,125 @@
 	for range 20 {
 		is.NoErr(enter())
 	}
-	g.Leave(now, hold, true)
+	g.Leave(now, hold, caller.SlotShed)
 	is.True(enter() != nil) // 19 in flight, limit 14
 	for range 6 {
-		g.Leave(now, hold, false)
+		g.Leave(now, hold, caller.SlotUsed)
 	}
 	is.NoErr(enter())
 }
 
 // Whatever happens, no slot is lost and nobody waits beside a free slot.
+// fill enters until the gate refuses, and returns how many requests entered.
+func fill(g *caller.Gate, s *slots, now time.Time) int {
+	for n := 0; ; n++ {
+		e := caller.Entry{Account: "shop", Now: now, Deadline: now.Add(time.Second), Take: s.take}
+		if g.Enter(context.Background(), e) != nil {
+			return n
+		}
+	}
+}
+
+func TestGatePacesItselfWhenRequestsAreLate(t *testing.T) {
+	const capacity = 20
+	cases := []struct {
+		name string
+		// ends are those of the requests in flight, in their order.
+		late, used int
+		// full lets a request find no free slot before.
+		full bool
+		// taken is how many slots can be taken again.
+		taken int
+	}{
+		{"late while every slot is in use", 4, 0, true, 0},
+		{"one late request says nothing", 1, 0, true, 1},
+		{"late while slots are free", 4, 0, false, 4},
+		{"a target that hangs among healthy ones", 1, 15, true, 16},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var g caller.Gate
+			s := newSlots(capacity)
+			now := time.Unix(0, 0)
+			is.Equal(fill(&g, s, now), capacity)
+			if !c.full {
+				now = now.Add(time.Hour)
+			}
+			end := func(n int, how caller.SlotEnd) {
+				for range n {
+					s.free.Add(1)
+					g.Leave(now, hold, how)
+				}
+			}
+			end(c.late, caller.SlotLate)
+			end(c.used, caller.SlotUsed)
+			is.Equal(fill(&g, s, now), c.taken)
+		})
+	}
+}
+
+func TestGateIsNotPacedTwiceByOneBurst(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		held  time.Duration
+		limit int
+	}{
+		{"sent before the decrease", 3 * hold, 15},
+		{"sent after the decrease", hold / 2, 14},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var g caller.Gate
+			s := newSlots(20)
+			now := time.Unix(0, 0)
+			fill(&g, s, now)
+			end := func(n int, held time.Duration, how caller.SlotEnd) {
+				for range n {
+					s.free.Add(1)
+					g.Leave(now, held, how)
+				}
+			}
+			end(1, hold, caller.SlotShed) // limit 14
+			now = now.Add(hold)
+			end(1, c.held, caller.SlotShed)
+			end(8, hold, caller.SlotUsed)
+			is.Equal(10+fill(&g, s, now), c.limit)
+		})
+	}
+}
+
+// Most requests take longer than the average when times vary: one whose
+// deadline lies just beyond the average is not worth a slot.
+func TestGateLeavesAMarginWhenTimesVary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var g caller.Gate
+		s := newSlots(1)
+		for i := range 100 {
+			is.Equal(fill(&g, s, time.Now()), 1)
+			s.free.Add(1)
+			g.Leave(time.Now(), hold/2+hold*time.Duration(i%2), caller.SlotUsed)
+		}
+		is.Equal(fill(&g, s, time.Now()), 1)
+		wait := func(left time.Duration) error {
+			now := time.Now()
+			done := make(chan error)
+			go func() {
+				done <- g.Enter(context.Background(), caller.Entry{
+					Account: "shop", Now: now, Deadline: now.Add(left), Limits: limits, Take: s.take,
+				})
+			}()
+			synctest.Wait()
+			s.free.Store(1)
+			g.Leave(now, hold, caller.SlotUsed)
+			return <-done
+		}
+		is.True(wait(hold+hold/2) != nil)
+		is.NoErr(wait(4 * hold))
+	})
+}
+
 func TestGateLosesNoSlot(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.IntRange(1, 40).Draw(rt, "requests")
--- a/traffic/admission.go
+++ b/traffic/admission.go
@@ -85,7 +85,7 @@
 	}
 	if ctx.Err() != nil {
 		l.Release(slot)
-		h.state(req.match.Service).gate.Leave(time.Now(), 0, false)
+		h.state(req.match.Service).gate.Leave(time.Now(), 0, caller.SlotUsed)
 		return nil, 0, errDeadline
 	}
 	return l, slot, nil
--- a/traffic/dispatch.go
+++ b/traffic/dispatch.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/link"
 )
 
@@ -149,6 +150,18 @@
 	return r != nil && r.StatusCode == http.StatusServiceUnavailable && r.Header.Get("Retry-After") != ""
 }
 
+// slotEnd tells what the attempt says of the load of the targets.
+func (a *attempt) slotEnd() caller.SlotEnd {
+	switch {
+	case a.shed():
+		return caller.SlotShed
+	case a.outcome == link.TimedOut:
+		return caller.SlotLate
+	default:
+		return caller.SlotUsed
+	}
+}
+
 // certainlyNotRun reports whether no byte of the request can have reached the
 // application.
 func (a *attempt) certainlyNotRun() bool {
@@ -160,7 +173,7 @@
 	a.cancel()
 	a.link.Release(a.slot)
 	latency := time.Since(a.started)
-	a.handler.state(a.service).gate.Leave(time.Now(), latency, a.shed())
+	a.handler.state(a.service).gate.Leave(time.Now(), latency, a.slotEnd())
 	a.link.ObserveOutcome(a.outcome, latency)
 	a.handler.cfg.Observe(link.Observation{
 		Target:  a.link.Target,
