Explain a request by the outcome in the table when its events are lost

Cause: a killed host loses up to 30 s of events; explain read events only, though the table keeps outcomes, written every 20 s. Change: explain asks a host for the outcomes of the id in the table, of every account that used it, and concludes from it when there is one and no event tells an end. A table that is away is said. Left: an outcome of a host's last 20 s may be in neither.

--- a/claim/log.go
+++ b/claim/log.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -146,39 +147,65 @@
 // is Unknown when the table knows nothing of it. It fails when the table is
 // away or this host has asked too often.
 func (l *Log) Find(ctx context.Context, account string, id caller.RequestID) (caller.Outcome, error) {
-	unknown := caller.Outcome{Result: caller.Unknown}
+	outcome := caller.Outcome{Result: caller.Unknown}
+	err := l.scan(ctx, id, func(e Ended) bool {
+		if e.Account != account {
+			return true
+		}
+		outcome = caller.Outcome{Result: e.Result, Status: e.Status}
+		return false
+	})
+	return outcome, err
+}
+
+// All returns the ends of the requests of an id, one for each account that used
+// it. It fails when the table is away or this host has asked too often.
+func (l *Log) All(ctx context.Context, id caller.RequestID) ([]Ended, error) {
+	var out []Ended
+	err := l.scan(ctx, id, func(e Ended) bool {
+		if !slices.Contains(out, e) {
+			out = append(out, e)
+		}
+		return true
+	})
+	return out, err
+}
+
+// scan hands the ends of an id over until f returns false.
+func (l *Log) scan(ctx context.Context, id caller.RequestID, f func(Ended) bool) error {
 	after := sortKey(max(0, id.Expires-caller.IDLifetime))
 	for range lookupPages {
 		if !l.lookups.Allow() {
-			return unknown, ErrBusy
+			return ErrBusy
 		}
 		items, err := l.table.Query(ctx, partition(id.Host, id.Incarnation), after, lookupPage)
 		if err != nil {
-			return unknown, err
+			return err
 		}
 		for _, item := range items {
-			if o, ok := search(item.Value, account, id); ok {
-				return o, nil
+			if !search(item.Value, id, f) {
+				return nil
 			}
 			after = item.Key.Sort
 		}
 		if len(items) < lookupPage {
-			return unknown, nil
+			return nil
 		}
 	}
-	return unknown, nil
+	return nil
 }
 
-// search finds an id in one batch. A batch that cannot be read holds nothing.
-func search(value []byte, account string, id caller.RequestID) (caller.Outcome, bool) {
+// search hands the ends of an id in one batch over until f returns false. A
+// batch that cannot be read holds nothing.
+func search(value []byte, id caller.RequestID, f func(Ended) bool) bool {
 	var batch []Ended
 	if json.Unmarshal(value, &batch) != nil {
-		return caller.Outcome{}, false
+		return true
 	}
 	for _, e := range batch {
-		if e.Account == account && e.Request == id.String() {
-			return caller.Outcome{Result: e.Result, Status: e.Status}, true
+		if e.Request == id.String() && !f(e) {
+			return false
 		}
 	}
-	return caller.Outcome{}, false
+	return true
 }
--- a/cmd/crocushinge/timeline.go
+++ b/cmd/crocushinge/timeline.go
@@ -193,11 +193,26 @@
 		line.Events = timeline.Merge(line.Events, more.Events)
 		line.Truncated = line.Truncated || more.Truncated
 	}
-	e := explanation{Request: request, Sentences: timeline.Explain(request, home, line.Events), Events: own}
+	kept, keptErr := c.outcomes(ctx, request)
+	e := explanation{Request: request, Sentences: timeline.Explain(request, home, line.Events, kept), Events: own}
 	return show(cmd, e, func() {
 		for _, s := range e.Sentences {
 			fmt.Fprintln(cmd.Root().Writer, s)
 		}
 		printMissing(cmd.Root().ErrWriter, line)
+		if keptErr != nil {
+			fmt.Fprintf(cmd.Root().ErrWriter, "incomplete: the outcome in the table was not read: %v\n", keptErr)
+		}
 	})
 }
+
+// outcomes asks for the outcomes that the table keeps of a request.
+func (c *client) outcomes(ctx context.Context, request string) ([]timeline.Kept, error) {
+	var answer wire.Outcomes
+	err := c.ask(ctx, question{method: http.MethodGet, path: "/v1/outcomes/" + url.PathEscape(request)}, &answer)
+	var kept []timeline.Kept
+	for _, o := range answer.Outcomes {
+		kept = append(kept, timeline.Kept{Account: o.Account, Result: o.Result})
+	}
+	return kept, err
+}
--- a/daemon/api.go
+++ b/daemon/api.go
@@ -31,6 +31,7 @@
 	operator.Delete("/drain/{service}/{target}", d.deleteDrain)
 	operator.Get("/drains", d.getDrains)
 	operator.Get("/timeline", d.getTimeline)
+	operator.Get("/outcomes/{id}", d.getOutcomes)
 	if err := app.Build(); err != nil {
 		return nil, errors.Wrap(err, "build API")
 	}
--- /dev/null
+++ b/fleettest/outcome_test.go
@@ -0,0 +1,27 @@
+package fleettest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/crocushinge/crocushinge/caller"
+)
+
+// The outcome of a request is known to the fleet after its home host was killed
+// before it archived its events.
+func TestOutcomeOutlivesItsHost(t *testing.T) {
+	inBubble(t, 3, 2, func(f *testFleet) {
+		c := f.caller("shop")
+		told := f.post(c, "h01", "")
+		f.check(told.Result == caller.Completed, "%+v", told)
+		time.Sleep(25 * time.Second)
+		f.Kill("h01")
+		id, err := caller.ParseRequestID(told.ID)
+		f.must(err)
+		out, err := f.Host("h02").Outcomes(f.ctx, id)
+		f.must(err)
+		f.check(len(out.Outcomes) == 1, "%+v", out)
+		o := out.Outcomes[0]
+		f.check(o.Account == Account && o.Result == caller.Completed.String() && o.Status == 200, "%+v", o)
+	})
+}
--- a/timeline/explain.go
+++ b/timeline/explain.go
@@ -14,9 +14,17 @@
 	Incarnation uint64
 }
 
+// Kept is an outcome that the table keeps, apart from the events.
+type Kept struct {
+	Account string
+	// Result is "completed", "not-run" or "unknown".
+	Result string
+}
+
 // Explain tells in sentences what happened to one request. Events holds the
-// events of the request, and those that Context selects, from the whole fleet.
-func Explain(request string, home Home, events []Event) []string {
+// events of the request, and those that Context selects, from the whole fleet;
+// kept holds the outcomes in the table.
+func Explain(request string, home Home, events []Event, kept []Kept) []string {
 	own := Filter{Request: request}.Select(events)
 	out := []string{fmt.Sprintf("Request %s belongs to incarnation %d of host %s; no other may dispatch it.",
 		request, home.Incarnation, home.Host)}
@@ -26,10 +34,13 @@
 	if len(own) == 0 {
 		out = append(out, "No host has recorded an end of this request.")
 	}
+	for _, k := range kept {
+		out = append(out, fmt.Sprintf("The table keeps that its home host told account %s %q.", k.Account, k.Result))
+	}
 	for _, e := range around(home, own, events) {
 		out = append(out, "Beside it: "+describe(e)+".")
 	}
-	return append(out, verdict(home, own, events))
+	return append(out, verdict(home, own, events, kept))
 }
 
 // Context returns the filters of the events that Explain needs beside those of
@@ -91,15 +102,15 @@
 }
 
 // verdict says what may be concluded.
-func verdict(home Home, own, events []Event) string {
+func verdict(home Home, own, events []Event, kept []Kept) string {
 	for i := len(own) - 1; i >= 0; i-- {
-		switch own[i].To {
-		case "completed":
-			return "It ran once, and its whole answer went to the caller."
-		case "not-run":
-			return "It was not run: no byte of it reached the application."
-		case "unknown":
-			return "It ran once at most; whether it ran is not known to the system. It will not be dispatched again."
+		if says := conclusion(own[i].To); says != "" {
+			return says
+		}
+	}
+	if len(kept) == 1 {
+		if says := conclusion(kept[0].Result); says != "" {
+			return says
 		}
 	}
 	for _, e := range events {
@@ -110,6 +121,20 @@
 	return "It may still be on its way, may never have arrived, or may be of an idempotent route, whose requests are not recorded."
 }
 
+// conclusion says what a result means; empty for none.
+func conclusion(result string) string {
+	switch result {
+	case "completed":
+		return "It ran once, and its whole answer went to the caller."
+	case "not-run":
+		return "It was not run: no byte of it reached the application."
+	case "unknown":
+		return "It ran once at most; whether it ran is not known to the system. It will not be dispatched again."
+	default:
+		return ""
+	}
+}
+
 // describe tells an event that is not of a request.
 func describe(e Event) string {
 	at := e.Stamp.Time().UTC().Format(timeFormat)
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -102,13 +102,16 @@
 		to     string
 		reason string
 		others []Event
+		kept   []Kept
 		want   []string
 	}{
-		{"completed", "completed", "", nil, []string{`At 1970-01-01 00:00:01.000 host lima-a-1 told the caller of service checkout "completed" after it was sent to target two.`, "It ran once, and its whole answer went to the caller."}},
-		{"not run", "not-run", "no target has a free slot", nil, []string{"(no target has a free slot)", "It was not run: no byte"}},
-		{"unknown", "unknown", "timed out", []Event{ejected}, []string{"moved target checkout/two from active to ejected (evidence)", "It ran once at most"}},
-		{"home lost", "", "", []Event{lost}, []string{"No host has recorded an end", "host lima-b-1 took host lima-a-1 to be gone", "Its home host was lost"}},
-		{"nothing known", "", "", nil, []string{"No host has recorded an end", "It may still be on its way"}},
+		{"completed", "completed", "", nil, nil, []string{`At 1970-01-01 00:00:01.000 host lima-a-1 told the caller of service checkout "completed" after it was sent to target two.`, "It ran once, and its whole answer went to the caller."}},
+		{"not run", "not-run", "no target has a free slot", nil, nil, []string{"(no target has a free slot)", "It was not run: no byte"}},
+		{"unknown", "unknown", "timed out", []Event{ejected}, nil, []string{"moved target checkout/two from active to ejected (evidence)", "It ran once at most"}},
+		{"home lost", "", "", []Event{lost}, nil, []string{"No host has recorded an end", "host lima-b-1 took host lima-a-1 to be gone", "Its home host was lost"}},
+		{"home lost, outcome kept", "", "", []Event{lost}, []Kept{{Account: "bookshop", Result: "completed"}}, []string{"No host has recorded an end", `account bookshop "completed"`, "It ran once, and its whole answer"}},
+		{"kept for two accounts", "", "", []Event{lost}, []Kept{{Account: "a", Result: "completed"}, {Account: "b", Result: "not-run"}}, []string{`account a "completed"`, `account b "not-run"`, "Its home host was lost"}},
+		{"nothing known", "", "", nil, nil, []string{"No host has recorded an end", "It may still be on its way"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -118,7 +121,7 @@
 				e.To, e.Reason = tt.to, tt.reason
 				events = append(events, e)
 			}
-			got := strings.Join(Explain("r", home, events), "\n")
+			got := strings.Join(Explain("r", home, events, tt.kept), "\n")
 			for _, want := range append(tt.want, "belongs to incarnation 7 of host lima-a-1") {
 				if !strings.Contains(got, want) {
 					t.Errorf("no %q in:\n%s", want, got)
--- a/wire/api.go
+++ b/wire/api.go
@@ -155,3 +155,17 @@
 type Drains struct {
 	Drains []Drain `json:"drains"`
 }
+
+// Outcome is how a request ended, as the table keeps it.
+type Outcome struct {
+	Account string `json:"account"`
+	// Result is "completed", "not-run" or "unknown".
+	Result string `json:"result"`
+	// Status is the target's HTTP status when the result is "completed".
+	Status int `json:"status,omitempty"`
+}
+
+// Outcomes are the ends of the requests of one id, one for each account.
+type Outcomes struct {
+	Outcomes []Outcome `json:"outcomes"`
+}
