--- /dev/null
+++ b/daemon/tls_bench_test.go
@@ -0,0 +1,111 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/crocushinge/crocushinge/credential"
+	"github.com/crocushinge/crocushinge/credential/credentialtest"
+	"github.com/crocushinge/crocushinge/traffic"
+)
+
+// benchServer serves callers on loopback, with TLS when keys are given.
+func benchServer(b *testing.B, keys *credential.Watched[*credential.Keys]) string {
+	b.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &server{listener: listener, http: traffic.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "sheet")
+	}))}
+	if keys != nil {
+		s.secure(keys)
+	}
+	go func() { _ = s.serve() }()
+	b.Cleanup(func() { _ = s.http.Close() })
+	return listener.Addr().String()
+}
+
+// cpuTime returns the processor time that this process has used.
+func cpuTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// measure reports the processor time of both ends for each round.
+func measure(b *testing.B, round func()) {
+	round()
+	b.ReportAllocs()
+	b.ResetTimer()
+	before := cpuTime(b)
+	for range b.N {
+		round()
+	}
+	b.ReportMetric(float64((cpuTime(b)-before).Microseconds())/float64(b.N), "cpu-us/op")
+}
+
+// BenchmarkTLS measures what TLS adds to a request on an open connection and
+// to a new connection: the processor time of both ends, which run in one
+// process.
+func BenchmarkTLS(b *testing.B) {
+	ca, files := credentialtest.NewAuthority(b), credentialtest.In(b.TempDir())
+	files.Write(b, ca.Issue(), ca.PEM)
+	names := credential.KeyFiles{Certificate: files.Certificate, Key: files.Key, CA: files.CA}
+	keys, err := credential.WatchKeys(names, credential.KeyOptions{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	mutual, err := credential.WatchKeys(names, credential.KeyOptions{Mutual: true})
+	if err != nil {
+		b.Fatal(err)
+	}
+	cas := x509.NewCertPool()
+	cas.AppendCertsFromPEM(ca.PEM)
+	dial := (&net.Dialer{}).DialContext
+	for _, bench := range []struct {
+		name      string
+		keys      *credential.Watched[*credential.Keys]
+		scheme    string
+		transport *http.Transport
+	}{
+		{"plain", nil, "http", &http.Transport{}},
+		{"tls", keys, "https", &http.Transport{TLSClientConfig: &tls.Config{RootCAs: cas}}},
+		{"tls-http2", keys, "https", &http.Transport{TLSClientConfig: &tls.Config{RootCAs: cas}, ForceAttemptHTTP2: true}},
+		{"tls-mutual", mutual, "https", &http.Transport{DialTLSContext: credential.DialKeys(dial, mutual)}},
+	} {
+		url := bench.scheme + "://" + benchServer(b, bench.keys) + "/"
+		b.Run("request/"+bench.name, func(b *testing.B) { measure(b, func() { benchGet(b, bench.transport, url) }) })
+		b.Run("connection/"+bench.name, func(b *testing.B) {
+			measure(b, func() {
+				bench.transport.CloseIdleConnections()
+				benchGet(b, bench.transport, url)
+			})
+		})
+		bench.transport.CloseIdleConnections()
+	}
+}
+
+func benchGet(b *testing.B, t *http.Transport, url string) {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	resp, err := t.RoundTrip(req)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+}
--- a/daemon/tls_test.go
+++ b/daemon/tls_test.go
@@ -228,3 +228,32 @@
 	is.True(!ok)
 	is.True(c.keys[fleetAPIServer].Load() != keys)
 }
+
+// The fleet's token alone opens nothing: a peer shows a certificate of the
+// fleet's CA too.
+func TestPeerWithoutClientCertificateIsRefused(t *testing.T) {
+	is := is.New(t)
+	ca, files := credentialtest.NewAuthority(t), credentialtest.In(t.TempDir())
+	files.Write(t, ca.Issue(), ca.PEM)
+	d := startDaemon(t, tlsSettings(testSettings("one"), files), memory.New())
+	call := func(certificates ...tls.Certificate) error {
+		client := tlsClient(t, ca.PEM)
+		client.Transport.(*http.Transport).TLSClientConfig.Certificates = certificates
+		req, _ := http.NewRequest(http.MethodGet, "https://"+d.Self().FleetAddress+"/", nil)
+		req.Header.Set(authorizationHeader, bearer+"fleet")
+		resp, err := client.Do(req)
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err
+	}
+	pair := func(c credentialtest.Certificate) tls.Certificate {
+		p, err := tls.X509KeyPair(c.PEM, c.Key)
+		is.NoErr(err)
+		return p
+	}
+	is.True(call() != nil)
+	is.True(call(pair(credentialtest.NewAuthority(t).Issue())) != nil)
+	is.True(call(pair(ca.Issue(credentialtest.ServerOnly))) != nil)
+	is.NoErr(call(pair(ca.Issue())))
+}
