--- a/cmd/crocushinge/drains_test.go
+++ b/cmd/crocushinge/drains_test.go
@@ -22,11 +22,7 @@
 
 func TestDrainIsListedAndUndone(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t)
-	f.write("a.yaml", contractText("a", "/a", "bookshop"))
-	code, _ := f.tool("publish", f.dir)
-	is.Equal(code, exitOK)
-	f.awaitRevision(1)
+	f := newFleetInForce(t)
 	code, out := f.tool("undrain", "a", "one")
 	is.Equal(code, exitFailure)
 	is.True(strings.Contains(out, "no drain of this target is in force"))
@@ -55,11 +51,7 @@
 
 func TestDrainDuringAnOutageSaysThatItIsNotKept(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t)
-	f.write("a.yaml", contractText("a", "/a", "bookshop"))
-	code, _ := f.tool("publish", f.dir)
-	is.Equal(code, exitOK)
-	f.awaitRevision(1)
+	f := newFleetInForce(t)
 	f.store.Faults.Down(true)
 	code, out := f.tool("drain", "a", "one")
 	is.Equal(code, exitFailure)
--- a/cmd/crocushinge/main_test.go
+++ b/cmd/crocushinge/main_test.go
@@ -86,6 +86,18 @@
 	}
 }
 
+// newFleetInForce returns a fleet with the contract of service a in force.
+func newFleetInForce(t *testing.T) *fleet {
+	t.Helper()
+	f := newFleet(t)
+	f.write("a.yaml", contractText("a", "/a", "bookshop"))
+	if code, out := f.tool("publish", f.dir); code != exitOK {
+		t.Fatal(out)
+	}
+	f.awaitRevision(1)
+	return f
+}
+
 // awaitRevision waits until the host has the revision in force.
 func (f *fleet) awaitRevision(want uint64) {
 	f.t.Helper()
@@ -257,11 +269,7 @@
 
 func TestTimelineNamesTheOperator(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t)
-	f.write("a.yaml", contractText("a", "/a", "bookshop"))
-	code, _ := f.tool("publish", f.dir)
-	is.Equal(code, exitOK)
-	f.awaitRevision(1)
+	f := newFleetInForce(t)
 	code, out := f.tool("drain", "a", "one")
 	is.Equal(code, exitOK)
 	is.Equal(out, "a/one gets no more work\n")
@@ -306,11 +314,7 @@
 
 func TestFleetStatus(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t)
-	f.write("a.yaml", contractText("a", "/a", "bookshop"))
-	code, _ := f.tool("publish", f.dir)
-	is.Equal(code, exitOK)
-	f.awaitRevision(1)
+	f := newFleetInForce(t)
 	code, out := f.tool("status", "--fleet")
 	is.Equal(code, exitOK)
 	is.True(strings.Contains(out, "revision 1 is in force on 1 of 1 host\n"))
@@ -372,11 +376,7 @@
 
 func TestStatusNamesTargetsThatAreAway(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t)
-	f.write("a.yaml", contractText("a", "/a", "bookshop"))
-	code, _ := f.tool("publish", f.dir)
-	is.Equal(code, exitOK)
-	f.awaitRevision(1)
+	f := newFleetInForce(t)
 	code, out := f.tool("status")
 	is.Equal(code, exitOK)
 	is.True(strings.Contains(out, "a: 2 of 2 targets take work; 8 slots healthy, floor 4\n"))
--- a/daemon/credentials.go
+++ b/daemon/credentials.go
@@ -92,16 +92,7 @@
 
 // run reads the files again until ctx ends.
 func (c *credentials) run(ctx context.Context) {
-	ticker := time.NewTicker(credentialInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.refresh()
-		}
-	}
+	every(ctx, credentialInterval, c.refresh)
 }
 
 // refresh reads all files again and logs what changed.
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -85,14 +85,19 @@
 
 // sweepLedger forgets expired records until ctx ends.
 func (d *Daemon) sweepLedger(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
+	every(ctx, sweepInterval, func() { d.ledger.Forget(d.home.Since()) })
+}
+
+// every calls f once each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			d.ledger.Forget(d.home.Since())
+			f()
 		}
 	}
 }
