--- a/claim/writer.go
+++ b/claim/writer.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/internal/wait"
 	"github.com/crocushinge/crocushinge/platform"
 )
 
@@ -75,7 +76,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for w.Len() > 0 && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
+		wait.For(ctx, drainPoll)
 	}
 }
 
@@ -107,17 +108,7 @@
 			w.Refused.Add(1)
 			return
 		}
-		sleep(ctx, pause/2+rand.N(pause/2))
+		wait.For(ctx, pause/2+rand.N(pause/2))
 		pause = min(2*pause, longestPause)
 	}
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/client/send.go
+++ b/client/send.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/internal/wait"
 	"github.com/crocushinge/crocushinge/wire"
 )
 
@@ -90,12 +91,5 @@
 
 // pause waits before a retry. It returns false when ctx ends first.
 func pause(ctx context.Context, retry int) bool {
-	timer := time.NewTimer(caller.Backoff(retry, rand.Float64()))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, caller.Backoff(retry, rand.Float64()))
 }
--- a/daemon/leaving.go
+++ b/daemon/leaving.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/crocushinge/crocushinge/host"
+	"github.com/crocushinge/crocushinge/internal/wait"
 )
 
 // leaveTime is how long a leaving host goes on accepting requests: as long as
@@ -20,12 +21,7 @@
 	if len(d.control.snapshot.Load().Peers) == 0 {
 		return
 	}
-	timer := time.NewTimer(d.leaveTime)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	wait.For(ctx, d.leaveTime)
 }
 
 // notifyLeft tells the fleet that this host has finished its work.
--- a/traffic/retry.go
+++ b/traffic/retry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/internal/wait"
 	"github.com/crocushinge/crocushinge/link"
 )
 
@@ -129,12 +130,5 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= d {
 		return false
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, d)
 }
