Call what stands already for changes, tokens and the end of an attempt

changeContext serves four handlers that bounded a change alike; publish.View finds the change of a subject for two; the transport with the fleet token needs no second one inside; the end of an attempt reads the clock once, not four times. A drain is looked up and sorted by the standard library. The test of peers without a token asks by the transport that the daemon uses.

--- a/daemon/api_documents.go
+++ b/daemon/api_documents.go
@@ -50,13 +50,12 @@
 		fail(ctx, http.StatusServiceUnavailable, err)
 		return
 	}
-	for _, ch := range view.Changes {
-		if ch.Service == subject {
-			reply(ctx, wire.NewDocument(ch))
-			return
-		}
+	ch, ok := view.Change(subject)
+	if !ok {
+		fail(ctx, http.StatusNotFound, errors.Errorf("no document of %s is in force", subject))
+		return
 	}
-	fail(ctx, http.StatusNotFound, errors.Errorf("no document of %s is in force", subject))
+	reply(ctx, wire.NewDocument(ch))
 }
 
 func (d *Daemon) putDocument(ctx iris.Context) {
@@ -73,15 +72,19 @@
 
 func (d *Daemon) deleteDocument(ctx iris.Context) { d.propose(ctx, nil) }
 
-// propose carries out a proposal also when the operator's connection breaks
-// meanwhile, so that the write is not cut off half-way.
+// changeContext bounds a change that an operator asked for. It goes on when the
+// operator's connection breaks, so that the write is not cut off half-way.
+func changeContext(ctx iris.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.WithoutCancel(ctx.Request().Context()), proposeTimeout)
+}
+
 func (d *Daemon) propose(ctx iris.Context, document []byte) {
 	base, err := strconv.ParseUint(ctx.URLParam("base"), 10, 64)
 	if err != nil {
 		fail(ctx, http.StatusBadRequest, errors.Wrap(err, "parameter base"))
 		return
 	}
-	bound, cancel := context.WithTimeout(context.WithoutCancel(ctx.Request().Context()), proposeTimeout)
+	bound, cancel := changeContext(ctx)
 	defer cancel()
 	result, err := d.Propose(bound, publish.Proposal{
 		ID:       ctx.URLParam("proposal"),
@@ -110,7 +113,7 @@
 }
 
 func (d *Daemon) postSettle(ctx iris.Context) {
-	bound, cancel := context.WithTimeout(context.WithoutCancel(ctx.Request().Context()), proposeTimeout)
+	bound, cancel := changeContext(ctx)
 	defer cancel()
 	result, err := d.store.Settle(bound, ctx.Params().Get("id"), operatorOf(ctx))
 	if err != nil {
--- a/daemon/credentials_test.go
+++ b/daemon/credentials_test.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
 
+	"github.com/crocushinge/crocushinge/credential"
 	"github.com/crocushinge/crocushinge/platform/memory"
 	fleetv1 "github.com/crocushinge/crocushinge/wire/gen/crocushinge/fleet/v1"
 	"github.com/crocushinge/crocushinge/wire/gen/crocushinge/fleet/v1/fleetv1connect"
@@ -23,7 +24,7 @@
 	}})
 	for i, token := range []string{"", "wrong", "fleets"} {
 		client := fleetv1connect.NewFleetServiceClient(
-			&http.Client{Transport: tokenTransport{token: token, next: http.DefaultTransport}},
+			&http.Client{Transport: fleetTransport{tokens: credential.Fixed(credential.Tokens{token}), next: http.DefaultTransport}},
 			"http://"+d.Self().FleetAddress)
 		_, err := client.Ping(context.Background(), ping)
 		is.Equal(connect.CodeOf(err), connect.CodeUnauthenticated)
--- a/daemon/drains.go
+++ b/daemon/drains.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -61,13 +62,11 @@
 	if err != nil {
 		return wire.Drain{}, err
 	}
-	for _, u := range unkept {
-		if u.Target == ev.Target {
-			answer.State = wire.DrainKept
-			return answer, d.control.deliver(ctx, ev)
-		}
+	if !slices.ContainsFunc(unkept, func(u host.OperatorDrain) bool { return u.Target == ev.Target }) {
+		return wire.Drain{}, errNotDrained
 	}
-	return wire.Drain{}, errNotDrained
+	answer.State = wire.DrainKept
+	return answer, d.control.deliver(ctx, ev)
 }
 
 // proposeDrain hands a drain, or its removal, to the table.
@@ -98,13 +97,8 @@
 // was none.
 func (d *Daemon) drainOf(ctx context.Context, key target.Key) (contract.Change, error) {
 	view, err := d.inForce(ctx)
-	subject := contract.DrainSubject(key.Service, key.Name)
-	for _, ch := range view.Changes {
-		if ch.Service == subject {
-			return ch, nil
-		}
-	}
-	return contract.Change{}, err
+	ch, _ := view.Change(contract.DrainSubject(key.Service, key.Name))
+	return ch, err
 }
 
 func (d *Daemon) unkeptDrains(ctx context.Context) ([]host.OperatorDrain, error) {
@@ -157,7 +151,7 @@
 		fail(ctx, http.StatusNotFound, errors.Errorf("no contract in force declares target %s", key))
 		return
 	}
-	bound, cancel := context.WithTimeout(context.WithoutCancel(ctx.Request().Context()), proposeTimeout)
+	bound, cancel := changeContext(ctx)
 	defer cancel()
 	d.replyDrain(ctx)(d.Drain(bound, host.OperatorDrain{
 		Target: key, Operator: operatorOf(ctx), Reason: ctx.URLParam("reason"), At: time.Now(),
@@ -165,7 +159,7 @@
 }
 
 func (d *Daemon) deleteDrain(ctx iris.Context) {
-	bound, cancel := context.WithTimeout(context.WithoutCancel(ctx.Request().Context()), proposeTimeout)
+	bound, cancel := changeContext(ctx)
 	defer cancel()
 	d.replyDrain(ctx)(d.Undrain(bound, host.OperatorUndrain{Target: drainKey(ctx), Operator: operatorOf(ctx)}))
 }
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -189,19 +189,6 @@
 	})
 }
 
-// tokenTransport adds the bearer token to every request.
-type tokenTransport struct {
-	token string
-	next  http.RoundTripper
-}
-
-// RoundTrip implements http.RoundTripper.
-func (t tokenTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	r = r.Clone(r.Context())
-	r.Header.Set(authorizationHeader, bearer+t.token)
-	return t.next.RoundTrip(r)
-}
-
 // fleetTransport adds the fleet token in force to every request.
 type fleetTransport struct {
 	tokens *credential.Watched[credential.Tokens]
@@ -210,7 +197,9 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t fleetTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	return tokenTransport{token: t.tokens.Load().Current(), next: t.next}.RoundTrip(r)
+	r = r.Clone(r.Context())
+	r.Header.Set(authorizationHeader, bearer+t.tokens.Load().Current())
+	return t.next.RoundTrip(r)
 }
 
 // Limits of the connections to other hosts.
--- a/host/drains.go
+++ b/host/drains.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/crocushinge/crocushinge/contract"
@@ -49,10 +50,7 @@
 		out = append(out, d)
 	}
 	slices.SortFunc(out, func(a, b OperatorDrain) int {
-		if a.Target.String() < b.Target.String() {
-			return -1
-		}
-		return 1
+		return strings.Compare(a.Target.String(), b.Target.String())
 	})
 	return out
 }
--- a/publish/store.go
+++ b/publish/store.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -51,6 +52,15 @@
 	Changes []contract.Change
 }
 
+// Change returns the newest change of a subject, if there is one.
+func (v View) Change(subject string) (ch contract.Change, ok bool) {
+	i := slices.IndexFunc(v.Changes, func(ch contract.Change) bool { return ch.Service == subject })
+	if i < 0 {
+		return contract.Change{}, false
+	}
+	return v.Changes[i], true
+}
+
 // Store reads and writes the configuration in the table.
 type Store struct {
 	Table platform.Table
--- a/traffic/dispatch.go
+++ b/traffic/dispatch.go
@@ -172,16 +172,17 @@
 func (a *attempt) finish() {
 	a.cancel()
 	a.link.Release(a.slot)
-	latency := time.Since(a.started)
-	a.handler.state(a.service).gate.Leave(time.Now(), latency, a.slotEnd())
+	now := time.Now()
+	latency := now.Sub(a.started)
+	a.handler.state(a.service).gate.Leave(now, latency, a.slotEnd())
 	a.link.ObserveOutcome(a.outcome, latency)
-	a.link.ObserveReach(a.outcome, time.Now())
+	a.link.ObserveReach(a.outcome, now)
 	a.handler.cfg.Observe(link.Observation{
 		Target:  a.link.Target,
 		Outcome: a.outcome,
 		Latency: latency,
 		Started: a.started,
-		At:      time.Now(),
+		At:      now,
 		Leaving: a.leaving,
 	})
 }
