Leave to the tests what only they use

The full computation of an entry set is the oracle of the property test and had no other caller; it stands in the tests now, unchanged. A counter of the test target that nothing read is gone. Health asks the list of fronted services that the ticks use, in place of a search for each service.

--- a/fleettest/target.go
+++ b/fleettest/target.go
@@ -43,8 +43,6 @@
 	how    Behaviour
 	runs   []Run
 	probes int
-	open   int
-	most   int
 }
 
 // StartTarget runs a target at a place of its own name.
@@ -86,13 +84,6 @@
 	t.probes++
 }
 
-// MostOpen returns the greatest number of requests that were open at once.
-func (t *Target) MostOpen() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.most
-}
-
 // Close ends the target at once.
 func (t *Target) Close() error { return t.server.Close() }
 
@@ -108,7 +99,6 @@
 	}
 	id := r.Header.Get(traffic.HeaderRequestID)
 	how := t.begin(Run{Target: t.Name, ID: id, Method: r.Method, Path: r.URL.Path, At: time.Now()})
-	defer t.end()
 	time.Sleep(how.Delay)
 	t.sign(w)
 	body := answerFor(id)
@@ -136,13 +126,5 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.runs = append(t.runs, r)
-	t.open++
-	t.most = max(t.most, t.open)
 	return t.how
 }
-
-func (t *Target) end() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.open--
-}
--- a/host/core.go
+++ b/host/core.go
@@ -124,7 +124,7 @@
 		accounts:  caller.NewAccounts(cfg.Accounts),
 		outdated:  viewServices | viewHosts,
 		fronting: frontingState{
-			hosts: newCandidates(nil),
+			hosts: &candidates{},
 			plans: make(map[string]*setPlan),
 			moved: make(map[ID]bool),
 		},
--- a/host/entryset.go
+++ b/host/entryset.go
@@ -76,27 +76,6 @@
 	zoneIDs []zone.ID
 }
 
-// newCandidates prepares hosts that are sorted by id.
-func newCandidates(hosts []Identity) *candidates {
-	c := &candidates{
-		identities: hosts,
-		hashes:     make([]uint64, len(hosts)),
-		zones:      make([]int, len(hosts)),
-	}
-	positions := make(map[zone.ID]int)
-	for i, h := range hosts {
-		position, known := positions[h.Zone]
-		if !known {
-			position = len(c.zoneIDs)
-			positions[h.Zone] = position
-			c.zoneIDs = append(c.zoneIDs, h.Zone)
-		}
-		c.hashes[i] = hashID(h.ID)
-		c.zones[i] = position
-	}
-	return c
-}
-
 // put adds a host, or replaces the one with its id.
 func (c *candidates) put(h Identity) {
 	position := slices.Index(c.zoneIDs, h.Zone)
@@ -143,14 +122,6 @@
 	return x ^ x>>31
 }
 
-// newEntrySet chooses the hosts of a service by rendezvous hashing (Thaler and
-// Ravishankar, 1998), spread over the zones of the regions where its targets
-// are. A host that comes or goes moves one place in its own zone only. Hosts
-// weigh the same, because the fleet's hosts are of one size.
-func newEntrySet(c *contract.Contract, hosts *candidates, zones *zone.Map) EntrySet {
-	return newSetPlan(c, hosts, zones).choose(hosts)
-}
-
 // zoneQuotas divides the size of a set over the zones. Which zones get one
 // host more than others depends on the service alone, not on the hosts, so
 // that the loss of a zone moves nothing in the others.
--- a/host/entryset_plan.go
+++ b/host/entryset_plan.go
@@ -36,7 +36,11 @@
 	return p
 }
 
-// choose returns the entry set that the plan gives with these hosts.
+// choose returns the entry set that the plan gives with these hosts, by
+// rendezvous hashing (Thaler and Ravishankar, 1998), spread over the zones of
+// the regions where the service's targets are. A host that comes or goes moves
+// one place in its own zone only. Hosts weigh the same, because the fleet's
+// hosts are of one size.
 func (p *setPlan) choose(hosts *candidates) EntrySet {
 	chosen := hosts.best(p.seed, hosts.quotas(p.quotas))
 	missing := leastMembers(p.size, len(p.eligible)) - len(chosen)
--- a/host/entryset_test.go
+++ b/host/entryset_test.go
@@ -40,6 +40,32 @@
 	return out
 }
 
+// newCandidates prepares hosts that are sorted by id.
+func newCandidates(hosts []Identity) *candidates {
+	c := &candidates{
+		identities: hosts,
+		hashes:     make([]uint64, len(hosts)),
+		zones:      make([]int, len(hosts)),
+	}
+	positions := make(map[zone.ID]int)
+	for i, h := range hosts {
+		position, known := positions[h.Zone]
+		if !known {
+			position = len(c.zoneIDs)
+			positions[h.Zone] = position
+			c.zoneIDs = append(c.zoneIDs, h.Zone)
+		}
+		c.hashes[i] = hashID(h.ID)
+		c.zones[i] = position
+	}
+	return c
+}
+
+// newEntrySet chooses the hosts of a service anew.
+func newEntrySet(c *contract.Contract, hosts *candidates, zones *zone.Map) EntrySet {
+	return newSetPlan(c, hosts, zones).choose(hosts)
+}
+
 func setOf(c *contract.Contract, hosts []Identity) EntrySet {
 	return newEntrySet(c, newCandidates(hosts), testZoneMap())
 }
--- a/host/evidence.go
+++ b/host/evidence.go
@@ -35,7 +35,7 @@
 	outbox := c.takeUnsent()
 	for _, name := range c.names {
 		set := c.entrySets[name]
-		if set.Rank(c.self.ID) < 0 && !c.signed[name] && now.Sub(c.carried[name]) > carrierTime {
+		if !c.fronts(name) && !c.signed[name] && now.Sub(c.carried[name]) > carrierTime {
 			continue
 		}
 		reports := c.services[name].Reports(now)
--- a/host/fronting.go
+++ b/host/fronting.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -124,15 +125,10 @@
 	return Identity{}, false
 }
 
-func byID(a, b Identity) int {
-	switch {
-	case a.ID < b.ID:
-		return -1
-	case a.ID > b.ID:
-		return 1
-	}
-	return 0
-}
+func byID(a, b Identity) int { return cmp.Compare(a.ID, b.ID) }
+
+// fronts reports whether this host is in the entry set of a service.
+func (c *Core) fronts(name string) bool { return c.entrySets[name].Rank(c.self.ID) >= 0 }
 
 // joined reports whether a set has a member that the earlier one lacked.
 func joined(before, after EntrySet) bool {
--- a/host/health.go
+++ b/host/health.go
@@ -7,13 +7,8 @@
 // share the evidence among themselves.
 func (c *Core) Health() []service.Health {
 	var out []service.Health
-	for _, name := range c.names {
-		if c.fronts(name) {
-			out = append(out, c.services[name].Health())
-		}
+	for _, i := range c.fronting.own {
+		out = append(out, c.ordered[i].Health())
 	}
 	return out
 }
-
-// fronts reports whether this host is in the entry set of a service.
-func (c *Core) fronts(name string) bool { return c.entrySets[name].Rank(c.self.ID) >= 0 }
