--- a/daemon/timeline_test.go
+++ b/daemon/timeline_test.go
@@ -234,11 +234,6 @@
 		resp.Body.Close()
 		is.Equal(resp.StatusCode, http.StatusUnauthorized)
 	}
-	resp, err := http.Get("http://" + d.Self().APIAddress + "/metrics")
-	is.NoErr(err)
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	is.NoErr(err)
-	is.True(strings.Contains(string(body), "crocushinge_operator_refused_total"))
+	is.True(strings.Contains(scrape(t, d), "crocushinge_operator_refused_total"))
 	is.Equal(d.refusedOperators.Load(), int64(4))
 }
--- a/traffic/blackhole_test.go
+++ b/traffic/blackhole_test.go
@@ -8,12 +8,9 @@
 	"net/http"
 	"os"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/crocushinge/crocushinge/platform/memory"
 )
 
 // silentAddress is the address of a target that answers no attempt to connect.
@@ -54,15 +51,9 @@
 		"order, silent target out": {"POST /orders", []string{"target:80"}, http.StatusCreated, "completed", 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			dialer := func(targets pipes) Dial { return targets.dialOrWait }
+			pipeBench(t, test.targets, echo, dialer, func(t *testing.T, callers pipes) {
 				is := is.New(t)
-				callers, targets := make(pipes), make(pipes)
-				h := newHostCore(t, memory.New(), "a")
-				h.handler.cfg.Transport = NewTargets(targets.dialOrWait)
-				h.snapshot.Store(h.newSnapshot(test.targets))
-				servers := []*http.Server{NewServer(h.handler), {Handler: http.HandlerFunc(echo)}}
-				go servers[0].Serve(callers)
-				go servers[1].Serve(targets)
 				for range 10 {
 					start := time.Now()
 					conn, _ := callers.dial(t.Context(), "", "")
@@ -75,13 +66,6 @@
 					is.True(time.Since(start) <= test.longest)
 					conn.Close()
 				}
-				close(callers)
-				close(targets)
-				for _, s := range servers {
-					s.Close()
-				}
-				h.handler.cfg.Transport.(*Targets).CloseIdleConnections()
-				time.Sleep(time.Second)
 			})
 		})
 	}
--- a/traffic/stall_test.go
+++ b/traffic/stall_test.go
@@ -39,20 +39,19 @@
 	return near, nil
 }
 
-// stallBench runs a test with a connection to a host, and a target, on a
-// virtual clock.
-func stallBench(t *testing.T, target http.HandlerFunc, test func(t *testing.T, conn net.Conn)) {
+// pipeBench runs a test with callers' connections to a host before targets at
+// addresses, on a virtual clock. The host reaches them by the dial that dialer
+// makes of their listener.
+func pipeBench(t *testing.T, addresses []string, target http.HandlerFunc, dialer func(targets pipes) Dial, test func(t *testing.T, callers pipes)) {
 	synctest.Test(t, func(t *testing.T) {
 		callers, targets := make(pipes), make(pipes)
 		h := newHostCore(t, memory.New(), "a")
-		h.handler.cfg.Transport = NewTargets(targets.dial)
-		h.snapshot.Store(h.newSnapshot([]string{"target:80"}))
+		h.handler.cfg.Transport = NewTargets(dialer(targets))
+		h.snapshot.Store(h.newSnapshot(addresses))
 		servers := []*http.Server{NewServer(h.handler), {Handler: target}}
 		go servers[0].Serve(callers)
 		go servers[1].Serve(targets)
-		conn, _ := callers.dial(t.Context(), "", "")
-		test(t, conn)
-		conn.Close()
+		test(t, callers)
 		close(callers)
 		close(targets)
 		for _, s := range servers {
@@ -64,6 +63,16 @@
 	})
 }
 
+// stallBench runs a test with one connection to a host before one target.
+func stallBench(t *testing.T, target http.HandlerFunc, test func(t *testing.T, conn net.Conn)) {
+	dialer := func(targets pipes) Dial { return targets.dial }
+	pipeBench(t, []string{"target:80"}, target, dialer, func(t *testing.T, callers pipes) {
+		conn, _ := callers.dial(t.Context(), "", "")
+		test(t, conn)
+		conn.Close()
+	})
+}
+
 func TestCallerThatStallsInTheHeadIsCutOff(t *testing.T) {
 	stallBench(t, echo, func(t *testing.T, conn net.Conn) {
 		is := is.New(t)
