--- a/bench/capacity/control.go
+++ b/bench/capacity/control.go
@@ -15,8 +15,8 @@
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/link"
-	"github.com/crocushinge/crocushinge/platform"
 	"github.com/crocushinge/crocushinge/service"
+	"github.com/crocushinge/crocushinge/storage"
 	"github.com/crocushinge/crocushinge/wire"
 	fleetv1 "github.com/crocushinge/crocushinge/wire/gen/crocushinge/fleet/v1"
 )
@@ -306,7 +306,7 @@
 	d.exchange(messageSize(d.core.Message(d.now, e.Subject.ID)))
 	answer := host.IndirectAnswered{Subject: e.Subject.ID, Reached: !d.isAway(d.index[e.Subject.ID])}
 	if d.isAway(d.index[e.Via.ID]) {
-		answer.Err = platform.ErrUnavailable
+		answer.Err = storage.ErrUnavailable
 	}
 	d.queue = append(d.queue, answer)
 }
@@ -336,7 +336,7 @@
 	if d.store {
 		return nil
 	}
-	return platform.ErrUnavailable
+	return storage.ErrUnavailable
 }
 
 // reportsOf returns what a peer of the entry set reports while this host
--- a/bench/capacity/news.go
+++ b/bench/capacity/news.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/crocushinge/crocushinge/host"
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 )
 
 const (
@@ -225,7 +225,7 @@
 	case host.SendIndirectPing:
 		ev := host.IndirectAnswered{Subject: e.Subject.ID}
 		if f.isAway(f.index[e.Via.FleetAddress]) {
-			ev.Err = platform.ErrUnavailable
+			ev.Err = storage.ErrUnavailable
 		} else {
 			ev.Reached = !f.isAway(f.index[e.Subject.FleetAddress])
 		}
--- a/bench/overload/run.go
+++ b/bench/overload/run.go
@@ -15,9 +15,9 @@
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/link"
-	"github.com/crocushinge/crocushinge/platform/memory"
 	"github.com/crocushinge/crocushinge/route"
 	"github.com/crocushinge/crocushinge/service"
+	"github.com/crocushinge/crocushinge/storage/memory"
 	"github.com/crocushinge/crocushinge/traffic"
 )
 
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/caller"
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 )
 
 // claimSort is the sort key of a claim; each claim has a partition of its own.
@@ -33,14 +33,14 @@
 	Text string
 }
 
-func (k Key) item() platform.Key {
+func (k Key) item() storage.Key {
 	sum := sha256.Sum256([]byte(k.Text))
-	return platform.Key{Partition: "claim/" + k.Account + "/" + hex.EncodeToString(sum[:]), Sort: claimSort}
+	return storage.Key{Partition: "claim/" + k.Account + "/" + hex.EncodeToString(sum[:]), Sort: claimSort}
 }
 
 // Store keeps the claims.
 type Store struct {
-	Table platform.Table
+	Table storage.Table
 }
 
 // Taken is the answer of Take.
@@ -64,10 +64,10 @@
 		}
 		next := present.Next(id, print)
 		err = s.write(ctx, key, next, version)
-		if errors.Is(err, platform.ErrAmbiguous) {
+		if errors.Is(err, storage.ErrAmbiguous) {
 			err = s.confirm(ctx, key, next)
 		}
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, storage.ErrConflict) {
 			continue
 		}
 		if err != nil {
@@ -88,17 +88,17 @@
 	case present != nil && present.ID == want.ID && present.Epoch == want.Epoch:
 		return nil
 	case present != nil && present.Epoch >= want.Epoch:
-		return errors.Wrap(platform.ErrConflict, "the key was claimed by another id")
+		return errors.Wrap(storage.ErrConflict, "the key was claimed by another id")
 	default:
-		return errors.Wrap(platform.ErrAmbiguous, "the claim is not there yet")
+		return errors.Wrap(storage.ErrAmbiguous, "the claim is not there yet")
 	}
 }
 
 // Settle writes how the id that took a key ended, also when the claim itself
 // was never written: a write of the claim that is still on its way then fails.
-// Repeating it is harmless. It fails with platform.ErrUnavailable or
-// platform.ErrAmbiguous, after which it must be repeated, and with
-// platform.ErrConflict when another id holds the key.
+// Repeating it is harmless. It fails with storage.ErrUnavailable or
+// storage.ErrAmbiguous, after which it must be repeated, and with
+// storage.ErrConflict when another id holds the key.
 func (s *Store) Settle(ctx context.Context, key Key, settled caller.Claim) error {
 	present, version, err := s.read(ctx, key)
 	if err != nil {
@@ -112,7 +112,7 @@
 	case present.ID == settled.ID:
 		settled.Epoch = present.Epoch
 	case present.Epoch >= settled.Epoch || present.Outcome.Result != caller.NotRun:
-		return errors.Wrap(platform.ErrConflict, "the key was claimed by another id")
+		return errors.Wrap(storage.ErrConflict, "the key was claimed by another id")
 	}
 	return s.write(ctx, key, settled, version)
 }
@@ -120,7 +120,7 @@
 // read returns the claim and its version, or nil and 0 when there is none.
 func (s *Store) read(ctx context.Context, key Key) (*caller.Claim, uint64, error) {
 	item, err := s.Table.Get(ctx, key.item())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err != nil {
@@ -138,5 +138,5 @@
 	if err != nil {
 		return errors.Wrap(err, "encode claim")
 	}
-	return s.Table.Write(ctx, platform.Put{Key: key.item(), Value: value, IfVersion: version})
+	return s.Table.Write(ctx, storage.Put{Key: key.item(), Value: value, IfVersion: version})
 }
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/crocushinge/crocushinge/caller"
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/memory"
 )
 
 var (
@@ -27,20 +27,20 @@
 // lateTable holds back writes: they are ambiguous at first and take effect
 // when they are delivered.
 type lateTable struct {
-	platform.Table
+	storage.Table
 	holding bool
 	// meanwhile runs before a held write is reported as ambiguous.
 	meanwhile func()
-	late      [][]platform.Put
+	late      [][]storage.Put
 }
 
-func (l *lateTable) Write(ctx context.Context, puts ...platform.Put) error {
+func (l *lateTable) Write(ctx context.Context, puts ...storage.Put) error {
 	if l.holding {
 		if l.meanwhile != nil {
 			l.meanwhile()
 		}
 		l.late = append(l.late, puts)
-		return platform.ErrAmbiguous
+		return storage.ErrAmbiguous
 	}
 	return l.Table.Write(ctx, puts...)
 }
--- a/claim/log.go
+++ b/claim/log.go
@@ -13,7 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/crocushinge/crocushinge/caller"
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 )
 
 // Bounds of a Log.
@@ -51,7 +51,7 @@
 // Log keeps the outcomes of the ids of one incarnation in the table, in
 // batches, so that they are known after the host is gone.
 type Log struct {
-	table   platform.Table
+	table   storage.Table
 	home    *caller.Home
 	lookups *rate.Limiter
 
@@ -61,7 +61,7 @@
 }
 
 // NewLog returns the log of a home. Run carries it out.
-func NewLog(table platform.Table, home *caller.Home) *Log {
+func NewLog(table storage.Table, home *caller.Home) *Log {
 	return &Log{table: table, home: home, lookups: rate.NewLimiter(lookupRate, lookupBurst)}
 }
 
@@ -113,8 +113,8 @@
 	if err != nil {
 		return errors.Wrap(err, "encode outcomes")
 	}
-	key := platform.Key{Partition: partition(l.home.Host, l.home.Incarnation), Sort: sortKey(l.home.Since())}
-	err = l.table.Write(ctx, platform.Put{Key: key, Value: value})
+	key := storage.Key{Partition: partition(l.home.Host, l.home.Incarnation), Sort: sortKey(l.home.Since())}
+	err = l.table.Write(ctx, storage.Put{Key: key, Value: value})
 	if err != nil {
 		l.putBack(batch)
 	}
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -10,7 +10,7 @@
 
 	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/internal/wait"
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 )
 
 // Bounds of a Writer.
@@ -104,7 +104,7 @@
 		case err == nil:
 			close(s.done)
 			return
-		case !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrAmbiguous):
+		case !errors.Is(err, storage.ErrUnavailable) && !errors.Is(err, storage.ErrAmbiguous):
 			w.Refused.Add(1)
 			return
 		}
--- a/cmd/crocushinge/main_test.go
+++ b/cmd/crocushinge/main_test.go
@@ -19,8 +19,8 @@
 
 	"github.com/crocushinge/crocushinge/credential/credentialtest"
 	"github.com/crocushinge/crocushinge/daemon"
-	"github.com/crocushinge/crocushinge/platform/memory"
 	"github.com/crocushinge/crocushinge/publish"
+	"github.com/crocushinge/crocushinge/storage/memory"
 	"github.com/crocushinge/crocushinge/wire"
 )
 
--- a/cmd/crocushinged/main.go
+++ b/cmd/crocushinged/main.go
@@ -12,8 +12,8 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/crocushinge/crocushinge/daemon"
-	"github.com/crocushinge/crocushinge/platform/open"
 	"github.com/crocushinge/crocushinge/sample"
+	"github.com/crocushinge/crocushinge/storage/open"
 )
 
 // Exit codes.
--- a/daemon/accounts_test.go
+++ b/daemon/accounts_test.go
@@ -13,8 +13,8 @@
 	"github.com/matryer/is"
 
 	"github.com/crocushinge/crocushinge/host"
-	"github.com/crocushinge/crocushinge/platform/memory"
 	"github.com/crocushinge/crocushinge/publish"
+	"github.com/crocushinge/crocushinge/storage/memory"
 )
 
 // TestPublishedAccountsReachTheirServicesOnly publishes an account, uses it,
--- a/daemon/api_documents.go
+++ b/daemon/api_documents.go
@@ -10,8 +10,8 @@
 	"github.com/kataras/iris/v12"
 	"github.com/pkg/errors"
 
-	"github.com/crocushinge/crocushinge/platform"
 	"github.com/crocushinge/crocushinge/publish"
+	"github.com/crocushinge/crocushinge/storage"
 	"github.com/crocushinge/crocushinge/wire"
 )
 
@@ -94,7 +94,7 @@
 		Base:     base,
 	})
 	switch {
-	case errors.Is(err, publish.ErrProposal), errors.Is(err, platform.ErrInvalid):
+	case errors.Is(err, publish.ErrProposal), errors.Is(err, storage.ErrInvalid):
 		fail(ctx, http.StatusBadRequest, err)
 	case err != nil:
 		fail(ctx, http.StatusServiceUnavailable, errors.Wrap(err, "nothing was written"))
@@ -144,7 +144,7 @@
 	revision := ctx.Params().GetUint64Default("revision", 0)
 	ch, err := d.store.Change(ctx.Request().Context(), revision)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, storage.ErrNotFound):
 		fail(ctx, http.StatusNotFound, errors.Errorf("no change has revision %d", revision))
 	case err != nil:
 		fail(ctx, http.StatusServiceUnavailable, err)
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -5,13 +5,13 @@
 	"time"
 
 	"github.com/crocushinge/crocushinge/host"
-	"github.com/crocushinge/crocushinge/platform"
 	"github.com/crocushinge/crocushinge/publish"
+	"github.com/crocushinge/crocushinge/storage"
 )
 
 // newStore returns the store of the configuration, which checks proposals
 // against what this host has in force.
-func (d *Daemon) newStore(table platform.Table) *publish.Store {
+func (d *Daemon) newStore(table storage.Table) *publish.Store {
 	return &publish.Store{
 		Table:         table,
 		Now:           time.Now,
@@ -42,7 +42,7 @@
 }
 
 // corruptItem reports an item of the table that cannot be read.
-func (d *Daemon) corruptItem(key platform.Key, err error) {
+func (d *Daemon) corruptItem(key storage.Key, err error) {
 	d.corrupt.Add(1)
 	d.log.Error().Str("partition", key.Partition).Str("sort", key.Sort).Err(err).Msg("unreadable item in the table, left out")
 }
--- a/daemon/credentials_test.go
+++ b/daemon/credentials_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/crocushinge/crocushinge/credential"
-	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/storage/memory"
 	fleetv1 "github.com/crocushinge/crocushinge/wire/gen/crocushinge/fleet/v1"
 	"github.com/crocushinge/crocushinge/wire/gen/crocushinge/fleet/v1/fleetv1connect"
 )
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,8 +18,8 @@
 
 	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/host"
-	"github.com/crocushinge/crocushinge/platform"
 	"github.com/crocushinge/crocushinge/publish"
+	"github.com/crocushinge/crocushinge/storage"
 	"github.com/crocushinge/crocushinge/timeline"
 	"github.com/crocushinge/crocushinge/traffic"
 	"github.com/crocushinge/crocushinge/wire/gen/crocushinge/fleet/v1/fleetv1connect"
@@ -37,9 +37,9 @@
 
 // Platform is the adapters to the platform that a daemon uses.
 type Platform struct {
-	Table    platform.Table
-	Objects  platform.Objects
-	HostList platform.HostList
+	Table    storage.Table
+	Objects  storage.Objects
+	HostList storage.HostList
 }
 
 // Daemon is one host as a process.
@@ -54,7 +54,7 @@
 	// would not end by themselves.
 	closing  chan struct{}
 	store    *publish.Store
-	hostList platform.HostList
+	hostList storage.HostList
 	peers    *fleetClient
 	prober   *prober
 	ledger   *caller.Ledger
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -15,8 +15,8 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
-	"github.com/crocushinge/crocushinge/platform/memory"
 	"github.com/crocushinge/crocushinge/publish"
+	"github.com/crocushinge/crocushinge/storage/memory"
 	"github.com/crocushinge/crocushinge/traffic"
 )
 
--- a/daemon/health_test.go
+++ b/daemon/health_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/link"
-	"github.com/crocushinge/crocushinge/platform/memory"
 	"github.com/crocushinge/crocushinge/publish"
+	"github.com/crocushinge/crocushinge/storage/memory"
 	"github.com/crocushinge/crocushinge/target"
 )
 
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/matryer/is"
 
-	"github.com/crocushinge/crocushinge/platform/memory"
-	"github.com/crocushinge/crocushinge/platform/open"
-	"github.com/crocushinge/crocushinge/platform/standin"
 	"github.com/crocushinge/crocushinge/publish"
+	"github.com/crocushinge/crocushinge/storage/memory"
+	"github.com/crocushinge/crocushinge/storage/open"
+	"github.com/crocushinge/crocushinge/storage/standin"
 )
 
 // startPlatform runs a stand-in and returns it with the settings to open it.
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -6,7 +6,7 @@
 
 	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/claim"
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 	"github.com/crocushinge/crocushinge/traffic"
 )
 
@@ -35,7 +35,7 @@
 }
 
 // newClaims builds the store of keys and outcomes in the platform's table.
-func newClaims(table platform.Table, home *caller.Home) traffic.Claims {
+func newClaims(table storage.Table, home *caller.Home) traffic.Claims {
 	store := &claim.Store{Table: table}
 	return traffic.Claims{Store: store, Writer: claim.NewWriter(store), Log: claim.NewLog(table, home)}
 }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -5,7 +5,7 @@
 
 	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/contract/contractfile"
-	"github.com/crocushinge/crocushinge/platform/open"
+	"github.com/crocushinge/crocushinge/storage/open"
 	"github.com/crocushinge/crocushinge/zone"
 )
 
--- a/daemon/timeline_archive.go
+++ b/daemon/timeline_archive.go
@@ -10,7 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/crocushinge/crocushinge/host"
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 	"github.com/crocushinge/crocushinge/timeline"
 	"github.com/crocushinge/crocushinge/wire"
 )
@@ -29,7 +29,7 @@
 // archive writes the events of this host to the object store, so that they
 // last when the host is replaced.
 type archive struct {
-	objects platform.Objects
+	objects storage.Objects
 	self    host.Identity
 	outbox  *timeline.Outbox
 	log     zerolog.Logger
@@ -49,7 +49,7 @@
 	events int
 }
 
-func newArchive(objects platform.Objects, self host.Identity, log zerolog.Logger) *archive {
+func newArchive(objects storage.Objects, self host.Identity, log zerolog.Logger) *archive {
 	return &archive{
 		objects: objects, self: self, log: log, outbox: timeline.NewOutbox(outboxCapacity),
 	}
--- a/daemon/timeline_test.go
+++ b/daemon/timeline_test.go
@@ -13,7 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/crocushinge/crocushinge/host"
-	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/storage/memory"
 	"github.com/crocushinge/crocushinge/timeline"
 	"github.com/crocushinge/crocushinge/wire"
 )
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -16,8 +16,8 @@
 
 	"github.com/crocushinge/crocushinge/daemon"
 	"github.com/crocushinge/crocushinge/host"
-	"github.com/crocushinge/crocushinge/platform/memory"
 	"github.com/crocushinge/crocushinge/publish"
+	"github.com/crocushinge/crocushinge/storage/memory"
 )
 
 // Account and Key are the one client account of a test fleet.
--- a/fleettest/platform.go
+++ b/fleettest/platform.go
@@ -7,8 +7,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/daemon"
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/memory"
 )
 
 // Store is the place of the platform on the network.
@@ -30,22 +30,22 @@
 // reach fails while the way to the platform or back is blocked.
 func (v storeView) reach() error {
 	if v.network.blocked(v.place, Store) || v.network.blocked(Store, v.place) {
-		return errors.Wrap(platform.ErrUnavailable, "no path")
+		return errors.Wrap(storage.ErrUnavailable, "no path")
 	}
 	return nil
 }
 
-// Get implements platform.Table.
-func (v storeView) Get(ctx context.Context, key platform.Key) (platform.Item, error) {
+// Get implements storage.Table.
+func (v storeView) Get(ctx context.Context, key storage.Key) (storage.Item, error) {
 	v.reads.Add(1)
 	if err := v.reach(); err != nil {
-		return platform.Item{}, err
+		return storage.Item{}, err
 	}
 	return v.store.Get(ctx, key)
 }
 
-// Query implements platform.Table.
-func (v storeView) Query(ctx context.Context, partition, after string, limit int) ([]platform.Item, error) {
+// Query implements storage.Table.
+func (v storeView) Query(ctx context.Context, partition, after string, limit int) ([]storage.Item, error) {
 	v.reads.Add(1)
 	if err := v.reach(); err != nil {
 		return nil, err
@@ -53,8 +53,8 @@
 	return v.store.Query(ctx, partition, after, limit)
 }
 
-// Write implements platform.Table.
-func (v storeView) Write(ctx context.Context, puts ...platform.Put) error {
+// Write implements storage.Table.
+func (v storeView) Write(ctx context.Context, puts ...storage.Put) error {
 	v.writes.Add(1)
 	if err := v.reach(); err != nil {
 		return err
@@ -62,10 +62,10 @@
 	return v.store.Write(ctx, puts...)
 }
 
-// Hosts implements platform.HostList.
-func (v storeView) Hosts(ctx context.Context) (platform.Listing, error) {
+// Hosts implements storage.HostList.
+func (v storeView) Hosts(ctx context.Context) (storage.Listing, error) {
 	if err := v.reach(); err != nil {
-		return platform.Listing{}, err
+		return storage.Listing{}, err
 	}
 	return v.store.Hosts(ctx)
 }
--- a/host/event.go
+++ b/host/event.go
@@ -6,8 +6,8 @@
 	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/link"
-	"github.com/crocushinge/crocushinge/platform"
 	"github.com/crocushinge/crocushinge/service"
+	"github.com/crocushinge/crocushinge/storage"
 	"github.com/crocushinge/crocushinge/target"
 )
 
@@ -83,7 +83,7 @@
 
 	// HostListRead is the answer to ReadHostList.
 	HostListRead struct {
-		Hosts []platform.ListedHost
+		Hosts []storage.ListedHost
 		Err   error
 	}
 
--- a/publish/crosscheck.go
+++ b/publish/crosscheck.go
@@ -8,13 +8,13 @@
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/contract/contractfile"
 	"github.com/crocushinge/crocushinge/finding"
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 )
 
 // crossCheck compares a proposal with what is in force at exactly the given
 // revision. The write that follows has the condition that the revision has not
 // moved, so no other change can make the findings untrue. It fails with
-// platform.ErrConflict when the revision moved already.
+// storage.ErrConflict when the revision moved already.
 func (s *Store) crossCheck(ctx context.Context, revision uint64, p Proposal, f *contractfile.File) (finding.List, error) {
 	view, err := s.viewAt(ctx, revision)
 	if err != nil {
@@ -61,7 +61,7 @@
 		view = View{Revision: last, Changes: merge(view.Changes, changes)}
 	}
 	if view.Revision != revision {
-		return View{}, errors.Wrapf(platform.ErrConflict, "revision %d, now %d", revision, view.Revision)
+		return View{}, errors.Wrapf(storage.ErrConflict, "revision %d, now %d", revision, view.Revision)
 	}
 	return view, nil
 }
--- a/publish/fake_test.go
+++ b/publish/fake_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/memory"
 )
 
 // hookedTable lets a test act between the calls of the code under test.
@@ -15,11 +15,11 @@
 	*memory.Platform
 	// beforeQuery, afterGet and write replace nothing when nil.
 	beforeQuery func(partition string)
-	afterGet    func(key platform.Key)
-	write       func(ctx context.Context, puts []platform.Put) error
+	afterGet    func(key storage.Key)
+	write       func(ctx context.Context, puts []storage.Put) error
 }
 
-func (h *hookedTable) Get(ctx context.Context, key platform.Key) (platform.Item, error) {
+func (h *hookedTable) Get(ctx context.Context, key storage.Key) (storage.Item, error) {
 	item, err := h.Platform.Get(ctx, key)
 	if h.afterGet != nil {
 		h.afterGet(key)
@@ -27,14 +27,14 @@
 	return item, err
 }
 
-func (h *hookedTable) Query(ctx context.Context, partition, after string, limit int) ([]platform.Item, error) {
+func (h *hookedTable) Query(ctx context.Context, partition, after string, limit int) ([]storage.Item, error) {
 	if h.beforeQuery != nil {
 		h.beforeQuery(partition)
 	}
 	return h.Platform.Query(ctx, partition, after, limit)
 }
 
-func (h *hookedTable) Write(ctx context.Context, puts ...platform.Put) error {
+func (h *hookedTable) Write(ctx context.Context, puts ...storage.Put) error {
 	if h.write != nil {
 		return h.write(ctx, puts)
 	}
--- a/publish/propose.go
+++ b/publish/propose.go
@@ -8,7 +8,7 @@
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/contract/contractfile"
 	"github.com/crocushinge/crocushinge/finding"
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 	"github.com/crocushinge/crocushinge/wire"
 )
 
@@ -36,9 +36,9 @@
 		case err == nil:
 			result.Findings = append(result.Findings, findings.Warnings()...)
 			return result, nil
-		case errors.Is(err, platform.ErrAmbiguous):
+		case errors.Is(err, storage.ErrAmbiguous):
 			ambiguous = true
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, storage.ErrConflict):
 		case ambiguous:
 			return undecided(p), nil
 		default:
@@ -73,7 +73,7 @@
 	return f, findings
 }
 
-// tryPropose makes one attempt. It fails with platform.ErrConflict when
+// tryPropose makes one attempt. It fails with storage.ErrConflict when
 // somebody else moved the fleet's revision.
 func (s *Store) tryPropose(ctx context.Context, p Proposal, f *contractfile.File) (Result, error) {
 	if r, found, err := s.lookUp(ctx, p); err != nil || found {
@@ -84,7 +84,7 @@
 		return Result{}, err
 	}
 	item, err := s.Table.Get(ctx, contractKey(p.Service))
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, storage.ErrNotFound) {
 		return Result{}, err
 	}
 	if item.Version != p.Base {
@@ -112,7 +112,7 @@
 // lookUp tells what the table already knows of a proposal.
 func (s *Store) lookUp(ctx context.Context, p Proposal) (r Result, found bool, err error) {
 	item, err := s.Table.Get(ctx, proposalKey(p.ID))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return Result{}, false, nil
 	}
 	if err != nil {
@@ -127,7 +127,7 @@
 
 // conflict names the change that came first. That change may be this very
 // proposal, accepted by an ambiguous write between the two readings.
-func (s *Store) conflict(ctx context.Context, p Proposal, item platform.Item) (Result, error) {
+func (s *Store) conflict(ctx context.Context, p Proposal, item storage.Item) (Result, error) {
 	if r, found, err := s.lookUp(ctx, p); err != nil || found {
 		return r, err
 	}
@@ -153,11 +153,11 @@
 		return err
 	}
 	return s.Table.Write(ctx,
-		platform.Put{Key: revisionKey(), IfVersion: ch.Revision - 1},
-		platform.Put{Key: changeKey(ch.Revision), Value: data},
-		platform.Put{Key: contractKey(ch.Service), Value: data, IfVersion: ch.Version - 1},
-		platform.Put{Key: historyKey(ch.Service, ch.Revision), Value: summary},
-		platform.Put{Key: proposalKey(ch.Proposal), Value: summary},
+		storage.Put{Key: revisionKey(), IfVersion: ch.Revision - 1},
+		storage.Put{Key: changeKey(ch.Revision), Value: data},
+		storage.Put{Key: contractKey(ch.Service), Value: data, IfVersion: ch.Version - 1},
+		storage.Put{Key: historyKey(ch.Service, ch.Revision), Value: summary},
+		storage.Put{Key: proposalKey(ch.Proposal), Value: summary},
 	)
 }
 
@@ -165,7 +165,7 @@
 // abandoned, or Absent when it has not taken effect so far.
 func (s *Store) Resolve(ctx context.Context, id string) (Result, error) {
 	item, err := s.Table.Get(ctx, proposalKey(id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return Result{Status: Absent, Proposal: id}, nil
 	}
 	if err != nil {
@@ -196,8 +196,8 @@
 		if err != nil {
 			return Result{}, err
 		}
-		err = s.Table.Write(ctx, platform.Put{Key: proposalKey(id), Value: data})
-		if err != nil && !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrAmbiguous) {
+		err = s.Table.Write(ctx, storage.Put{Key: proposalKey(id), Value: data})
+		if err != nil && !errors.Is(err, storage.ErrConflict) && !errors.Is(err, storage.ErrAmbiguous) {
 			return Result{}, err
 		}
 	}
--- a/publish/propose_test.go
+++ b/publish/propose_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 	"github.com/crocushinge/crocushinge/zone"
 )
 
@@ -84,7 +84,7 @@
 	is := is.New(t)
 	s, table := newStore()
 	other := &Store{Table: table.Platform, Now: s.Now, KnownAccounts: s.KnownAccounts}
-	table.write = func(ctx context.Context, puts []platform.Put) error {
+	table.write = func(ctx context.Context, puts []storage.Put) error {
 		table.write = nil
 		mustAccept(t, other, proposal("p1", "a", 0))
 		return table.Platform.Write(ctx, puts...)
@@ -152,13 +152,13 @@
 // ambiguousThenAway makes the first write ambiguous, with or without effect,
 // and the table unavailable from then on.
 func ambiguousThenAway(table *hookedTable, effect bool) {
-	table.write = func(ctx context.Context, puts []platform.Put) error {
+	table.write = func(ctx context.Context, puts []storage.Put) error {
 		table.write = nil
 		if effect {
 			_ = table.Platform.Write(ctx, puts...)
 		}
 		table.Faults.Down(true)
-		return platform.ErrAmbiguous
+		return storage.ErrAmbiguous
 	}
 }
 
@@ -183,11 +183,11 @@
 func TestSettledProposalNeverTakesEffect(t *testing.T) {
 	is := is.New(t)
 	s, table := newStore()
-	var late []platform.Put
-	table.write = func(_ context.Context, puts []platform.Put) error {
+	var late []storage.Put
+	table.write = func(_ context.Context, puts []storage.Put) error {
 		late, table.write = puts, nil
 		table.Faults.Down(true)
-		return platform.ErrAmbiguous
+		return storage.ErrAmbiguous
 	}
 	is.Equal(mustPropose(t, s, proposal("p1", "a", 0)).Status, Undecided)
 	table.Faults.Down(false)
@@ -201,7 +201,7 @@
 	is.NoErr(err)
 	is.Equal(r.Reason, ReasonAbandoned)
 
-	is.True(errors.Is(table.Platform.Write(ctx, late...), platform.ErrConflict)) // the late write
+	is.True(errors.Is(table.Platform.Write(ctx, late...), storage.ErrConflict)) // the late write
 	is.Equal(mustPropose(t, s, proposal("p1", "a", 0)).Reason, ReasonAbandoned)
 	is.Equal(countChanges(t, table), 0)
 }
@@ -221,12 +221,12 @@
 	is := is.New(t)
 	s, table := newStore()
 	ctx := context.Background()
-	var late []platform.Put
-	table.write = func(_ context.Context, puts []platform.Put) error {
+	var late []storage.Put
+	table.write = func(_ context.Context, puts []storage.Put) error {
 		late, table.write = puts, nil
-		return platform.ErrAmbiguous
+		return storage.ErrAmbiguous
 	}
-	table.afterGet = func(key platform.Key) {
+	table.afterGet = func(key storage.Key) {
 		if key == proposalKey("p1") && late != nil {
 			puts := late
 			late = nil
@@ -243,9 +243,9 @@
 	s, table := newStore()
 	table.Faults.Down(true)
 	_, err := s.Propose(context.Background(), proposal("p1", "a", 0))
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, storage.ErrUnavailable))
 	_, _, err = s.ChangesAfter(context.Background(), 0)
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, storage.ErrUnavailable))
 	table.Faults.Reset()
 	is.Equal(countChanges(t, table), 0)
 }
--- a/publish/read.go
+++ b/publish/read.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/contract"
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 	"github.com/crocushinge/crocushinge/wire"
 )
 
@@ -35,7 +35,7 @@
 func (s *Store) log(ctx context.Context, after uint64) ([]contract.Change, uint64, error) {
 	var out []contract.Change
 	last, gap := after, false
-	err := s.scan(ctx, partitionChange, revisionText(after), func(item platform.Item) bool {
+	err := s.scan(ctx, partitionChange, revisionText(after), func(item storage.Item) bool {
 		if gap = item.Key != changeKey(last+1); gap {
 			return false
 		}
@@ -58,7 +58,7 @@
 func (s *Store) newest(ctx context.Context, began uint64) ([]contract.Change, uint64, error) {
 	found := make(map[string]contract.Change)
 	latest := began
-	err := s.scan(ctx, partitionContract, "", func(item platform.Item) bool {
+	err := s.scan(ctx, partitionContract, "", func(item storage.Item) bool {
 		if ch, ok := s.decode(item); ok {
 			found[ch.Service] = ch
 			latest = max(latest, ch.Revision)
@@ -75,7 +75,7 @@
 			return nil, 0, err
 		}
 		if last < latest {
-			return nil, 0, errors.Wrapf(platform.ErrUnavailable, "change log ends at revision %d before %d", last, latest)
+			return nil, 0, errors.Wrapf(storage.ErrUnavailable, "change log ends at revision %d before %d", last, latest)
 		}
 		for _, ch := range changes {
 			found[ch.Service] = ch
@@ -88,7 +88,7 @@
 // decode decodes a change and reports one that cannot be read. A change whose
 // document alone cannot be read is kept without its contract, since a peer of
 // a newer version may be able to read it.
-func (s *Store) decode(item platform.Item) (ch contract.Change, ok bool) {
+func (s *Store) decode(item storage.Item) (ch contract.Change, ok bool) {
 	ch, err := wire.DecodeChange(item.Value)
 	if err != nil {
 		s.corrupt(item.Key, err)
@@ -98,7 +98,7 @@
 
 // scan hands the items of a partition over in order, page by page, until f
 // returns false.
-func (s *Store) scan(ctx context.Context, partition, after string, f func(platform.Item) bool) error {
+func (s *Store) scan(ctx context.Context, partition, after string, f func(storage.Item) bool) error {
 	for {
 		items, err := s.Table.Query(ctx, partition, after, pageSize)
 		if err != nil {
@@ -157,7 +157,7 @@
 }
 
 // Change reads the change of a revision with its document. It fails with
-// platform.ErrNotFound.
+// storage.ErrNotFound.
 func (s *Store) Change(ctx context.Context, revision uint64) (contract.Change, error) {
 	item, err := s.Table.Get(ctx, changeKey(revision))
 	if err != nil {
--- a/publish/read_test.go
+++ b/publish/read_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/crocushinge/crocushinge/contract"
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 )
 
 // versions lists the changes as "service@revision".
@@ -65,13 +65,13 @@
 
 // gapTable hides one item from queries.
 type gapTable struct {
-	platform.Table
-	hidden platform.Key
+	storage.Table
+	hidden storage.Key
 }
 
-func (g gapTable) Query(ctx context.Context, partition, after string, limit int) ([]platform.Item, error) {
+func (g gapTable) Query(ctx context.Context, partition, after string, limit int) ([]storage.Item, error) {
 	items, err := g.Table.Query(ctx, partition, after, limit)
-	var out []platform.Item
+	var out []storage.Item
 	for _, item := range items {
 		if item.Key != g.hidden {
 			out = append(out, item)
@@ -88,10 +88,10 @@
 	mustAccept(t, s, proposal("p3", "c", 0))
 	ctx := context.Background()
 	is.NoErr(table.Write(ctx,
-		platform.Put{Key: contractKey("b"), Value: []byte(`{"revision":2,"service":"b","document":"floor: ["}`), IfVersion: 1},
-		platform.Put{Key: changeKey(2), Value: []byte("?"), IfVersion: 1}))
-	var reported []platform.Key
-	s.Corrupt = func(key platform.Key, _ error) { reported = append(reported, key) }
+		storage.Put{Key: contractKey("b"), Value: []byte(`{"revision":2,"service":"b","document":"floor: ["}`), IfVersion: 1},
+		storage.Put{Key: changeKey(2), Value: []byte("?"), IfVersion: 1}))
+	var reported []storage.Key
+	s.Corrupt = func(key storage.Key, _ error) { reported = append(reported, key) }
 
 	changes, revision, err := s.ChangesAfter(ctx, 0)
 	is.NoErr(err)
@@ -103,7 +103,7 @@
 	is.NoErr(err)
 	is.Equal(revision, uint64(3))
 	is.Equal(versions(changes), []string{"c@3"})
-	is.Equal(reported, []platform.Key{contractKey("b"), changeKey(2)})
+	is.Equal(reported, []storage.Key{contractKey("b"), changeKey(2)})
 
 	mustAccept(t, s, proposal("p4", "b", 2)) // publishing it again mends it
 	changes, _, err = s.ChangesAfter(ctx, 0)
--- a/publish/store.go
+++ b/publish/store.go
@@ -25,7 +25,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/contract"
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 	"github.com/crocushinge/crocushinge/zone"
 )
 
@@ -63,7 +63,7 @@
 
 // Store reads and writes the configuration in the table.
 type Store struct {
-	Table platform.Table
+	Table storage.Table
 	// Now is the wall clock.
 	Now func() time.Time
 	// InForce returns what this process has in force already, so that a
@@ -76,27 +76,27 @@
 	KnownZone func(zone.ID) bool
 	// Corrupt is told of an item that cannot be read; the items beside it are
 	// used all the same. Nil ignores it.
-	Corrupt func(platform.Key, error)
+	Corrupt func(storage.Key, error)
 }
 
-func revisionKey() platform.Key {
-	return platform.Key{Partition: partitionRevision, Sort: revisionSort}
+func revisionKey() storage.Key {
+	return storage.Key{Partition: partitionRevision, Sort: revisionSort}
 }
 
-func changeKey(revision uint64) platform.Key {
-	return platform.Key{Partition: partitionChange, Sort: revisionText(revision)}
+func changeKey(revision uint64) storage.Key {
+	return storage.Key{Partition: partitionChange, Sort: revisionText(revision)}
 }
 
-func contractKey(subject string) platform.Key {
-	return platform.Key{Partition: partitionContract, Sort: subject}
+func contractKey(subject string) storage.Key {
+	return storage.Key{Partition: partitionContract, Sort: subject}
 }
 
-func historyKey(subject string, revision uint64) platform.Key {
-	return platform.Key{Partition: partitionHistory + subject, Sort: revisionText(revision)}
+func historyKey(subject string, revision uint64) storage.Key {
+	return storage.Key{Partition: partitionHistory + subject, Sort: revisionText(revision)}
 }
 
-func proposalKey(id string) platform.Key {
-	return platform.Key{Partition: partitionProposal, Sort: id}
+func proposalKey(id string) storage.Key {
+	return storage.Key{Partition: partitionProposal, Sort: id}
 }
 
 // revisionText pads a revision so that its text sorts like its number.
@@ -105,7 +105,7 @@
 // Revision reads the fleet-wide revision; 0 before the first change.
 func (s *Store) Revision(ctx context.Context) (uint64, error) {
 	item, err := s.Table.Get(ctx, revisionKey())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return 0, nil
 	}
 	// The item is written once for each revision, so its version is the
@@ -113,7 +113,7 @@
 	return item.Version, err
 }
 
-func (s *Store) corrupt(key platform.Key, err error) {
+func (s *Store) corrupt(key storage.Key, err error) {
 	if s.Corrupt != nil {
 		s.Corrupt(key, err)
 	}
--- a/platform/dynamo/item.go
+++ b/storage/dynamo/item.go
@@ -7,7 +7,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/pkg/errors"
 
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 )
 
 // Attributes of an item.
@@ -24,7 +24,7 @@
 	conditionVersion = "version = :version"
 )
 
-func keyAttributes(key platform.Key) map[string]types.AttributeValue {
+func keyAttributes(key storage.Key) map[string]types.AttributeValue {
 	return map[string]types.AttributeValue{
 		attributePartition: &types.AttributeValueMemberS{Value: key.Partition},
 		attributeSort:      &types.AttributeValueMemberS{Value: key.Sort},
@@ -32,7 +32,7 @@
 }
 
 // encodeItem returns the item that a put writes.
-func encodeItem(p platform.Put) map[string]types.AttributeValue {
+func encodeItem(p storage.Put) map[string]types.AttributeValue {
 	attributes := keyAttributes(p.Key)
 	attributes[attributeVersion] = versionAttribute(p.IfVersion + 1)
 	attributes[attributeValue] = &types.AttributeValueMemberB{Value: nonNil(p.Value)}
@@ -48,7 +48,7 @@
 }
 
 // condition returns the condition of a put with its values.
-func condition(p platform.Put) (*string, map[string]types.AttributeValue) {
+func condition(p storage.Put) (*string, map[string]types.AttributeValue) {
 	if p.IfVersion == 0 {
 		return aws.String(conditionNew), nil
 	}
@@ -63,20 +63,20 @@
 
 // decodeItem fails with ErrUnavailable when the item was not written by this
 // system.
-func decodeItem(attributes map[string]types.AttributeValue) (platform.Item, error) {
+func decodeItem(attributes map[string]types.AttributeValue) (storage.Item, error) {
 	partition, ok1 := attributes[attributePartition].(*types.AttributeValueMemberS)
 	sort, ok2 := attributes[attributeSort].(*types.AttributeValueMemberS)
 	number, ok3 := attributes[attributeVersion].(*types.AttributeValueMemberN)
 	value, ok4 := attributes[attributeValue].(*types.AttributeValueMemberB)
 	if !ok1 || !ok2 || !ok3 || !ok4 {
-		return platform.Item{}, errors.Wrap(platform.ErrUnavailable, "item lacks an attribute or has one of another type")
+		return storage.Item{}, errors.Wrap(storage.ErrUnavailable, "item lacks an attribute or has one of another type")
 	}
 	version, err := strconv.ParseUint(number.Value, 10, 64)
 	if err != nil {
-		return platform.Item{}, errors.Wrapf(platform.ErrUnavailable, "item %s/%s: %v", partition.Value, sort.Value, err)
+		return storage.Item{}, errors.Wrapf(storage.ErrUnavailable, "item %s/%s: %v", partition.Value, sort.Value, err)
 	}
-	return platform.Item{
-		Key:     platform.Key{Partition: partition.Value, Sort: sort.Value},
+	return storage.Item{
+		Key:     storage.Key{Partition: partition.Value, Sort: sort.Value},
 		Version: version,
 		Value:   value.Value,
 	}, nil
--- a/platform/dynamo/table.go
+++ b/storage/dynamo/table.go
@@ -14,8 +14,8 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/pkg/errors"
 
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/endpoint"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/endpoint"
 )
 
 // Expressions of the queries.
@@ -28,9 +28,9 @@
 // 1 MiB of items, whose binary values are written in base64.
 const maxAnswer = 4 << 20
 
-var _ platform.Table = (*Table)(nil)
+var _ storage.Table = (*Table)(nil)
 
-// Table is a platform.Table by the DynamoDB API. It is safe for concurrent
+// Table is a storage.Table by the DynamoDB API. It is safe for concurrent
 // use.
 type Table struct {
 	cfg    endpoint.Config
@@ -60,10 +60,10 @@
 	return &Table{cfg: cfg, name: name, client: client}, nil
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key platform.Key) (platform.Item, error) {
-	if err := platform.CheckKey(key); err != nil {
-		return platform.Item{}, err
+// Get implements storage.Table.
+func (t *Table) Get(ctx context.Context, key storage.Key) (storage.Item, error) {
+	if err := storage.CheckKey(key); err != nil {
+		return storage.Item{}, err
 	}
 	ctx, cancel := t.cfg.Limit(ctx)
 	defer cancel()
@@ -73,23 +73,23 @@
 		ConsistentRead: aws.Bool(true),
 	})
 	if err != nil {
-		return platform.Item{}, endpoint.ReadError(err)
+		return storage.Item{}, endpoint.ReadError(err)
 	}
 	if len(out.Item) == 0 {
-		return platform.Item{}, errors.Wrapf(platform.ErrNotFound, "item %s/%s", key.Partition, key.Sort)
+		return storage.Item{}, errors.Wrapf(storage.ErrNotFound, "item %s/%s", key.Partition, key.Sort)
 	}
 	return decodeItem(out.Item)
 }
 
-// Query implements platform.Table.
-func (t *Table) Query(ctx context.Context, partition, after string, limit int) ([]platform.Item, error) {
-	if err := platform.CheckQuery(partition, limit); err != nil {
+// Query implements storage.Table.
+func (t *Table) Query(ctx context.Context, partition, after string, limit int) ([]storage.Item, error) {
+	if err := storage.CheckQuery(partition, limit); err != nil {
 		return nil, err
 	}
 	ctx, cancel := t.cfg.Limit(ctx)
 	defer cancel()
 	in := t.queryInput(partition, after)
-	var items []platform.Item
+	var items []storage.Item
 	for {
 		in.Limit = aws.Int32(int32(limit - len(items)))
 		out, err := t.client.Query(ctx, in)
--- a/platform/dynamo/write.go
+++ b/storage/dynamo/write.go
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/internal/wait"
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/endpoint"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/endpoint"
 )
 
 // Codes among the reasons of a canceled transaction.
@@ -31,9 +31,9 @@
 // was written.
 var errContention = errors.New("another transaction holds an item")
 
-// Write implements platform.Table.
-func (t *Table) Write(ctx context.Context, puts ...platform.Put) error {
-	if err := platform.CheckPuts(puts); err != nil {
+// Write implements storage.Table.
+func (t *Table) Write(ctx context.Context, puts ...storage.Put) error {
+	if err := storage.CheckPuts(puts); err != nil {
 		return err
 	}
 	ctx, cancel := t.cfg.Limit(ctx)
@@ -47,7 +47,7 @@
 			return err
 		}
 	}
-	return errors.Wrap(platform.ErrUnavailable, err.Error())
+	return errors.Wrap(storage.ErrUnavailable, err.Error())
 }
 
 // pause waits a random time that grows with the attempts made.
@@ -61,14 +61,14 @@
 	return ctx.Err()
 }
 
-func (t *Table) writeOnce(ctx context.Context, puts []platform.Put) error {
+func (t *Table) writeOnce(ctx context.Context, puts []storage.Put) error {
 	if len(puts) == 1 {
 		return t.put(ctx, puts[0])
 	}
 	return t.transact(ctx, puts)
 }
 
-func (t *Table) put(ctx context.Context, p platform.Put) error {
+func (t *Table) put(ctx context.Context, p storage.Put) error {
 	expression, values := condition(p)
 	ctx, sent := endpoint.Track(ctx)
 	_, err := t.client.PutItem(ctx, &dynamodb.PutItemInput{
@@ -84,20 +84,20 @@
 // transaction once more: the service carries out a client request token only
 // once, so the second answer tells what became of both. A condition that fails
 // at the second sending has failed for good, because versions only rise.
-func (t *Table) transact(ctx context.Context, puts []platform.Put) error {
+func (t *Table) transact(ctx context.Context, puts []storage.Put) error {
 	token := uuid.NewString()
 	err := t.sendTransaction(ctx, puts, token)
-	if !errors.Is(err, platform.ErrAmbiguous) || ctx.Err() != nil {
+	if !errors.Is(err, storage.ErrAmbiguous) || ctx.Err() != nil {
 		return err
 	}
 	second := t.sendTransaction(ctx, puts, token)
-	if second == nil || errors.Is(second, platform.ErrConflict) {
+	if second == nil || errors.Is(second, storage.ErrConflict) {
 		return second
 	}
 	return err
 }
 
-func (t *Table) sendTransaction(ctx context.Context, puts []platform.Put, token string) error {
+func (t *Table) sendTransaction(ctx context.Context, puts []storage.Put, token string) error {
 	items := make([]types.TransactWriteItem, len(puts))
 	for i, p := range puts {
 		expression, values := condition(p)
@@ -126,11 +126,11 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &condition):
-		return errors.Wrap(platform.ErrConflict, err.Error())
+		return errors.Wrap(storage.ErrConflict, err.Error())
 	case errors.As(err, &contention):
 		return errContention
 	case errors.As(err, &inProgress):
-		return errors.Wrap(platform.ErrAmbiguous, err.Error())
+		return errors.Wrap(storage.ErrAmbiguous, err.Error())
 	case errors.As(err, &canceled):
 		return canceledError(canceled, err)
 	default:
@@ -148,7 +148,7 @@
 		}
 		switch *reason.Code {
 		case reasonCondition:
-			return errors.Wrap(platform.ErrConflict, err.Error())
+			return errors.Wrap(storage.ErrConflict, err.Error())
 		case reasonContention:
 			contention = true
 		}
@@ -156,5 +156,5 @@
 	if contention {
 		return errContention
 	}
-	return errors.Wrap(platform.ErrUnavailable, err.Error())
+	return errors.Wrap(storage.ErrUnavailable, err.Error())
 }
--- a/platform/endpoint/errors.go
+++ b/storage/endpoint/errors.go
@@ -8,7 +8,7 @@
 	"github.com/aws/smithy-go"
 	"github.com/pkg/errors"
 
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 )
 
 // throttleCodes are the answers by which a service rejects one call too many.
@@ -25,9 +25,9 @@
 // ReadError maps the failure of a read.
 func ReadError(err error) error {
 	if isValidation(err) {
-		return errors.Wrap(platform.ErrInvalid, err.Error())
+		return errors.Wrap(storage.ErrInvalid, err.Error())
 	}
-	return errors.Wrap(platform.ErrUnavailable, err.Error())
+	return errors.Wrap(storage.ErrUnavailable, err.Error())
 }
 
 // WriteError maps the failure of a write. It is ErrUnavailable only when the
@@ -35,13 +35,13 @@
 func WriteError(err error, sent *Sent) error {
 	switch {
 	case !sent.Maybe():
-		return errors.Wrap(platform.ErrUnavailable, err.Error())
+		return errors.Wrap(storage.ErrUnavailable, err.Error())
 	case isValidation(err):
-		return errors.Wrap(platform.ErrInvalid, err.Error())
+		return errors.Wrap(storage.ErrInvalid, err.Error())
 	case rejected(err):
-		return errors.Wrap(platform.ErrUnavailable, err.Error())
+		return errors.Wrap(storage.ErrUnavailable, err.Error())
 	default:
-		return errors.Wrap(platform.ErrAmbiguous, err.Error())
+		return errors.Wrap(storage.ErrAmbiguous, err.Error())
 	}
 }
 
--- a/platform/hostlist/hostlist.go
+++ b/storage/hostlist/hostlist.go
@@ -20,16 +20,16 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/endpoint"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/endpoint"
 )
 
 // maxDocument is the greatest size of the document, in bytes.
 const maxDocument = 4 << 20
 
-var _ platform.HostList = (*List)(nil)
+var _ storage.HostList = (*List)(nil)
 
-// List is a platform.HostList by HTTP. It is safe for concurrent use.
+// List is a storage.HostList by HTTP. It is safe for concurrent use.
 type List struct {
 	url     string
 	timeout time.Duration
@@ -45,40 +45,40 @@
 	return &List{url: url, timeout: timeout, client: endpoint.NewClient(maxDocument)}, nil
 }
 
-// Hosts implements platform.HostList.
-func (l *List) Hosts(ctx context.Context) (platform.Listing, error) {
+// Hosts implements storage.HostList.
+func (l *List) Hosts(ctx context.Context) (storage.Listing, error) {
 	ctx, cancel := endpoint.Config{Timeout: l.timeout}.Limit(ctx)
 	defer cancel()
 	listing, err := l.fetch(ctx)
 	if err != nil {
-		return platform.Listing{}, errors.Wrapf(platform.ErrUnavailable, "host list: %v", err)
+		return storage.Listing{}, errors.Wrapf(storage.ErrUnavailable, "host list: %v", err)
 	}
 	return listing, nil
 }
 
-func (l *List) fetch(ctx context.Context) (platform.Listing, error) {
+func (l *List) fetch(ctx context.Context) (storage.Listing, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.url, nil)
 	if err != nil {
-		return platform.Listing{}, err
+		return storage.Listing{}, err
 	}
 	response, err := l.client.Do(request)
 	if err != nil {
-		return platform.Listing{}, err
+		return storage.Listing{}, err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return platform.Listing{}, errors.Errorf("status %s", response.Status)
+		return storage.Listing{}, errors.Errorf("status %s", response.Status)
 	}
-	var listing platform.Listing
+	var listing storage.Listing
 	if err := json.NewDecoder(response.Body).Decode(&listing); err != nil {
-		return platform.Listing{}, errors.Wrap(err, "parse")
+		return storage.Listing{}, errors.Wrap(err, "parse")
 	}
 	return listing, check(listing)
 }
 
 // check refuses a document that lacks what every list has, so that a wrong
 // document is not taken for an empty fleet.
-func check(listing platform.Listing) error {
+func check(listing storage.Listing) error {
 	if listing.AsOf.IsZero() {
 		return errors.New(`"as-of" is missing`)
 	}
--- a/platform/limits.go
+++ b/storage/limits.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import "github.com/pkg/errors"
 
--- a/platform/memory/faults.go
+++ b/storage/memory/faults.go
@@ -5,8 +5,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/fault"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/fault"
 )
 
 // read meets the faults of a read.
@@ -14,9 +14,9 @@
 	verdict, err := p.Faults.Next(ctx, fault.Read)
 	switch {
 	case err != nil:
-		return errors.Wrapf(platform.ErrUnavailable, "read: %v", err)
+		return errors.Wrapf(storage.ErrUnavailable, "read: %v", err)
 	case verdict != fault.Pass:
-		return errors.Wrapf(platform.ErrUnavailable, "read: %s", verdict)
+		return errors.Wrapf(storage.ErrUnavailable, "read: %s", verdict)
 	default:
 		return nil
 	}
@@ -27,17 +27,17 @@
 func (p *Platform) write(ctx context.Context, apply func() error) error {
 	verdict, err := p.Faults.Next(ctx, fault.Write)
 	if err != nil {
-		return errors.Wrapf(platform.ErrAmbiguous, "write: %v", err)
+		return errors.Wrapf(storage.ErrAmbiguous, "write: %v", err)
 	}
 	switch verdict {
 	case fault.Fail, fault.Throttle:
-		return errors.Wrapf(platform.ErrUnavailable, "write: %s", verdict)
+		return errors.Wrapf(storage.ErrUnavailable, "write: %s", verdict)
 	case fault.LoseWrite:
-		return errors.Wrap(platform.ErrAmbiguous, "write: answer lost")
+		return errors.Wrap(storage.ErrAmbiguous, "write: answer lost")
 	case fault.LoseAnswer:
 		// The client learns neither of success nor of a failed condition.
 		_ = apply()
-		return errors.Wrap(platform.ErrAmbiguous, "write: answer lost")
+		return errors.Wrap(storage.ErrAmbiguous, "write: answer lost")
 	default:
 		return apply()
 	}
--- a/platform/memory/faults_test.go
+++ b/storage/memory/faults_test.go
@@ -9,15 +9,15 @@
 
 	"github.com/matryer/is"
 
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 )
 
-var testItem = platform.Put{Key: platform.Key{Partition: "p", Sort: "s"}, Value: []byte("v")}
+var testItem = storage.Put{Key: storage.Key{Partition: "p", Sort: "s"}, Value: []byte("v")}
 
 func exists(t *testing.T, p *Platform) bool {
 	t.Helper()
 	_, err := p.Get(context.Background(), testItem.Key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, storage.ErrNotFound) {
 		t.Fatal(err)
 	}
 	return err == nil
@@ -28,18 +28,18 @@
 	ctx := context.Background()
 	p := New()
 	p.Faults.Down(true)
-	is.True(errors.Is(p.Write(ctx, testItem), platform.ErrUnavailable))
-	is.True(errors.Is(p.PutObject(ctx, "o", nil), platform.ErrUnavailable))
+	is.True(errors.Is(p.Write(ctx, testItem), storage.ErrUnavailable))
+	is.True(errors.Is(p.PutObject(ctx, "o", nil), storage.ErrUnavailable))
 	_, err := p.Get(ctx, testItem.Key)
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, storage.ErrUnavailable))
 	_, err = p.Query(ctx, "p", "", 1)
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, storage.ErrUnavailable))
 	_, err = p.GetObject(ctx, "o")
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, storage.ErrUnavailable))
 	_, err = p.ListObjects(ctx, "", "", 1)
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, storage.ErrUnavailable))
 	_, err = p.Hosts(ctx)
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, storage.ErrUnavailable))
 	p.Faults.Down(false)
 	is.True(!exists(t, p))
 	is.NoErr(p.Write(ctx, testItem))
@@ -50,14 +50,14 @@
 	ctx := context.Background()
 	p := New()
 	p.Faults.LoseWrites(1)
-	is.True(errors.Is(p.Write(ctx, testItem), platform.ErrAmbiguous))
+	is.True(errors.Is(p.Write(ctx, testItem), storage.ErrAmbiguous))
 	is.True(!exists(t, p))
 	p.Faults.LoseAnswers(2)
-	is.True(errors.Is(p.Write(ctx, testItem), platform.ErrAmbiguous))
+	is.True(errors.Is(p.Write(ctx, testItem), storage.ErrAmbiguous))
 	is.True(exists(t, p))
 	// The condition fails now, and this answer is lost too.
-	is.True(errors.Is(p.Write(ctx, testItem), platform.ErrAmbiguous))
-	is.True(errors.Is(p.Write(ctx, testItem), platform.ErrConflict))
+	is.True(errors.Is(p.Write(ctx, testItem), storage.ErrAmbiguous))
+	is.True(errors.Is(p.Write(ctx, testItem), storage.ErrConflict))
 }
 
 func TestSlowWriteGivenUpIsAmbiguous(t *testing.T) {
@@ -67,7 +67,7 @@
 		p.Faults.Slow(3 * time.Second)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
-		is.True(errors.Is(p.Write(ctx, testItem), platform.ErrAmbiguous))
+		is.True(errors.Is(p.Write(ctx, testItem), storage.ErrAmbiguous))
 		start := time.Now()
 		is.NoErr(p.Write(context.Background(), testItem))
 		is.Equal(time.Since(start), 3*time.Second)
@@ -78,7 +78,7 @@
 	is := is.New(t)
 	ctx := context.Background()
 	p := New()
-	p.SetHosts([]platform.ListedHost{{Address: "127.0.0.1:1"}})
+	p.SetHosts([]storage.ListedHost{{Address: "127.0.0.1:1"}})
 	_, err := p.Hosts(ctx)
 	is.NoErr(err)
 	p.Faults.Stale(true)
--- a/platform/memory/memory.go
+++ b/storage/memory/memory.go
@@ -13,14 +13,14 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/fault"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/fault"
 )
 
 var (
-	_ platform.Table    = (*Platform)(nil)
-	_ platform.Objects  = (*Platform)(nil)
-	_ platform.HostList = (*Platform)(nil)
+	_ storage.Table    = (*Platform)(nil)
+	_ storage.Objects  = (*Platform)(nil)
+	_ storage.HostList = (*Platform)(nil)
 )
 
 // Platform is an in-memory table, object store and host list. It is safe for
@@ -30,41 +30,41 @@
 	Faults fault.Set
 
 	mu      sync.Mutex
-	items   map[platform.Key]platform.Item
+	items   map[storage.Key]storage.Item
 	objects map[string][]byte
-	hosts   []platform.ListedHost
+	hosts   []storage.ListedHost
 	// served is the host list as last given out, kept while it is stale.
-	served platform.Listing
+	served storage.Listing
 }
 
 // New returns an empty platform.
 func New() *Platform {
 	return &Platform{
-		items:   make(map[platform.Key]platform.Item),
+		items:   make(map[storage.Key]storage.Item),
 		objects: make(map[string][]byte),
 	}
 }
 
-// Get implements platform.Table.
-func (p *Platform) Get(ctx context.Context, key platform.Key) (platform.Item, error) {
-	if err := platform.CheckKey(key); err != nil {
-		return platform.Item{}, err
+// Get implements storage.Table.
+func (p *Platform) Get(ctx context.Context, key storage.Key) (storage.Item, error) {
+	if err := storage.CheckKey(key); err != nil {
+		return storage.Item{}, err
 	}
 	if err := p.read(ctx); err != nil {
-		return platform.Item{}, err
+		return storage.Item{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	item, ok := p.items[key]
 	if !ok {
-		return platform.Item{}, errors.Wrapf(platform.ErrNotFound, "item %s/%s", key.Partition, key.Sort)
+		return storage.Item{}, errors.Wrapf(storage.ErrNotFound, "item %s/%s", key.Partition, key.Sort)
 	}
 	return item, nil
 }
 
-// Query implements platform.Table.
-func (p *Platform) Query(ctx context.Context, partition, after string, limit int) ([]platform.Item, error) {
-	if err := platform.CheckQuery(partition, limit); err != nil {
+// Query implements storage.Table.
+func (p *Platform) Query(ctx context.Context, partition, after string, limit int) ([]storage.Item, error) {
+	if err := storage.CheckQuery(partition, limit); err != nil {
 		return nil, err
 	}
 	if err := p.read(ctx); err != nil {
@@ -72,7 +72,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []platform.Item
+	var out []storage.Item
 	for k, item := range p.items {
 		if k.Partition == partition && k.Sort > after {
 			out = append(out, item)
@@ -82,25 +82,25 @@
 	return out[:min(limit, len(out))], nil
 }
 
-// Write implements platform.Table.
-func (p *Platform) Write(ctx context.Context, puts ...platform.Put) error {
-	if err := platform.CheckPuts(puts); err != nil {
+// Write implements storage.Table.
+func (p *Platform) Write(ctx context.Context, puts ...storage.Put) error {
+	if err := storage.CheckPuts(puts); err != nil {
 		return err
 	}
 	return p.write(ctx, func() error { return p.apply(puts) })
 }
 
 // apply makes all puts or none.
-func (p *Platform) apply(puts []platform.Put) error {
+func (p *Platform) apply(puts []storage.Put) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, put := range puts {
 		if p.items[put.Key].Version != put.IfVersion {
-			return errors.Wrapf(platform.ErrConflict, "item %s/%s", put.Key.Partition, put.Key.Sort)
+			return errors.Wrapf(storage.ErrConflict, "item %s/%s", put.Key.Partition, put.Key.Sort)
 		}
 	}
 	for _, put := range puts {
-		p.items[put.Key] = platform.Item{
+		p.items[put.Key] = storage.Item{
 			Key:     put.Key,
 			Version: put.IfVersion + 1,
 			Value:   bytes.Clone(put.Value),
@@ -109,9 +109,9 @@
 	return nil
 }
 
-// PutObject implements platform.Objects.
+// PutObject implements storage.Objects.
 func (p *Platform) PutObject(ctx context.Context, name string, data []byte) error {
-	if err := platform.CheckObject(name, data); err != nil {
+	if err := storage.CheckObject(name, data); err != nil {
 		return err
 	}
 	return p.write(ctx, func() error {
@@ -122,7 +122,7 @@
 	})
 }
 
-// GetObject implements platform.Objects.
+// GetObject implements storage.Objects.
 func (p *Platform) GetObject(ctx context.Context, name string) ([]byte, error) {
 	if err := p.read(ctx); err != nil {
 		return nil, err
@@ -131,14 +131,14 @@
 	defer p.mu.Unlock()
 	data, ok := p.objects[name]
 	if !ok {
-		return nil, errors.Wrapf(platform.ErrNotFound, "object %s", name)
+		return nil, errors.Wrapf(storage.ErrNotFound, "object %s", name)
 	}
 	return bytes.Clone(data), nil
 }
 
-// ListObjects implements platform.Objects.
+// ListObjects implements storage.Objects.
 func (p *Platform) ListObjects(ctx context.Context, prefix, after string, limit int) ([]string, error) {
-	if err := platform.CheckLimit(limit); err != nil {
+	if err := storage.CheckLimit(limit); err != nil {
 		return nil, err
 	}
 	if err := p.read(ctx); err != nil {
@@ -156,22 +156,22 @@
 	return out[:min(limit, len(out))], nil
 }
 
-// Hosts implements platform.HostList.
-func (p *Platform) Hosts(ctx context.Context) (platform.Listing, error) {
+// Hosts implements storage.HostList.
+func (p *Platform) Hosts(ctx context.Context) (storage.Listing, error) {
 	if err := p.read(ctx); err != nil {
-		return platform.Listing{}, err
+		return storage.Listing{}, err
 	}
 	stale := p.Faults.State().Stale
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !stale || p.served.AsOf.IsZero() {
-		p.served = platform.Listing{AsOf: time.Now(), Hosts: slices.Clone(p.hosts)}
+		p.served = storage.Listing{AsOf: time.Now(), Hosts: slices.Clone(p.hosts)}
 	}
 	return p.served, nil
 }
 
 // SetHosts replaces the host list.
-func (p *Platform) SetHosts(hosts []platform.ListedHost) {
+func (p *Platform) SetHosts(hosts []storage.ListedHost) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.hosts = slices.Clone(hosts)
--- a/platform/open/open.go
+++ b/storage/open/open.go
@@ -3,19 +3,19 @@
 import (
 	"github.com/pkg/errors"
 
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/dynamo"
-	"github.com/crocushinge/crocushinge/platform/endpoint"
-	"github.com/crocushinge/crocushinge/platform/hostlist"
-	"github.com/crocushinge/crocushinge/platform/memory"
-	"github.com/crocushinge/crocushinge/platform/s3"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/dynamo"
+	"github.com/crocushinge/crocushinge/storage/endpoint"
+	"github.com/crocushinge/crocushinge/storage/hostlist"
+	"github.com/crocushinge/crocushinge/storage/memory"
+	"github.com/crocushinge/crocushinge/storage/s3"
 )
 
 // Platform is the adapters to one platform.
 type Platform struct {
-	Table    platform.Table
-	Objects  platform.Objects
-	HostList platform.HostList
+	Table    storage.Table
+	Objects  storage.Objects
+	HostList storage.HostList
 }
 
 // Open returns the platform of checked settings. It reads the credentials file
--- a/platform/open/settings.go
+++ b/storage/open/settings.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/finding/yamlfile"
-	"github.com/crocushinge/crocushinge/platform/endpoint"
+	"github.com/crocushinge/crocushinge/storage/endpoint"
 )
 
 // Kind says which platform a process uses.
--- a/platform/s3/objects.go
+++ b/storage/s3/objects.go
@@ -12,16 +12,16 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3/types"
 	"github.com/pkg/errors"
 
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/endpoint"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/endpoint"
 )
 
 // maxPage is how many names the service lists at once.
 const maxPage = 1000
 
-var _ platform.Objects = (*Objects)(nil)
+var _ storage.Objects = (*Objects)(nil)
 
-// Objects is a platform.Objects by the S3 API. It is safe for concurrent use.
+// Objects is a storage.Objects by the S3 API. It is safe for concurrent use.
 type Objects struct {
 	cfg    endpoint.Config
 	bucket string
@@ -42,7 +42,7 @@
 		BaseEndpoint: aws.String(cfg.URL),
 		Region:       cfg.Region,
 		Credentials:  credentials.NewStaticCredentialsProvider(keys.AccessKeyID, keys.SecretAccessKey, ""),
-		HTTPClient:   endpoint.NewClient(platform.MaxObject),
+		HTTPClient:   endpoint.NewClient(storage.MaxObject),
 		UsePathStyle: true,
 		Retryer:      aws.NopRetryer{},
 		// The service may store objects without a checksum.
@@ -51,9 +51,9 @@
 	return &Objects{cfg: cfg, bucket: bucket, client: client}, nil
 }
 
-// PutObject implements platform.Objects.
+// PutObject implements storage.Objects.
 func (o *Objects) PutObject(ctx context.Context, name string, data []byte) error {
-	if err := platform.CheckObject(name, data); err != nil {
+	if err := storage.CheckObject(name, data); err != nil {
 		return err
 	}
 	ctx, cancel := o.cfg.Limit(ctx)
@@ -71,9 +71,9 @@
 	return nil
 }
 
-// GetObject implements platform.Objects.
+// GetObject implements storage.Objects.
 func (o *Objects) GetObject(ctx context.Context, name string) ([]byte, error) {
-	if err := platform.CheckObject(name, nil); err != nil {
+	if err := storage.CheckObject(name, nil); err != nil {
 		return nil, err
 	}
 	ctx, cancel := o.cfg.Limit(ctx)
@@ -81,7 +81,7 @@
 	out, err := o.client.GetObject(ctx, &s3.GetObjectInput{Bucket: &o.bucket, Key: &name})
 	var missing *types.NoSuchKey
 	if errors.As(err, &missing) {
-		return nil, errors.Wrapf(platform.ErrNotFound, "object %s", name)
+		return nil, errors.Wrapf(storage.ErrNotFound, "object %s", name)
 	}
 	if err != nil {
 		return nil, endpoint.ReadError(err)
@@ -94,9 +94,9 @@
 	return data, nil
 }
 
-// ListObjects implements platform.Objects.
+// ListObjects implements storage.Objects.
 func (o *Objects) ListObjects(ctx context.Context, prefix, after string, limit int) ([]string, error) {
-	if err := platform.CheckLimit(limit); err != nil {
+	if err := storage.CheckLimit(limit); err != nil {
 		return nil, err
 	}
 	ctx, cancel := o.cfg.Limit(ctx)
--- a/platform/standin/ambiguity_test.go
+++ b/storage/standin/ambiguity_test.go
@@ -15,11 +15,11 @@
 
 	"github.com/matryer/is"
 
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/dynamo"
-	"github.com/crocushinge/crocushinge/platform/endpoint"
-	"github.com/crocushinge/crocushinge/platform/hostlist"
-	"github.com/crocushinge/crocushinge/platform/s3"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/dynamo"
+	"github.com/crocushinge/crocushinge/storage/endpoint"
+	"github.com/crocushinge/crocushinge/storage/hostlist"
+	"github.com/crocushinge/crocushinge/storage/s3"
 )
 
 func tableAt(t *testing.T, url string, timeout time.Duration) *dynamo.Table {
@@ -48,20 +48,20 @@
 		answer      errorAnswer
 		write, read error
 	}{
-		"throttled":         {apiError(400, "ThrottlingException"), platform.ErrUnavailable, platform.ErrUnavailable},
-		"too much capacity": {apiError(400, "ProvisionedThroughputExceededException"), platform.ErrUnavailable, platform.ErrUnavailable},
-		"wrong credentials": {apiError(400, "UnrecognizedClientException"), platform.ErrUnavailable, platform.ErrUnavailable},
-		"no such table":     {apiError(400, "ResourceNotFoundException"), platform.ErrUnavailable, platform.ErrUnavailable},
-		"validation":        {apiError(400, "ValidationException"), platform.ErrInvalid, platform.ErrInvalid},
-		"condition":         {apiError(400, "ConditionalCheckFailedException"), platform.ErrConflict, platform.ErrUnavailable},
-		"contention":        {apiError(400, "TransactionConflictException"), platform.ErrUnavailable, platform.ErrUnavailable},
-		"in progress":       {apiError(400, "TransactionInProgressException"), platform.ErrAmbiguous, platform.ErrUnavailable},
-		"server error":      {apiError(500, "InternalServerError"), platform.ErrAmbiguous, platform.ErrUnavailable},
-		"server away":       {apiError(503, "ServiceUnavailable"), platform.ErrAmbiguous, platform.ErrUnavailable},
-		"request timeout":   {apiError(408, "RequestTimeout"), platform.ErrAmbiguous, platform.ErrUnavailable},
-		"not the service":   {errorAnswer{404, "<html>"}, platform.ErrAmbiguous, platform.ErrUnavailable},
-		"redirect":          {errorAnswer{307, ""}, platform.ErrAmbiguous, platform.ErrUnavailable},
-		"garbled success":   {errorAnswer{200, `{"Attributes":`}, platform.ErrAmbiguous, platform.ErrUnavailable},
+		"throttled":         {apiError(400, "ThrottlingException"), storage.ErrUnavailable, storage.ErrUnavailable},
+		"too much capacity": {apiError(400, "ProvisionedThroughputExceededException"), storage.ErrUnavailable, storage.ErrUnavailable},
+		"wrong credentials": {apiError(400, "UnrecognizedClientException"), storage.ErrUnavailable, storage.ErrUnavailable},
+		"no such table":     {apiError(400, "ResourceNotFoundException"), storage.ErrUnavailable, storage.ErrUnavailable},
+		"validation":        {apiError(400, "ValidationException"), storage.ErrInvalid, storage.ErrInvalid},
+		"condition":         {apiError(400, "ConditionalCheckFailedException"), storage.ErrConflict, storage.ErrUnavailable},
+		"contention":        {apiError(400, "TransactionConflictException"), storage.ErrUnavailable, storage.ErrUnavailable},
+		"in progress":       {apiError(400, "TransactionInProgressException"), storage.ErrAmbiguous, storage.ErrUnavailable},
+		"server error":      {apiError(500, "InternalServerError"), storage.ErrAmbiguous, storage.ErrUnavailable},
+		"server away":       {apiError(503, "ServiceUnavailable"), storage.ErrAmbiguous, storage.ErrUnavailable},
+		"request timeout":   {apiError(408, "RequestTimeout"), storage.ErrAmbiguous, storage.ErrUnavailable},
+		"not the service":   {errorAnswer{404, "<html>"}, storage.ErrAmbiguous, storage.ErrUnavailable},
+		"redirect":          {errorAnswer{307, ""}, storage.ErrAmbiguous, storage.ErrUnavailable},
+		"garbled success":   {errorAnswer{200, `{"Attributes":`}, storage.ErrAmbiguous, storage.ErrUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -74,7 +74,7 @@
 			defer server.Close()
 			table := tableAt(t, server.URL, callTimeout)
 			is.True(errors.Is(table.Write(background, put("a", 0, "")), test.write))
-			_, err := table.Get(background, platform.Key{Partition: "p", Sort: "a"})
+			_, err := table.Get(background, storage.Key{Partition: "p", Sort: "a"})
 			is.True(errors.Is(err, test.read))
 		})
 	}
@@ -87,12 +87,12 @@
 	url := "http://" + listener.Addr().String()
 	is.NoErr(listener.Close())
 	table := tableAt(t, url, callTimeout)
-	is.True(errors.Is(table.Write(background, put("a", 0, "")), platform.ErrUnavailable))
-	is.True(errors.Is(table.Write(background, put("a", 0, ""), put("b", 0, "")), platform.ErrUnavailable))
+	is.True(errors.Is(table.Write(background, put("a", 0, "")), storage.ErrUnavailable))
+	is.True(errors.Is(table.Write(background, put("a", 0, ""), put("b", 0, "")), storage.ErrUnavailable))
 	cfg := endpoint.Config{URL: url, Region: "test", Credentials: testCredentials}
 	objects, err := s3.New(cfg, testBucket)
 	is.NoErr(err)
-	is.True(errors.Is(objects.PutObject(background, "o", nil), platform.ErrUnavailable))
+	is.True(errors.Is(objects.PutObject(background, "o", nil), storage.ErrUnavailable))
 }
 
 func TestContextDecidesByWhetherTheCallWasSent(t *testing.T) {
@@ -110,9 +110,9 @@
 		<-arrived
 		cancel()
 	}()
-	is.True(errors.Is(table.Write(ctx, put("a", 0, "")), platform.ErrAmbiguous))
+	is.True(errors.Is(table.Write(ctx, put("a", 0, "")), storage.ErrAmbiguous))
 	// The context has ended before anything could be sent.
-	is.True(errors.Is(table.Write(ctx, put("a", 0, "")), platform.ErrUnavailable))
+	is.True(errors.Is(table.Write(ctx, put("a", 0, "")), storage.ErrUnavailable))
 }
 
 func TestSlowWriteThatIsGivenUpTakesEffectLater(t *testing.T) {
@@ -137,11 +137,11 @@
 		cancel()
 	}()
 	err := tableAt(t, slow.URL, time.Minute).Write(ctx, put("a", 0, ""))
-	is.True(errors.Is(err, platform.ErrAmbiguous))
+	is.True(errors.Is(err, storage.ErrAmbiguous))
 	s.Table.Reset()
 	table := tableAt(t, url, callTimeout)
 	for range 1000 {
-		if _, err = table.Get(background, platform.Key{Partition: "p", Sort: "a"}); err == nil {
+		if _, err = table.Get(background, storage.Key{Partition: "p", Sort: "a"}); err == nil {
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -156,7 +156,7 @@
 		is := is.New(t)
 		s.Table.LoseAnswers(1)
 		is.NoErr(table.Write(background, put("a", 0, "1"), put("b", 0, "1")))
-		item, err := table.Get(background, platform.Key{Partition: "p", Sort: "a"})
+		item, err := table.Get(background, storage.Key{Partition: "p", Sort: "a"})
 		is.NoErr(err)
 		is.Equal(item.Version, uint64(1))
 	})
@@ -168,12 +168,12 @@
 	t.Run("write lost and condition failed", func(t *testing.T) {
 		is := is.New(t)
 		s.Table.LoseWrites(1)
-		is.True(errors.Is(table.Write(background, put("c", 0, "2"), put("e", 0, "2")), platform.ErrConflict))
+		is.True(errors.Is(table.Write(background, put("c", 0, "2"), put("e", 0, "2")), storage.ErrConflict))
 	})
 	t.Run("one put stays ambiguous", func(t *testing.T) {
 		is := is.New(t)
 		s.Table.LoseAnswers(1)
-		is.True(errors.Is(table.Write(background, put("f", 0, "1")), platform.ErrAmbiguous))
+		is.True(errors.Is(table.Write(background, put("f", 0, "1")), storage.ErrAmbiguous))
 	})
 }
 
@@ -208,10 +208,10 @@
 	cfg := endpoint.Config{URL: url, Region: "test", Credentials: endpoint.Credentials{AccessKeyID: "wrong", SecretAccessKey: "s"}}
 	table, err := dynamo.New(cfg, testTable)
 	is.NoErr(err)
-	is.True(errors.Is(table.Write(background, put("a", 0, "")), platform.ErrUnavailable))
+	is.True(errors.Is(table.Write(background, put("a", 0, "")), storage.ErrUnavailable))
 	objects, err := s3.New(cfg, testBucket)
 	is.NoErr(err)
-	is.True(errors.Is(objects.PutObject(background, "o", nil), platform.ErrUnavailable))
+	is.True(errors.Is(objects.PutObject(background, "o", nil), storage.ErrUnavailable))
 }
 
 func TestHostListDocumentIsChecked(t *testing.T) {
@@ -232,7 +232,7 @@
 			list, err := hostlist.New(server.URL, 0)
 			is.NoErr(err)
 			_, err = list.Hosts(background)
-			is.True(errors.Is(err, platform.ErrUnavailable))
+			is.True(errors.Is(err, storage.ErrUnavailable))
 		})
 	}
 }
@@ -265,11 +265,11 @@
 		answer errorAnswer
 		write  error
 	}{
-		"rejected":        {errorAnswer{403, `<Error><Code>AccessDenied</Code></Error>`}, platform.ErrUnavailable},
-		"slow down":       {errorAnswer{503, `<Error><Code>SlowDown</Code></Error>`}, platform.ErrUnavailable},
-		"server error":    {errorAnswer{500, `<Error><Code>InternalError</Code></Error>`}, platform.ErrAmbiguous},
-		"not the service": {errorAnswer{404, `<html>`}, platform.ErrAmbiguous},
-		"no code":         {errorAnswer{403, `<Error></Error>`}, platform.ErrAmbiguous},
+		"rejected":        {errorAnswer{403, `<Error><Code>AccessDenied</Code></Error>`}, storage.ErrUnavailable},
+		"slow down":       {errorAnswer{503, `<Error><Code>SlowDown</Code></Error>`}, storage.ErrUnavailable},
+		"server error":    {errorAnswer{500, `<Error><Code>InternalError</Code></Error>`}, storage.ErrAmbiguous},
+		"not the service": {errorAnswer{404, `<html>`}, storage.ErrAmbiguous},
+		"no code":         {errorAnswer{403, `<Error></Error>`}, storage.ErrAmbiguous},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/platform/standin/attribute.go
+++ b/storage/standin/attribute.go
@@ -4,7 +4,7 @@
 	"context"
 	"strconv"
 
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 )
 
 // background is the context of calls to the store in memory, which end at
@@ -43,19 +43,19 @@
 type attributes map[string]attribute
 
 // key returns the key among the attributes.
-func (a attributes) key() (platform.Key, *tableError) {
-	key := platform.Key{Partition: a["pk"].text(), Sort: a["sk"].text()}
-	if err := platform.CheckKey(key); err != nil {
+func (a attributes) key() (storage.Key, *tableError) {
+	key := storage.Key{Partition: a["pk"].text(), Sort: a["sk"].text()}
+	if err := storage.CheckKey(key); err != nil {
 		return key, invalid(err.Error())
 	}
 	return key, nil
 }
 
-func keyAttributes(key platform.Key) attributes {
+func keyAttributes(key storage.Key) attributes {
 	return attributes{"pk": {S: &key.Partition}, "sk": {S: &key.Sort}}
 }
 
-func itemAttributes(item platform.Item) attributes {
+func itemAttributes(item storage.Item) attributes {
 	out := keyAttributes(item.Key)
 	version := strconv.FormatUint(item.Version, 10)
 	out["version"] = attribute{N: &version}
--- a/platform/standin/cmd/standin/main.go
+++ b/storage/standin/cmd/standin/main.go
@@ -15,8 +15,8 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
-	"github.com/crocushinge/crocushinge/platform/memory"
-	"github.com/crocushinge/crocushinge/platform/standin"
+	"github.com/crocushinge/crocushinge/storage/memory"
+	"github.com/crocushinge/crocushinge/storage/standin"
 )
 
 // readHeaderTimeout limits how long the stand-in waits for a request.
--- a/platform/standin/contract_test.go
+++ b/storage/standin/contract_test.go
@@ -12,14 +12,14 @@
 
 	"github.com/matryer/is"
 
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/dynamo"
-	"github.com/crocushinge/crocushinge/platform/endpoint"
-	"github.com/crocushinge/crocushinge/platform/fault"
-	"github.com/crocushinge/crocushinge/platform/hostlist"
-	"github.com/crocushinge/crocushinge/platform/memory"
-	"github.com/crocushinge/crocushinge/platform/s3"
-	"github.com/crocushinge/crocushinge/platform/standin"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/dynamo"
+	"github.com/crocushinge/crocushinge/storage/endpoint"
+	"github.com/crocushinge/crocushinge/storage/fault"
+	"github.com/crocushinge/crocushinge/storage/hostlist"
+	"github.com/crocushinge/crocushinge/storage/memory"
+	"github.com/crocushinge/crocushinge/storage/s3"
+	"github.com/crocushinge/crocushinge/storage/standin"
 )
 
 const (
@@ -34,11 +34,11 @@
 
 // services is one platform under test, with its faults.
 type services struct {
-	platform.Table
-	platform.Objects
-	platform.HostList
+	storage.Table
+	storage.Objects
+	storage.HostList
 	tableFaults, objectFaults, hostFaults *fault.Set
-	setHosts                              func([]platform.ListedHost)
+	setHosts                              func([]storage.ListedHost)
 }
 
 // start returns a stand-in with small pages, and its address.
@@ -85,14 +85,14 @@
 
 var background = context.Background()
 
-func put(sort string, ifVersion uint64, value string) platform.Put {
-	return platform.Put{Key: platform.Key{Partition: "p", Sort: sort}, IfVersion: ifVersion, Value: []byte(value)}
+func put(sort string, ifVersion uint64, value string) storage.Put {
+	return storage.Put{Key: storage.Key{Partition: "p", Sort: sort}, IfVersion: ifVersion, Value: []byte(value)}
 }
 
 func version(t *testing.T, s services, sort string) uint64 {
 	t.Helper()
-	item, err := s.Get(background, platform.Key{Partition: "p", Sort: sort})
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	item, err := s.Get(background, storage.Key{Partition: "p", Sort: sort})
+	if err != nil && !errors.Is(err, storage.ErrNotFound) {
 		t.Fatal(err)
 	}
 	return item.Version
@@ -101,14 +101,14 @@
 func TestConditionalWrites(t *testing.T) {
 	eachPlatform(t, func(t *testing.T, s services) {
 		is := is.New(t)
-		_, err := s.Get(background, platform.Key{Partition: "p", Sort: "a"})
-		is.True(errors.Is(err, platform.ErrNotFound))
+		_, err := s.Get(background, storage.Key{Partition: "p", Sort: "a"})
+		is.True(errors.Is(err, storage.ErrNotFound))
 		is.NoErr(s.Write(background, put("a", 0, "first")))
-		is.True(errors.Is(s.Write(background, put("a", 0, "again")), platform.ErrConflict))
+		is.True(errors.Is(s.Write(background, put("a", 0, "again")), storage.ErrConflict))
 		is.NoErr(s.Write(background, put("a", 1, "")))
-		is.True(errors.Is(s.Write(background, put("a", 1, "old")), platform.ErrConflict))
-		is.True(errors.Is(s.Write(background, put("b", 1, "missing")), platform.ErrConflict))
-		item, err := s.Get(background, platform.Key{Partition: "p", Sort: "a"})
+		is.True(errors.Is(s.Write(background, put("a", 1, "old")), storage.ErrConflict))
+		is.True(errors.Is(s.Write(background, put("b", 1, "missing")), storage.ErrConflict))
+		item, err := s.Get(background, storage.Key{Partition: "p", Sort: "a"})
 		is.NoErr(err)
 		is.Equal(item.Version, uint64(2))
 		is.Equal(len(item.Value), 0)
@@ -119,12 +119,12 @@
 	eachPlatform(t, func(t *testing.T, s services) {
 		is := is.New(t)
 		is.NoErr(s.Write(background, put("a", 0, "1"), put("b", 0, "1")))
-		is.True(errors.Is(s.Write(background, put("a", 1, "2"), put("b", 0, "2")), platform.ErrConflict))
+		is.True(errors.Is(s.Write(background, put("a", 1, "2"), put("b", 0, "2")), storage.ErrConflict))
 		is.Equal(version(t, s, "a"), uint64(1))
 		is.NoErr(s.Write(background, put("a", 1, "2"), put("b", 1, "2"), put("c", 0, "1")))
 		is.Equal(version(t, s, "b"), uint64(2))
-		is.True(errors.Is(s.Write(background, put("d", 0, ""), put("d", 0, "")), platform.ErrInvalid))
-		is.True(errors.Is(s.Write(background), platform.ErrInvalid))
+		is.True(errors.Is(s.Write(background, put("d", 0, ""), put("d", 0, "")), storage.ErrInvalid))
+		is.True(errors.Is(s.Write(background), storage.ErrInvalid))
 	})
 }
 
@@ -139,7 +139,7 @@
 				switch {
 				case err == nil:
 					won.Add(1)
-				case errors.Is(err, platform.ErrConflict):
+				case errors.Is(err, storage.ErrConflict):
 					lost.Add(1)
 				}
 			})
@@ -156,7 +156,7 @@
 		for _, i := range []int{5, 3, 8, 1, 0, 7, 2, 6, 4} {
 			is.NoErr(s.Write(background, put(fmt.Sprint("s", i), 0, fmt.Sprint(i))))
 		}
-		is.NoErr(s.Write(background, platform.Put{Key: platform.Key{Partition: "other", Sort: "s3"}}))
+		is.NoErr(s.Write(background, storage.Put{Key: storage.Key{Partition: "other", Sort: "s3"}}))
 		for _, test := range []struct {
 			after       string
 			limit       int
@@ -179,7 +179,7 @@
 			}
 		}
 		_, err := s.Query(background, "", "", 1)
-		is.True(errors.Is(err, platform.ErrInvalid))
+		is.True(errors.Is(err, storage.ErrInvalid))
 	})
 }
 
@@ -187,7 +187,7 @@
 	eachPlatform(t, func(t *testing.T, s services) {
 		is := is.New(t)
 		_, err := s.GetObject(background, "day/1")
-		is.True(errors.Is(err, platform.ErrNotFound))
+		is.True(errors.Is(err, storage.ErrNotFound))
 		for i := range 7 {
 			is.NoErr(s.PutObject(background, fmt.Sprintf("day/%d", i), []byte{byte(i)}))
 		}
@@ -211,7 +211,7 @@
 func TestHostListKeepsItsAgeWhileStale(t *testing.T) {
 	eachPlatform(t, func(t *testing.T, s services) {
 		is := is.New(t)
-		s.setHosts([]platform.ListedHost{{Address: "10.0.0.1:80", Leaving: true}})
+		s.setHosts([]storage.ListedHost{{Address: "10.0.0.1:80", Leaving: true}})
 		before, err := s.Hosts(background)
 		is.NoErr(err)
 		is.Equal(len(before.Hosts), 1)
@@ -234,16 +234,16 @@
 	eachPlatform(t, func(t *testing.T, s services) {
 		is := is.New(t)
 		s.tableFaults.Throttle(2)
-		is.True(errors.Is(s.Write(background, put("a", 0, "")), platform.ErrUnavailable))
-		is.True(errors.Is(s.Write(background, put("a", 0, ""), put("b", 0, "")), platform.ErrUnavailable))
+		is.True(errors.Is(s.Write(background, put("a", 0, "")), storage.ErrUnavailable))
+		is.True(errors.Is(s.Write(background, put("a", 0, ""), put("b", 0, "")), storage.ErrUnavailable))
 		is.Equal(version(t, s, "a"), uint64(0))
 		s.objectFaults.Throttle(1)
-		is.True(errors.Is(s.PutObject(background, "o", nil), platform.ErrUnavailable))
+		is.True(errors.Is(s.PutObject(background, "o", nil), storage.ErrUnavailable))
 		_, err := s.GetObject(background, "o")
-		is.True(errors.Is(err, platform.ErrNotFound))
+		is.True(errors.Is(err, storage.ErrNotFound))
 		s.hostFaults.Throttle(1)
 		_, err = s.Hosts(background)
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.True(errors.Is(err, storage.ErrUnavailable))
 	})
 }
 
@@ -254,10 +254,10 @@
 	eachPlatform(t, func(t *testing.T, s services) {
 		is := is.New(t)
 		s.tableFaults.LoseAnswers(many)
-		is.True(errors.Is(s.Write(background, put("a", 0, "")), platform.ErrAmbiguous))
-		is.True(errors.Is(s.Write(background, put("b", 0, ""), put("c", 0, "")), platform.ErrAmbiguous))
+		is.True(errors.Is(s.Write(background, put("a", 0, "")), storage.ErrAmbiguous))
+		is.True(errors.Is(s.Write(background, put("b", 0, ""), put("c", 0, "")), storage.ErrAmbiguous))
 		s.objectFaults.LoseAnswers(many)
-		is.True(errors.Is(s.PutObject(background, "o", nil), platform.ErrAmbiguous))
+		is.True(errors.Is(s.PutObject(background, "o", nil), storage.ErrAmbiguous))
 		s.tableFaults.Reset()
 		s.objectFaults.Reset()
 		is.Equal(version(t, s, "a"), uint64(1))
@@ -271,8 +271,8 @@
 	eachPlatform(t, func(t *testing.T, s services) {
 		is := is.New(t)
 		s.tableFaults.LoseWrites(many)
-		is.True(errors.Is(s.Write(background, put("a", 0, "")), platform.ErrAmbiguous))
-		is.True(errors.Is(s.Write(background, put("b", 0, ""), put("c", 0, "")), platform.ErrAmbiguous))
+		is.True(errors.Is(s.Write(background, put("a", 0, "")), storage.ErrAmbiguous))
+		is.True(errors.Is(s.Write(background, put("b", 0, ""), put("c", 0, "")), storage.ErrAmbiguous))
 		s.tableFaults.Reset()
 		is.Equal(version(t, s, "a"), uint64(0))
 		is.Equal(version(t, s, "b"), uint64(0))
@@ -285,16 +285,16 @@
 		for _, faults := range []*fault.Set{s.tableFaults, s.objectFaults, s.hostFaults} {
 			faults.Down(true)
 		}
-		_, err := s.Get(background, platform.Key{Partition: "p", Sort: "a"})
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		_, err := s.Get(background, storage.Key{Partition: "p", Sort: "a"})
+		is.True(errors.Is(err, storage.ErrUnavailable))
 		_, err = s.Query(background, "p", "", 1)
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.True(errors.Is(err, storage.ErrUnavailable))
 		_, err = s.GetObject(background, "o")
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.True(errors.Is(err, storage.ErrUnavailable))
 		_, err = s.ListObjects(background, "", "", 1)
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.True(errors.Is(err, storage.ErrUnavailable))
 		_, err = s.Hosts(background)
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.True(errors.Is(err, storage.ErrUnavailable))
 		for _, faults := range []*fault.Set{s.tableFaults, s.objectFaults, s.hostFaults} {
 			faults.Reset()
 		}
--- a/platform/standin/control.go
+++ b/storage/standin/control.go
@@ -7,8 +7,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/fault"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/fault"
 )
 
 // faultsDocument is fault.State on the control endpoint.
@@ -109,7 +109,7 @@
 }
 
 func (s *Standin) putHosts(w http.ResponseWriter, r *http.Request) {
-	var hosts []platform.ListedHost
+	var hosts []storage.ListedHost
 	if readJSON(w, r, &hosts) {
 		s.store.SetHosts(hosts)
 		answerJSON(w, hosts)
@@ -147,7 +147,7 @@
 		return
 	}
 	if listing.Hosts == nil {
-		listing.Hosts = []platform.ListedHost{}
+		listing.Hosts = []storage.ListedHost{}
 	}
 	answerJSON(w, listing)
 }
--- a/platform/standin/objects.go
+++ b/storage/standin/objects.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"strings"
 
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/fault"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/fault"
 )
 
 // objectError is an error of the S3 API.
@@ -35,7 +35,7 @@
 	if r.Method == http.MethodPut {
 		call = fault.Write
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxObject))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, storage.MaxObject))
 	if err != nil {
 		loseAnswer()
 	}
@@ -81,7 +81,7 @@
 
 func (s *Standin) getObject(w http.ResponseWriter, name string) {
 	data, err := s.store.GetObject(background, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		(&objectError{status: http.StatusNotFound, Code: "NoSuchKey", Message: name}).write(w)
 		return
 	}
--- a/platform/standin/standin.go
+++ b/storage/standin/standin.go
@@ -10,8 +10,8 @@
 	"strings"
 	"sync"
 
-	"github.com/crocushinge/crocushinge/platform/fault"
-	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/storage/fault"
+	"github.com/crocushinge/crocushinge/storage/memory"
 )
 
 // Paths that are not those of a bucket.
--- a/platform/standin/table.go
+++ b/storage/standin/table.go
@@ -7,8 +7,8 @@
 	"net/http"
 	"strings"
 
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/fault"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/fault"
 )
 
 // Parts of the DynamoDB JSON protocol.
@@ -127,7 +127,7 @@
 		return nil, failure
 	}
 	item, err := s.store.Get(background, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return getItemOutput{}, nil
 	}
 	if err != nil {
--- a/platform/standin/tablewrite.go
+++ b/storage/standin/tablewrite.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 
-	"github.com/crocushinge/crocushinge/platform"
+	"github.com/crocushinge/crocushinge/storage"
 )
 
 // putInput is a PutItem call, or one Put of a TransactWriteItems call.
@@ -27,7 +27,7 @@
 	switch {
 	case err == nil:
 		return emptyOutput{}, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return nil, newTableError("ConditionalCheckFailedException", "the conditional request failed")
 	default:
 		return nil, invalid(err.Error())
@@ -41,7 +41,7 @@
 
 // transactWriteItems carries a client request token out once only.
 func (s *Standin) transactWriteItems(in transactInput) (any, *tableError) {
-	var puts []platform.Put
+	var puts []storage.Put
 	for _, item := range in.TransactItems {
 		if item.Put == nil {
 			return nil, invalid("this stand-in knows no other transaction than of puts")
@@ -62,7 +62,7 @@
 	case err == nil:
 		s.tokens[in.ClientRequestToken] = true
 		return emptyOutput{}, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return nil, s.canceled(puts)
 	default:
 		return nil, invalid(err.Error())
@@ -70,7 +70,7 @@
 }
 
 // canceled names the puts whose condition fails. The caller holds writes.
-func (s *Standin) canceled(puts []platform.Put) *tableError {
+func (s *Standin) canceled(puts []storage.Put) *tableError {
 	failure := newTableError("TransactionCanceledException", "transaction canceled, see the reasons")
 	for _, put := range puts {
 		r := reason{Code: "None"}
@@ -82,7 +82,7 @@
 	return failure
 }
 
-func (s *Standin) version(key platform.Key) uint64 {
+func (s *Standin) version(key storage.Key) uint64 {
 	item, err := s.store.Get(background, key)
 	if err != nil {
 		return 0
@@ -91,30 +91,30 @@
 }
 
 // parsePut translates a conditional put.
-func (s *Standin) parsePut(in putInput) (platform.Put, *tableError) {
+func (s *Standin) parsePut(in putInput) (storage.Put, *tableError) {
 	if failure := s.checkTable(in.TableName); failure != nil {
-		return platform.Put{}, failure
+		return storage.Put{}, failure
 	}
 	key, failure := in.Item.key()
 	if failure != nil {
-		return platform.Put{}, failure
+		return storage.Put{}, failure
 	}
-	put := platform.Put{Key: key, Value: in.Item["value"].B}
+	put := storage.Put{Key: key, Value: in.Item["value"].B}
 	switch in.ConditionExpression {
 	case "attribute_not_exists(pk)":
 	case "version = :version":
 		if put.IfVersion, failure = in.ExpressionAttributeValues[":version"].number(); failure != nil {
-			return platform.Put{}, failure
+			return storage.Put{}, failure
 		}
 	default:
-		return platform.Put{}, invalid("condition not known to this stand-in: " + in.ConditionExpression)
+		return storage.Put{}, invalid("condition not known to this stand-in: " + in.ConditionExpression)
 	}
 	version, failure := in.Item["version"].number()
 	if failure != nil {
-		return platform.Put{}, failure
+		return storage.Put{}, failure
 	}
 	if version != put.IfVersion+1 {
-		return platform.Put{}, invalid("the version written must be one more than that of the condition")
+		return storage.Put{}, invalid("the version written must be one more than that of the condition")
 	}
 	return put, nil
 }
--- a/platform/platform.go
+++ b/storage/storage.go
@@ -1,7 +1,7 @@
-// Package platform defines what the system needs of the platform: a
+// Package storage defines what the system needs of the platform: a
 // transactional table service, an object store and a list of hosts. Adapters
 // and an in-memory platform stand in the packages below it.
-package platform
+package storage
 
 import (
 	"context"
--- a/traffic/handler_bench_test.go
+++ b/traffic/handler_bench_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/storage/memory"
 )
 
 // instant answers every request at once.
--- a/traffic/harness_test.go
+++ b/traffic/harness_test.go
@@ -19,10 +19,10 @@
 	"github.com/crocushinge/crocushinge/credential"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/link"
-	"github.com/crocushinge/crocushinge/platform"
-	"github.com/crocushinge/crocushinge/platform/memory"
 	"github.com/crocushinge/crocushinge/route"
 	"github.com/crocushinge/crocushinge/service"
+	"github.com/crocushinge/crocushinge/storage"
+	"github.com/crocushinge/crocushinge/storage/memory"
 )
 
 const (
@@ -55,7 +55,7 @@
 }
 
 // newTestHostOn starts a host on a platform that it shares with others.
-func newTestHostOn(t *testing.T, store platform.Table, id string, targets ...string) *testHost {
+func newTestHostOn(t *testing.T, store storage.Table, id string, targets ...string) *testHost {
 	t.Helper()
 	h := newHostCore(t, store, id)
 	h.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -68,7 +68,7 @@
 }
 
 // newHostCore returns a host without a listener.
-func newHostCore(t testing.TB, store platform.Table, id string) *testHost {
+func newHostCore(t testing.TB, store storage.Table, id string) *testHost {
 	t.Helper()
 	h := &testHost{home: caller.NewHome(id, 7), ledger: caller.NewLedger(caller.DefaultLimits())}
 	claims := &claim.Store{Table: store}
--- a/traffic/host_bench_test.go
+++ b/traffic/host_bench_test.go
@@ -6,7 +6,7 @@
 	"net"
 	"testing"
 
-	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/storage/memory"
 )
 
 // Messages of the benchmark's caller and target.
--- a/traffic/http_test.go
+++ b/traffic/http_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/host"
-	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/storage/memory"
 )
 
 // listen serves a host with the settings that a daemon uses for callers, and
--- a/traffic/keyed_test.go
+++ b/traffic/keyed_test.go
@@ -15,7 +15,7 @@
 	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/claim"
 	"github.com/crocushinge/crocushinge/contract"
-	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/storage/memory"
 )
 
 // keyed sends a non-idempotent request with a key.
--- a/traffic/stall_test.go
+++ b/traffic/stall_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/crocushinge/crocushinge/platform/memory"
+	"github.com/crocushinge/crocushinge/storage/memory"
 )
 
 // pipes is a network in memory whose connections hold no data: a write waits
