--- /dev/null
+++ b/cmd/crocushinge-gateway/main.go
@@ -0,0 +1,59 @@
+// Command crocushinge-gateway runs one host of a fleet with discovered targets on
+// the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/crocushinge/crocushinge/gateway"
+	"github.com/crocushinge/crocushinge/platform"
+)
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "crocushinge-gateway",
+		Usage: "run one host of the proxy fleet with discovered targets",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` in TOML", Sources: cli.EnvVars(platform.SettingsVariable), Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: run,
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailure)
+	}
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	settings, err := platform.ReadSettings(cmd.String("settings"))
+	if err != nil {
+		return cli.Exit(err, exitSettings)
+	}
+	if cmd.Bool("check") {
+		fmt.Printf("%s: no findings\n", cmd.String("settings"))
+		return nil
+	}
+	log := zerolog.New(gateway.NewLogWriter(os.Stdout)).With().Timestamp().Str("host", settings.Gateway.Host).Logger()
+	store := platform.NewStore(settings.Store, log)
+	g, err := gateway.New(settings.Gateway, store, platform.Protocol{}, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return g.Run(ctx)
+}
--- /dev/null
+++ b/fleet/core.go
@@ -0,0 +1,261 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/pool"
+	"github.com/crocushinge/crocushinge/timeline"
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+// Timing holds the periods that follow from what the fleet promises.
+type Timing struct {
+	// ReadTargets is the age of the view of targets at which the first host
+	// in order reads the store.
+	ReadTargets time.Duration
+	// WaitConfiguration is how long a read waits for a new configuration.
+	WaitConfiguration time.Duration
+}
+
+// TimingFor returns the periods for a fleet in which a leaving target gets no
+// request after drain, and a configuration is in force after apply. A third
+// leaves time for a lost reader, or for two, to be replaced.
+func TimingFor(drain, apply time.Duration) Timing {
+	return Timing{ReadTargets: drain / 3, WaitConfiguration: apply / 3}
+}
+
+// Config is what a Core needs to know at its start.
+type Config struct {
+	Self  Peer
+	Zones *zone.Map
+	// Seeds are addresses for datagrams of hosts to contact first.
+	Seeds  []string
+	Timing Timing
+	// Floor is the share of a service's targets that suspicion never takes out.
+	Floor float64
+	// First is set when the whole fleet starts for the first time, so that the
+	// hosts may take their time to find each other.
+	First bool
+	// Rand is the source of all jitter; seed it to replay a run.
+	Rand *rand.Rand
+}
+
+// Periods of the housekeeping.
+const (
+	tickInterval = 50 * time.Millisecond
+	// refreshInterval is the time between two comparisons of latencies.
+	refreshInterval = 250 * time.Millisecond
+)
+
+// targetRef is a target with its service.
+type targetRef struct {
+	service *pool.Service
+	target  *pool.Target
+}
+
+// Core is the control state of one host. It is not safe for concurrent use:
+// the control thread owns it.
+type Core struct {
+	cfg     Config
+	hash    Hash
+	clock   timeline.Clock
+	effects []Effect
+
+	peers map[Hash]*peerState
+	// order holds the live peers and this host, see comparePeers; nil after a
+	// change.
+	order   []*peerState
+	self    *peerState
+	leaving bool
+	started bool
+
+	targets  view
+	registry discovery.Registry
+	config   view
+	document *Document
+	services map[string]*pool.Service
+	byHash   map[pool.Hash]targetRef
+
+	out      reporter
+	relay    relay
+	contacts map[zone.ID]*contact
+	fetching fetchState
+	joining  joinState
+
+	nextTick, nextRefresh time.Time
+	lastTick              time.Time
+	outdated              bool
+}
+
+// New returns a core that knows nothing but its settings.
+func New(cfg Config, now time.Time) *Core {
+	c := &Core{
+		cfg:      cfg,
+		hash:     NewHash(cfg.Self.ID),
+		peers:    make(map[Hash]*peerState),
+		services: make(map[string]*pool.Service),
+		byHash:   make(map[pool.Hash]targetRef),
+		contacts: make(map[zone.ID]*contact),
+		nextTick: now,
+		lastTick: now,
+		outdated: true,
+	}
+	c.self = &peerState{Peer: cfg.Self, hash: c.hash, alive: true, known: true}
+	c.joining.begin(c, now)
+	return c
+}
+
+// Wake returns when the next Tick is due.
+func (c *Core) Wake() time.Time {
+	next := c.nextTick
+	for _, at := range []time.Time{c.out.due, c.relay.due} {
+		if !at.IsZero() && at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+// Handle takes one event and returns what must be done because of it. The
+// effects are valid until the next call.
+func (c *Core) Handle(now time.Time, ev Event) []Effect {
+	c.effects = c.effects[:0]
+	if !c.started {
+		c.started = true
+		c.record(now, timeline.Event{Kind: timeline.HostStarted})
+	}
+	switch ev := ev.(type) {
+	case Tick:
+		c.tick(now)
+	case Observed:
+		c.observe(now, ev.Observations)
+	case Started:
+		c.out.schedule(now.Add(reportDelay))
+	case Heard:
+		c.heard(now, ev.Datagram)
+	case TargetsRead:
+		c.targetsRead(now, ev)
+	case ConfigurationRead:
+		c.configurationRead(now, ev)
+	case PeersRead:
+		c.peersRead(now, ev)
+	case Registered:
+		c.registered(now, ev)
+	case Fetched:
+		c.fetched(now, ev)
+	case ShutdownRequested:
+		c.shutdown(now)
+	}
+	c.publish()
+	return c.effects
+}
+
+func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Core) record(now time.Time, e timeline.Event) {
+	e.Stamp = c.clock.Now(now)
+	e.Host = string(c.cfg.Self.ID)
+	e.Incarnation = c.cfg.Self.Incarnation
+	c.emit(Record{Event: e})
+}
+
+// pauseLimit is the gap between two ticks from which the process was stopped.
+const pauseLimit = time.Second
+
+// tick lets time pass.
+func (c *Core) tick(now time.Time) {
+	if now.Sub(c.lastTick) > pauseLimit {
+		c.wokeUp(now)
+	}
+	c.lastTick = now
+	c.sendReport(now)
+	c.flushRelay(now)
+	if now.Before(c.nextTick) {
+		return
+	}
+	c.nextTick = now.Add(tickInterval)
+	c.joining.tick(c, now)
+	c.expirePeers(now)
+	c.expireTargets(now)
+	c.readStore(now)
+	c.fetchNews(now)
+	c.refresh(now)
+}
+
+// wokeUp takes over after the process was stopped: the silence of the others
+// is its own.
+func (c *Core) wokeUp(now time.Time) {
+	for _, p := range c.peers {
+		if p.alive {
+			p.heard = now
+		}
+	}
+}
+
+func (c *Core) refresh(now time.Time) {
+	if now.Before(c.nextRefresh) {
+		return
+	}
+	c.nextRefresh = now.Add(refreshInterval)
+	for _, s := range c.services {
+		s.Refresh(refreshInterval)
+	}
+}
+
+func (c *Core) observe(now time.Time, list []Observation) {
+	for _, o := range list {
+		ending := Ending{Target: o.Target.Hash, Ending: pool.Ending{Host: string(c.cfg.Self.ID), Outcome: o.Outcome, Latency: o.Latency}}
+		c.out.endings = append(c.out.endings, ending)
+		delay := reportDelay
+		if urgent(o.Outcome) {
+			delay = 0
+		}
+		c.out.schedule(now.Add(delay))
+		c.apply(now, ending)
+	}
+	if !c.out.due.After(now) {
+		c.sendReport(now)
+	}
+}
+
+// apply counts the end of a request of any host.
+func (c *Core) apply(now time.Time, e Ending) {
+	ref, ok := c.byHash[e.Target]
+	if !ok {
+		return
+	}
+	before := ref.target.Suspect()
+	ref.service.Observe(ref.target, e.Ending, now)
+	if after := ref.target.Suspect(); after != before {
+		c.recordSuspicion(now, ref, e, after)
+	}
+}
+
+func (c *Core) recordSuspicion(now time.Time, ref targetRef, e Ending, suspect bool) {
+	from, to := "trusted", "suspect"
+	if !suspect {
+		from, to = to, from
+	}
+	c.record(now, timeline.Event{
+		Kind:    timeline.TargetStateChanged,
+		Service: ref.target.Key.Service,
+		Target:  ref.target.Key.Name,
+		From:    from,
+		To:      to,
+		Reason:  e.Outcome.String() + " after " + e.Latency.Round(time.Millisecond).String() + " at host " + e.Host,
+	})
+}
+
+func (c *Core) shutdown(now time.Time) {
+	if c.leaving {
+		return
+	}
+	c.leaving = true
+	c.outdated = true
+	c.record(now, timeline.Event{Kind: timeline.HostLeaving})
+	c.out.schedule(now)
+	c.sendReport(now)
+	c.flushRelay(now)
+}
--- /dev/null
+++ b/fleet/members.go
@@ -0,0 +1,193 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocushinge/crocushinge/timeline"
+)
+
+// live returns the live hosts and this host in order.
+func (c *Core) live() []*peerState {
+	if c.order == nil {
+		c.order = append(c.order, c.self)
+		for _, p := range c.peers {
+			if p.alive {
+				c.order = append(c.order, p)
+			}
+		}
+		slices.SortFunc(c.order, comparePeers)
+	}
+	return c.order
+}
+
+// rank returns this host's place among the live hosts.
+func (c *Core) rank() int { return slices.Index(c.live(), c.self) }
+
+// introduced learns of a host.
+func (c *Core) introduced(now time.Time, peer Peer) {
+	hash := NewHash(peer.ID)
+	if hash == c.hash {
+		return
+	}
+	p := c.peers[hash]
+	if p != nil && p.Incarnation >= peer.Incarnation {
+		return
+	}
+	if p != nil {
+		c.takeLoads(p, nil)
+	}
+	// A host that was just learned of counts as alive until it was silent.
+	c.peers[hash] = &peerState{Peer: peer, hash: hash, heard: now}
+	c.peerAlive(now, c.peers[hash])
+}
+
+// peerAlive notes that a host is there, or that its state changed.
+func (c *Core) peerAlive(now time.Time, p *peerState) {
+	if !p.alive {
+		c.record(now, timeline.Event{Kind: timeline.HostJoined, To: string(p.ID)})
+	}
+	p.alive = true
+	c.order = nil
+	c.outdated = true
+}
+
+// expirePeers drops hosts that are silent.
+func (c *Core) expirePeers(now time.Time) {
+	for hash, p := range c.peers {
+		quiet := now.Sub(p.heard)
+		if p.alive && quiet > silence {
+			p.alive = false
+			c.takeLoads(p, nil)
+			c.order = nil
+			c.outdated = true
+			c.record(now, timeline.Event{Kind: timeline.HostLost, From: string(p.ID), Reason: "silent for " + quiet.Round(time.Millisecond).String()})
+		}
+		if quiet > forgetAfter {
+			delete(c.peers, hash)
+		}
+	}
+}
+
+// Peers returns the hosts that this one knows, itself included.
+func (c *Core) Peers() []Peer {
+	out := []Peer{c.cfg.Self}
+	for _, p := range c.peers {
+		out = append(out, p.Peer)
+	}
+	return out
+}
+
+// Times of joining the fleet.
+const (
+	// helloInterval is the time between two tries to reach the seeds, while none
+	// has answered.
+	helloInterval = 300 * time.Millisecond
+	// firstPatience is how long a host waits for the seeds at the first
+	// start of the fleet, before it reads the store.
+	firstPatience = 1500 * time.Millisecond
+	// spread is the time over which the hosts of a fleet write their rows at its
+	// first start.
+	spread = 2 * time.Second
+	// rejoinInterval is the time between two tries to learn of unknown hosts.
+	rejoinInterval = time.Second
+	// registerRetry is the pause before a failed registration is tried again.
+	registerRetry = 2 * time.Second
+)
+
+// joinState is how far this host has joined the fleet.
+type joinState struct {
+	nextHello    time.Time
+	registerAt   time.Time
+	registered   bool
+	registering  bool
+	readPeersAt  time.Time
+	peersRead    bool
+	readingPeers bool
+	// wantPeers is set after a report of an unknown host.
+	wantPeers bool
+	nextWant  time.Time
+}
+
+func (j *joinState) begin(c *Core, now time.Time) {
+	j.nextHello = now
+	j.registerAt, j.readPeersAt = now, now
+	if c.cfg.First {
+		j.registerAt = now.Add(time.Duration(c.cfg.Rand.Int64N(int64(spread))))
+		j.readPeersAt = now.Add(firstPatience)
+	}
+}
+
+func (j *joinState) tick(c *Core, now time.Time) {
+	j.hello(c, now)
+	if !j.registered && !j.registering && !now.Before(j.registerAt) {
+		j.registering = true
+		c.emit(Register{Peer: c.cfg.Self})
+	}
+	if !j.peersRead && !j.readingPeers && !now.Before(j.readPeersAt) {
+		if c.cfg.First && c.joined() {
+			j.peersRead = true
+			return
+		}
+		j.readingPeers = true
+		c.emit(ReadPeers{})
+	}
+}
+
+// joined reports whether another host has answered.
+func (c *Core) joined() bool {
+	for _, p := range c.peers {
+		if p.known {
+			return true
+		}
+	}
+	return false
+}
+
+// hello introduces this host to the seeds until one answers.
+func (j *joinState) hello(c *Core, now time.Time) {
+	if now.Before(j.nextHello) || c.joined() {
+		return
+	}
+	j.nextHello = now.Add(helloInterval)
+	for _, seed := range c.cfg.Seeds {
+		if seed != c.cfg.Self.Datagrams {
+			c.sayHello(seed, true)
+		}
+	}
+}
+
+func (c *Core) sayHello(to string, answer bool) {
+	self := c.cfg.Self
+	c.emit(Send{To: []string{to}, Datagram: Datagram{From: c.hash, Hop: ToHost, Hello: &self, Answer: answer}})
+}
+
+func (c *Core) registered(now time.Time, ev Registered) {
+	c.joining.registering = false
+	c.joining.registered = ev.Err == nil
+	c.joining.registerAt = now.Add(registerRetry)
+}
+
+// peersRead learns of hosts and introduces this host to those it did not know.
+func (c *Core) peersRead(now time.Time, ev PeersRead) {
+	c.joining.readingPeers = false
+	if ev.Err != nil {
+		c.joining.readPeersAt = now.Add(registerRetry)
+		return
+	}
+	c.joining.peersRead = true
+	c.meet(now, ev.Peers)
+}
+
+// meet introduces this host to hosts that it did not know.
+func (c *Core) meet(now time.Time, list []Peer) {
+	for _, p := range list {
+		hash := NewHash(p.ID)
+		known := c.peers[hash]
+		if hash == c.hash || known != nil && known.Incarnation >= p.Incarnation {
+			continue
+		}
+		c.introduced(now, p)
+		c.sayHello(p.Datagrams, false)
+	}
+}
--- /dev/null
+++ b/fleet/view.go
@@ -0,0 +1,309 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/timeline"
+)
+
+// view is how new this host's copy of a document of the store is.
+type view struct {
+	revision uint64
+	digest   uint32
+	// confirmed is when the store last had this version as its newest.
+	confirmed time.Time
+	// wantedSince is when this host heard of a newer version that says
+	// something else; zero when it has the newest.
+	wantedSince time.Time
+
+	reading  bool
+	failures int
+	retryAt  time.Time
+}
+
+func (v *view) stamp(now time.Time) Stamp {
+	if v.revision == 0 {
+		return Stamp{}
+	}
+	return Stamp{Revision: v.revision, Digest: v.digest, Age: now.Sub(v.confirmed)}
+}
+
+// age returns the time since the store confirmed the view.
+func (v *view) age(now time.Time) time.Duration {
+	if v.confirmed.IsZero() {
+		return forgetAfter
+	}
+	return now.Sub(v.confirmed)
+}
+
+func (v *view) confirm(at time.Time) {
+	if at.After(v.confirmed) {
+		v.confirmed = at
+	}
+}
+
+// takeStamp learns from a peer how new its copy is.
+func (c *Core) takeStamp(now time.Time, v *view, s Stamp) {
+	at := now.Add(-s.Age)
+	switch {
+	case s.Revision == 0 || s.Revision < v.revision:
+	case s.Revision == v.revision:
+		v.confirm(at)
+	case v == &c.targets && v.revision > 0 && s.Digest == v.digest:
+		v.revision = s.Revision
+		v.confirm(at)
+	case v.wantedSince.IsZero():
+		v.wantedSince = now
+		c.fetchNews(now)
+	}
+}
+
+// Times of reading the store.
+const (
+	// takeOver is how much older than the first host's limit a view is before
+	// the second host in order reads, and takeOverStep how much longer each
+	// further one waits.
+	takeOver     = 250 * time.Millisecond
+	takeOverStep = 100 * time.Millisecond
+	// takeOverSteps is the rank from which hosts wait a random time, so that a
+	// fleet does not press a store that is away.
+	takeOverSteps = 5
+	// takeOverSpread is the longest of these random times.
+	takeOverSpread = 3 * time.Second
+	// firstRetry and longestRetry bound the pause after a failed read. It
+	// doubles with every failure and is drawn from half of it to one and a half.
+	firstRetry   = 300 * time.Millisecond
+	longestRetry = 4 * time.Second
+	// outageAge is the age of a view from which entries may have lapsed because
+	// the store was away: longer than any chain of lost readers takes.
+	outageAge = 2500 * time.Millisecond
+)
+
+// readStore reads what is too old on this host.
+func (c *Core) readStore(now time.Time) {
+	if c.cfg.First && !c.joining.peersRead && now.Before(c.joining.readPeersAt) && !c.joined() {
+		return
+	}
+	rank := c.rank()
+	if c.due(&c.targets, now, rank, c.cfg.Timing.ReadTargets) {
+		c.targets.reading = true
+		c.emit(ReadTargets{})
+	}
+	limit := time.Duration(0)
+	if rank > 0 {
+		limit = c.cfg.Timing.WaitConfiguration
+	}
+	if c.due(&c.config, now, rank, limit) {
+		c.config.reading = true
+		c.emit(ReadConfiguration{After: discovery.Version(c.config.revision), Wait: c.cfg.Timing.WaitConfiguration})
+	}
+}
+
+// due reports whether this host reads a document.
+func (c *Core) due(v *view, now time.Time, rank int, limit time.Duration) bool {
+	if v.reading || now.Before(v.retryAt) {
+		return false
+	}
+	if rank > 0 {
+		limit += takeOver + time.Duration(min(rank-1, takeOverSteps))*takeOverStep
+	}
+	if v.age(now) < limit {
+		return false
+	}
+	if rank > takeOverSteps && v.failures == 0 && v.retryAt.IsZero() && v.revision > 0 {
+		v.retryAt = now.Add(time.Duration(c.cfg.Rand.Int64N(int64(takeOverSpread))))
+		return false
+	}
+	return true
+}
+
+// readEnded notes how a read ended.
+func (c *Core) readEnded(now time.Time, v *view, err error) bool {
+	v.reading = false
+	v.retryAt = time.Time{}
+	if err == nil {
+		if v.failures > 0 {
+			c.record(now, timeline.Event{Kind: timeline.StoreBack, Service: c.documentName(v)})
+		}
+		v.failures = 0
+		return true
+	}
+	if v.failures == 0 {
+		c.record(now, timeline.Event{Kind: timeline.StoreLost, Service: c.documentName(v), Reason: err.Error()})
+	}
+	pause := min(firstRetry<<min(v.failures, 8), longestRetry)
+	v.retryAt = now.Add(pause/2 + time.Duration(c.cfg.Rand.Int64N(int64(pause))))
+	v.failures++
+	return false
+}
+
+func (c *Core) documentName(v *view) string {
+	if v == &c.targets {
+		return "targets"
+	}
+	return "configuration"
+}
+
+func (c *Core) targetsRead(now time.Time, ev TargetsRead) {
+	if !c.readEnded(now, &c.targets, ev.Err) {
+		return
+	}
+	outage := c.targets.age(now) > outageAge && c.targets.revision > 0
+	if c.registry.Merge(ev.Targets, outage, now) {
+		c.targetsChanged(now)
+		c.targets.confirm(now)
+	}
+}
+
+// targetsChanged takes the registry's view over.
+func (c *Core) targetsChanged(now time.Time) {
+	known := c.registry.Known()
+	same := c.targets.digest == known.Digest && c.targets.revision > 0
+	c.targets.revision = max(c.targets.revision, known.Revision)
+	c.targets.digest = known.Digest
+	c.targets.wantedSince = time.Time{}
+	if !same {
+		c.applyTargets()
+		c.out.schedule(now)
+	}
+}
+
+// expireTargets drops entries that lapsed during an outage and stayed away.
+func (c *Core) expireTargets(now time.Time) {
+	if c.registry.Expire(now) {
+		c.targetsChanged(now)
+	}
+}
+
+func (c *Core) configurationRead(now time.Time, ev ConfigurationRead) {
+	if !c.readEnded(now, &c.config, ev.Err) {
+		return
+	}
+	if ev.Document != nil {
+		c.putInForce(now, ev.Document)
+	}
+	if c.document != nil {
+		c.config.confirm(now)
+	}
+}
+
+// putInForce puts a configuration in force unless a later one is.
+func (c *Core) putInForce(now time.Time, d *Document) {
+	v := d.Configuration.Version
+	if c.document != nil && v <= c.document.Configuration.Version {
+		return
+	}
+	c.document = d
+	c.config.revision = uint64(v)
+	c.config.wantedSince = time.Time{}
+	c.record(now, timeline.Event{Kind: timeline.ConfigurationInForce, Revision: uint64(v)})
+	c.applyTargets()
+	c.out.schedule(now)
+}
+
+// fetchState is the fetch under way.
+type fetchState struct {
+	busy    bool
+	from    Hash
+	retryAt time.Time
+}
+
+// Times of fetching documents from peers.
+const (
+	// fetchNearby is how long a host waits for a peer of its own zone to have
+	// what it wants, so that one copy crosses between zones.
+	fetchNearby = 60 * time.Millisecond
+	// fetchRetry is the pause after a failed fetch.
+	fetchRetry = 100 * time.Millisecond
+)
+
+// fetchNews asks a peer for what is newer there.
+func (c *Core) fetchNews(now time.Time) {
+	wantPeers := c.joining.wantPeers && !now.Before(c.joining.nextWant)
+	if c.fetching.busy || now.Before(c.fetching.retryAt) {
+		return
+	}
+	targets, config := !c.targets.wantedSince.IsZero(), !c.config.wantedSince.IsZero()
+	if !targets && !config && !wantPeers {
+		return
+	}
+	source := c.source(now, targets, config)
+	if source == nil {
+		return
+	}
+	if wantPeers {
+		c.joining.wantPeers = false
+		c.joining.nextWant = now.Add(rejoinInterval)
+	}
+	c.fetching.busy = true
+	c.fetching.from = source.hash
+	c.emit(Fetch{From: source.Documents, Peers: wantPeers, Targets: targets, Configuration: config})
+}
+
+// source chooses the peer to fetch from, near ones first.
+func (c *Core) source(now time.Time, targets, config bool) *peerState {
+	var near, far []*peerState
+	for _, p := range c.live() {
+		if p == c.self || p.hash == c.fetching.from && len(c.order) > 2 && !c.fetching.retryAt.IsZero() {
+			continue
+		}
+		if targets && p.last.Targets.Revision <= c.targets.revision || config && p.last.Configuration.Revision <= c.config.revision {
+			continue
+		}
+		if p.Zone == c.cfg.Self.Zone {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
+		}
+	}
+	if len(near) > 0 {
+		return near[c.cfg.Rand.IntN(len(near))]
+	}
+	if len(far) == 0 {
+		return nil
+	}
+	waited := now.Sub(earlier(c.targets.wantedSince, c.config.wantedSince)) >= fetchNearby
+	if !waited && c.contact(c.cfg.Self.Zone, now) != c.self {
+		return nil
+	}
+	return far[c.cfg.Rand.IntN(len(far))]
+}
+
+// earlier returns the earlier of two times that are set.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func (c *Core) fetched(now time.Time, ev Fetched) {
+	c.fetching.busy = false
+	if ev.Err != nil {
+		c.fetching.retryAt = now.Add(fetchRetry)
+		return
+	}
+	c.fetching.retryAt = time.Time{}
+	c.meet(now, ev.Peers)
+	if ev.Targets != nil && ev.Targets.Revision >= c.targets.revision && c.registry.Merge(ev.Targets, false, now) {
+		c.targetsChanged(now)
+		c.targets.confirm(now.Add(-ev.TargetsAge))
+	}
+	if ev.Document != nil {
+		c.putInForce(now, ev.Document)
+		if uint64(ev.Document.Configuration.Version) == c.config.revision {
+			c.config.confirm(now.Add(-ev.DocumentAge))
+		}
+	}
+	// What the peer no longer had newer is asked for again when a report tells
+	// of it.
+	c.targets.wantedSince, c.config.wantedSince = time.Time{}, time.Time{}
+}
+
+// Documents returns what this host has for another one, with the ages.
+func (c *Core) Documents(now time.Time) Fetched {
+	f := Fetched{Peers: c.Peers(), Targets: c.registry.Known(), Document: c.document}
+	f.TargetsAge, f.DocumentAge = c.targets.age(now), c.config.age(now)
+	return f
+}
--- /dev/null
+++ b/gateway/store.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/fleet"
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+// Store is the metadata store as a host uses it. Its methods are safe for
+// concurrent use.
+type Store interface {
+	// Targets reads the registered targets.
+	Targets(ctx context.Context) (*discovery.Targets, error)
+	// Configuration waits for a configuration that is newer than any it has
+	// returned, up to the given time. It returns nil when there is none.
+	Configuration(ctx context.Context, wait time.Duration) (*fleet.Document, error)
+	// Hosts reads the rows of the fleet's hosts.
+	Hosts(ctx context.Context) ([][]byte, error)
+	// PutHost writes the row of a host.
+	PutHost(ctx context.Context, id string, row []byte) error
+}
+
+// Protocol is how a deployment encodes what callers and operators say.
+type Protocol interface {
+	// ParseConfiguration reads a configuration as the operator wrote it.
+	ParseConfiguration(document []byte) (*discovery.Configuration, error)
+	// ReadyHandler serves the checks whether this host can serve.
+	ReadyHandler(ready func() bool) http.Handler
+	// DirectoryHandler serves callers that ask which addresses to use. hosts
+	// returns those for a caller of a zone.
+	DirectoryHandler(hosts func(of zone.ID) []string, ttl time.Duration) http.Handler
+}
--- a/link/link.go
+++ b/link/link.go
@@ -28,9 +28,18 @@
 	Refused
 	// Canceled means that the caller went away; it says nothing of the target.
 	Canceled
+	// Broken means that the connection or the answer broke off after the request
+	// was sent.
+	Broken
+	// Overdue means that a request is still open after several times the usual
+	// latency. Another outcome follows.
+	Overdue
+
+	// Outcomes is the number of outcomes.
+	Outcomes
 )
 
-var outcomeNames = [...]string{"succeeded", "failed", "timed_out", "connect_failed", "refused", "canceled"}
+var outcomeNames = [...]string{"succeeded", "failed", "timed_out", "connect_failed", "refused", "canceled", "broken", "overdue"}
 
 // String returns the outcome's name as used in metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
--- /dev/null
+++ b/pool/pick.go
@@ -0,0 +1,181 @@
+package pool
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+// Routing is the immutable view of a service for traffic. Only the gauges of
+// the targets change.
+type Routing struct {
+	Service string
+	// Targets take requests.
+	Targets []*Target
+	// Slots are those of all targets.
+	Slots int
+
+	// floor is the share of the targets that suspicion must not take out.
+	floor      float64
+	repeatable bool
+	// typical is the usual latency in nanoseconds, kept up to date.
+	typical *atomic.Int64
+}
+
+// Typical returns the usual latency of the service's successes; 0 before the
+// first one.
+func (r *Routing) Typical() time.Duration { return time.Duration(r.typical.Load()) }
+
+// Request is what a choice depends on.
+type Request struct {
+	// Tried are the targets that the request was sent to before.
+	Tried []*Target
+	// Repeatable is set when the request may be sent to another target after a
+	// failure.
+	Repeatable bool
+	Now        time.Time
+}
+
+// Costs of a target, in units of the service's usual latency.
+const (
+	// busyCost is the cost of full slots: targets slow down when nearly full.
+	busyCost = 0.3
+	// regionCost and farCost are the costs of a target in another zone of the
+	// region and in another region. Bytes between zones are priced; a region
+	// adds tens of milliseconds.
+	regionCost = 0.8
+	farCost    = 3.0
+	// unreachedCost puts targets that this host could not connect to last.
+	unreachedCost = 50
+	// noticeable is the ratio of latencies from which a target counts as
+	// slow, and slowest bounds what it counts as.
+	noticeable = 1.4
+	slowest    = 6.0
+	// noise spreads hosts that see the same costs over several targets.
+	noise = 0.15
+)
+
+var distanceCosts = [...]float64{SameZone: 0, SameRegion: regionCost, OtherRegion: farCost}
+
+// Pick chooses the target for a request and counts the request as in flight.
+// It returns nil when there is no untried target.
+func (r *Routing) Pick(rng *rand.Rand, q Request) *Target {
+	if t := r.pickTest(q); t != nil {
+		t.Begin()
+		return t
+	}
+	best := r.cheapest(rng, q, r.spared())
+	if best != nil {
+		best.Begin()
+	}
+	return best
+}
+
+// pickTest returns a suspect whose test is due and that this request may test.
+func (r *Routing) pickTest(q Request) *Target {
+	for _, t := range r.Targets {
+		v := t.verdict.Load()
+		if !v.suspect || t.InFlight() > 0 || t.passedOver(q.Now) || slices.Contains(q.Tried, t) {
+			continue
+		}
+		due := v.riskAt
+		if r.repeatable {
+			if !q.Repeatable || len(q.Tried) > 0 {
+				continue
+			}
+			due = v.testAt
+		}
+		if !q.Now.Before(due) {
+			return t
+		}
+	}
+	return nil
+}
+
+// spared returns how many suspects must take ordinary requests, so that
+// suspicion leaves the floor's share of the targets in use.
+func (r *Routing) spared() int {
+	suspects := 0
+	for _, t := range r.Targets {
+		if t.Suspect() {
+			suspects++
+		}
+	}
+	return suspects - int(math.Round((1-r.floor)*float64(len(r.Targets))))
+}
+
+// cheapest returns the untried target of least cost. While more suspects than
+// the floor allows are out, the ones with the earliest test count as trusted.
+func (r *Routing) cheapest(rng *rand.Rand, q Request, spared int) *Target {
+	limit := r.sparedUntil(spared)
+	var best, suspect *Target
+	least := math.Inf(1)
+	for _, t := range r.Targets {
+		if slices.Contains(q.Tried, t) {
+			continue
+		}
+		if v := t.verdict.Load(); v.suspect && v.riskAt.After(limit) {
+			suspect = t
+			continue
+		}
+		if c := t.cost(q.Now) + noise*rng.Float64(); c < least {
+			best, least = t, c
+		}
+	}
+	if best == nil {
+		return suspect
+	}
+	return best
+}
+
+// sparedUntil returns the time by which the spared suspects' tests are due.
+func (r *Routing) sparedUntil(spared int) time.Time {
+	if spared <= 0 {
+		return time.Time{}
+	}
+	var due []time.Time
+	for _, t := range r.Targets {
+		if v := t.verdict.Load(); v.suspect {
+			due = append(due, v.riskAt)
+		}
+	}
+	slices.SortFunc(due, time.Time.Compare)
+	if len(due) == 0 {
+		return time.Time{}
+	}
+	return due[min(spared, len(due))-1]
+}
+
+// cost estimates how long the target takes for one more request.
+func (t *Target) cost(now time.Time) float64 {
+	load := float64(t.InFlight())
+	slots := float64(max(1, t.Slots))
+	queue := max(0, load+1-slots) / slots
+	slow := math.Float64frombits(t.slowness.Load()) / noticeable
+	slow = min(max(1, slow), slowest)
+	if t.warming.Load() {
+		slow = max(slow, warmingCost)
+	}
+	cost := slow*(1+queue+busyCost*load/slots) + distanceCosts[t.distance]
+	if t.passedOver(now) {
+		cost += unreachedCost
+	}
+	return cost
+}
+
+// warmingCost is how much slower a target is taken to be just after its start.
+const warmingCost = 1.5
+
+// Free returns how many slots of trusted targets are free, as far as this host
+// knows.
+func (r *Routing) Free() int {
+	free := 0
+	for _, t := range r.Targets {
+		if !t.Suspect() {
+			free += max(0, t.Slots-t.InFlight())
+		}
+	}
+	return free
+}
--- /dev/null
+++ b/pool/service.go
@@ -0,0 +1,190 @@
+package pool
+
+import (
+	"math"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/link"
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+// Place is where this host is.
+type Place struct {
+	Zone  zone.ID
+	Zones *zone.Map
+}
+
+func (p Place) distance(to zone.ID) Distance {
+	switch {
+	case to == p.Zone:
+		return SameZone
+	case p.Zones.Region(to) == p.Zones.Region(p.Zone):
+		return SameRegion
+	default:
+		return OtherRegion
+	}
+}
+
+// Service is the targets of one service. The control thread owns it; traffic
+// reads the immutable Routing.
+type Service struct {
+	Name string
+	// Repeatable is set while the service gets requests that may be repeated,
+	// by which suspects are tested at no risk.
+	Repeatable bool
+
+	place   Place
+	targets map[discovery.Key]*Target
+	order   []*Target
+	// typical is the usual latency of the service's successes, and published
+	// what traffic reads of it, in nanoseconds.
+	typical   average
+	published atomic.Int64
+	routing   *Routing
+}
+
+// NewService returns a service without targets.
+func NewService(name string, place Place) *Service {
+	return &Service{Name: name, place: place, targets: make(map[discovery.Key]*Target)}
+}
+
+// Apply takes the registered targets over. Those that stay keep their state;
+// draining ones take no more requests.
+func (s *Service) Apply(list []discovery.Target) {
+	known := s.targets
+	s.targets = make(map[discovery.Key]*Target, len(list))
+	s.order = s.order[:0:0]
+	for _, d := range list {
+		t := known[d.Key()]
+		if t == nil || t.Address != d.Address || t.Slots != d.Slots {
+			t = newTarget(d, s.place.distance(d.Zone))
+		}
+		t.warming.Store(d.Warming)
+		s.targets[d.Key()] = t
+		if !d.Draining {
+			s.order = append(s.order, t)
+		}
+	}
+	s.routing = nil
+}
+
+// Targets returns the targets that may take requests.
+func (s *Service) Targets() []*Target { return s.order }
+
+// fastShare is the share of the usual latency below which a failure was not
+// the end of work.
+const fastShare = 0.4
+
+// fastest is the latency below which a failure is early for a service whose
+// usual latency is not known yet.
+const fastest = 60 * time.Millisecond
+
+// Observe counts the end of a request at a target. It reports whether the
+// target became a suspect or ended to be one.
+func (s *Service) Observe(t *Target, e Ending, now time.Time) (changed bool) {
+	switch e.Outcome {
+	case link.Succeeded:
+		t.latency.add(e.Latency)
+		s.typical.add(e.Latency)
+		s.published.Store(int64(s.typical.value))
+		changed = t.suspicion.acquit(now.Add(-e.Latency), now)
+		t.failures = nil
+	case link.Failed:
+		changed = t.suspicion.blame(s.weigh(e), now)
+	case link.Broken:
+		changed = t.suspicion.blame(strong, now)
+	case link.ConnectFailed:
+		// The first host may have a broken link of its own.
+		if t.failures.add(e.Host, now) > 1 {
+			changed = t.suspicion.blame(strong, now)
+		}
+	case link.Overdue:
+		changed = t.suspicion.blame(weak, now)
+	}
+	t.publish()
+	return changed
+}
+
+// weigh returns the evidence of a failure by how early it came.
+func (s *Service) weigh(e Ending) float64 {
+	early := time.Duration(fastShare * s.typical.value)
+	if early == 0 {
+		early = fastest
+	}
+	if e.Latency < early {
+		return strong
+	}
+	return weak
+}
+
+func (t *Target) publish() {
+	if !t.suspicion.suspect {
+		t.verdict.Store(trusted)
+		return
+	}
+	t.verdict.Store(&verdict{suspect: true, testAt: t.suspicion.testAt, riskAt: t.suspicion.riskAt})
+}
+
+// slownessMemory is the time in which a target that gets no requests is taken
+// to be as fast as the others again.
+const slownessMemory = 4 * time.Second
+
+// Refresh compares the targets' latencies. The control thread calls it at the
+// given interval.
+func (s *Service) Refresh(interval time.Duration) {
+	latencies := make([]float64, 0, len(s.order))
+	for _, t := range s.order {
+		if t.latency.value > 0 {
+			latencies = append(latencies, t.latency.value)
+		}
+	}
+	if len(latencies) == 0 {
+		return
+	}
+	slices.Sort(latencies)
+	median := latencies[len(latencies)/2]
+	for _, t := range s.order {
+		if t.latency.value == 0 {
+			continue
+		}
+		ratio := t.latency.value / median
+		t.slowness.Store(math.Float64bits(ratio))
+		if t.InFlight() == 0 {
+			t.latency.value += (median - t.latency.value) * min(1, float64(interval)/float64(slownessMemory))
+		}
+	}
+}
+
+// Suspects returns how many targets take only tests.
+func (s *Service) Suspects() int {
+	n := 0
+	for _, t := range s.order {
+		if t.suspicion.suspect {
+			n++
+		}
+	}
+	return n
+}
+
+// Routing returns the immutable view that traffic reads.
+func (s *Service) Routing(floor float64) *Routing {
+	if s.routing == nil || s.routing.floor != floor || s.routing.repeatable != s.Repeatable {
+		s.routing = &Routing{
+			Service:    s.Name,
+			Targets:    slices.Clone(s.order),
+			floor:      floor,
+			repeatable: s.Repeatable,
+			typical:    &s.published,
+		}
+		for _, t := range s.order {
+			s.routing.Slots += t.Slots
+		}
+	}
+	return s.routing
+}
+
+// All returns all targets, draining ones included.
+func (s *Service) All() map[discovery.Key]*Target { return s.targets }
--- /dev/null
+++ b/pool/target.go
@@ -0,0 +1,142 @@
+// Package pool holds a service's targets as the whole fleet sees them: the
+// requests in flight from every host, the suspicion that their outcomes raise,
+// and the choice of a target for a request. It does no I/O; time and randomness
+// are passed in.
+package pool
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/link"
+	"github.com/crocushinge/crocushinge/target"
+)
+
+// Distance is how far a target is from this host.
+type Distance int
+
+// The distances, nearest first.
+const (
+	SameZone Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// Hash names a target in the messages between hosts.
+type Hash uint32
+
+// NewHash returns the name of an incarnation of a target.
+func NewHash(k discovery.Key) Hash {
+	h := xxhash.Sum64String(k.ID) + uint64(k.Born)*0x9e3779b97f4a7c15
+	return Hash(h ^ h>>32)
+}
+
+// Target is one incarnation of a target. The gauges are safe for concurrent
+// use; the control thread owns the rest.
+type Target struct {
+	Key     target.Key
+	Hash    Hash
+	Address string
+	Slots   int
+
+	distance Distance
+	// own and others count the requests in flight from this host and from the
+	// other hosts.
+	own, others atomic.Int32
+	// testing counts the requests of this host that test a suspect.
+	testing atomic.Int32
+	// unreached is until when this host takes other targets first because it
+	// could not connect, in Unix nanoseconds.
+	unreached atomic.Int64
+	// verdict is what traffic reads of the suspicion.
+	verdict atomic.Pointer[verdict]
+	// warming is set while the target is slow after its start.
+	warming atomic.Bool
+	// slowness is the latency relative to the service's, as float64 bits.
+	slowness atomic.Uint64
+
+	suspicion suspicion
+	latency   average
+	failures  unreachedBy
+}
+
+// verdict is the state of a target as traffic reads it.
+type verdict struct {
+	// suspect is set while the target takes only tests.
+	suspect bool
+	// testAt is when a request that may be repeated may test the target, and
+	// riskAt when any request may.
+	testAt, riskAt time.Time
+}
+
+var trusted = &verdict{}
+
+// newTarget returns a target that is trusted.
+func newTarget(d discovery.Target, distance Distance) *Target {
+	t := &Target{
+		Key:      target.Key{Service: d.Service, Name: d.ID},
+		Hash:     NewHash(d.Key()),
+		Address:  d.Address,
+		Slots:    d.Slots,
+		distance: distance,
+	}
+	t.verdict.Store(trusted)
+	t.slowness.Store(math.Float64bits(1))
+	return t
+}
+
+// Begin counts a request that this host sends to the target.
+func (t *Target) Begin() { t.own.Add(1) }
+
+// End counts the end of a request of this host.
+func (t *Target) End() { t.own.Add(-1) }
+
+// Own returns how many requests this host has in flight.
+func (t *Target) Own() int { return int(t.own.Load()) }
+
+// AddOthers changes the count of other hosts' requests in flight.
+func (t *Target) AddOthers(n int) { t.others.Add(int32(n)) }
+
+// InFlight returns the fleet's requests in flight as far as this host knows.
+func (t *Target) InFlight() int { return int(t.own.Load() + max(0, t.others.Load())) }
+
+// Suspect reports whether the target takes only tests.
+func (t *Target) Suspect() bool { return t.verdict.Load().suspect }
+
+// unreachedPause is how long a host that could not connect takes other targets
+// first. A cut link stays cut for seconds; a trial costs one connect timeout and
+// no request, since nothing was sent.
+const unreachedPause = 3 * time.Second
+
+// ObserveReach notes whether an attempt of this host reached the target. It is
+// called by traffic.
+func (t *Target) ObserveReach(o link.Outcome, now time.Time) {
+	switch o {
+	case link.ConnectFailed:
+		t.unreached.Store(now.Add(unreachedPause).UnixNano())
+	case link.Succeeded, link.Failed, link.Refused:
+		t.unreached.Store(0)
+	}
+}
+
+// passedOver reports whether this host takes other targets first.
+func (t *Target) passedOver(now time.Time) bool { return now.UnixNano() < t.unreached.Load() }
+
+// average is a moving average of latencies.
+type average struct{ value float64 }
+
+// averageWeight is the weight of a new latency: about ten requests are
+// remembered.
+const averageWeight = 0.15
+
+func (a *average) add(d time.Duration) {
+	if a.value == 0 {
+		a.value = float64(d)
+		return
+	}
+	a.value += averageWeight * (float64(d) - a.value)
+}
--- a/traffic/answer.go
+++ b/traffic/answer.go
@@ -41,10 +41,16 @@
 	if !bounded(a.response) {
 		return nil, false, errUnbounded
 	}
-	if length := a.response.ContentLength; length >= 0 && length < holdLimit {
-		held, err = readAnnounced(a.response.Body, length)
+	return holdAnswer(a.response)
+}
+
+// holdAnswer reads an answer up to holdLimit. whole is set when that was all of
+// it.
+func holdAnswer(resp *http.Response) (held []byte, whole bool, err error) {
+	if length := resp.ContentLength; length >= 0 && length < holdLimit {
+		held, err = readAnnounced(resp.Body, length)
 	} else {
-		held, err = io.ReadAll(io.LimitReader(a.response.Body, holdLimit))
+		held, err = io.ReadAll(io.LimitReader(resp.Body, holdLimit))
 	}
 	if err != nil {
 		return nil, false, errors.Wrap(err, "the answer was cut short")
--- a/traffic/deadline.go
+++ b/traffic/deadline.go
@@ -14,15 +14,15 @@
 // caller's own when it is earlier.
 func (req *request) deadline() time.Time {
 	limit := req.match.Route.Deadline
-	if left, ok := timeLeft(req.in.Header); ok {
+	if left, ok := timeLeft(req.in.Header, HeaderDeadline); ok {
 		limit = min(limit, left)
 	}
 	return req.arrived.Add(limit)
 }
 
-// timeLeft reads HeaderDeadline.
-func timeLeft(header http.Header) (time.Duration, bool) {
-	text := header.Get(HeaderDeadline)
+// timeLeft reads the milliseconds of a deadline's header.
+func timeLeft(header http.Header, name string) (time.Duration, bool) {
+	text := header.Get(name)
 	if text == "" {
 		return 0, false
 	}
@@ -34,7 +34,7 @@
 }
 
 // setTimeLeft writes what is left until a deadline, less the reserve.
-func setTimeLeft(header http.Header, deadline, now time.Time) {
+func setTimeLeft(header http.Header, name string, deadline, now time.Time) {
 	left := max(0, deadline.Sub(now)-hopReserve)
-	header.Set(HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	header.Set(name, strconv.FormatInt(left.Milliseconds(), 10))
 }
--- a/traffic/dispatch.go
+++ b/traffic/dispatch.go
@@ -80,7 +80,7 @@
 	out.Header.Del(headerFleetToken)
 	out.Header.Set(HeaderRequestID, req.id.String())
 	if deadline, ok := ctx.Deadline(); ok {
-		setTimeLeft(out.Header, deadline, time.Now())
+		setTimeLeft(out.Header, HeaderDeadline, deadline, time.Now())
 	}
 	switch {
 	case req.body == nil:
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -69,7 +69,7 @@
 	out.Header.Set(headerForwarded, string(h.cfg.Snapshot().Self.ID))
 	out.Header.Set(headerFleetToken, h.cfg.FleetTokens().Current())
 	if deadline, ok := ctx.Deadline(); ok {
-		setTimeLeft(out.Header, deadline, req.arrived)
+		setTimeLeft(out.Header, HeaderDeadline, deadline, req.arrived)
 	}
 	return out
 }
--- a/traffic/message.go
+++ b/traffic/message.go
@@ -38,34 +38,52 @@
 	_, _ = w.Write([]byte(f.message + "\n"))
 }
 
+// writeFraction writes the answer with a Retry-After in fractions of a second.
+// Only callers that are known to read these get it.
+func (f *refusal) writeFraction(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	if f.retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(f.status)
+	_, _ = w.Write([]byte(f.message + "\n"))
+}
+
 // outbound builds the request to a target.
 func outbound(ctx context.Context, req *request, address string) *http.Request {
 	ctx = withKind(ctx, targetKind{req.routing.Contract.Protocol, req.connections})
-	out := req.in.WithContext(ctx)
-	url := *req.in.URL
+	out := newOutbound(ctx, req.in, address)
+	out.Header.Del(HeaderKey)
+	if req.in.Body != nil && req.in.Body != http.NoBody {
+		out.Body = &limitedBody{
+			ReadCloser: req.in.Body,
+			left:       req.routing.Contract.MaxBody,
+			atEnd:      func() { copyTrailers(out.Trailer, req.in.Trailer) },
+		}
+	}
+	return out
+}
+
+// newOutbound builds the request to an address from a caller's request. The body
+// is still the caller's.
+func newOutbound(ctx context.Context, in *http.Request, address string) *http.Request {
+	out := in.WithContext(ctx)
+	url := *in.URL
 	out.URL = &url
 	out.URL.Scheme = "http"
 	out.URL.Host = address
 	out.RequestURI = ""
 	out.Close = false
-	out.Header = make(http.Header, len(req.in.Header)+addedHeaders)
-	copyHeaders(out.Header, req.in.Header)
-	out.Header.Del(HeaderKey)
+	out.Header = make(http.Header, len(in.Header)+addedHeaders)
+	copyHeaders(out.Header, in.Header)
 	// This host has taken the body, or takes it while it sends it on.
 	out.Header.Del("Expect")
-	if acceptsTrailers(req.in.Header) {
+	if acceptsTrailers(in.Header) {
 		out.Header.Set("Te", "trailers")
 	}
-	addVia(out.Header, req.in.ProtoMajor, req.in.ProtoMinor)
-	addForwarded(out.Header, req.in)
-	setTrailer(out, req.in)
-	if req.in.Body != nil && req.in.Body != http.NoBody {
-		out.Body = &limitedBody{
-			ReadCloser: req.in.Body,
-			left:       req.routing.Contract.MaxBody,
-			atEnd:      func() { copyTrailers(out.Trailer, req.in.Trailer) },
-		}
-	}
+	addVia(out.Header, in.ProtoMajor, in.ProtoMinor)
+	addForwarded(out.Header, in)
+	setTrailer(out, in)
 	return out
 }
 
--- a/traffic/once_test.go
+++ b/traffic/once_test.go
@@ -213,7 +213,7 @@
 	req.Header.Set(HeaderDeadline, "1000")
 	is.Equal(roundTrip(req).result, "completed")
 	header := http.Header{HeaderDeadline: []string{<-left}}
-	ms, ok := timeLeft(header)
+	ms, ok := timeLeft(header, HeaderDeadline)
 	is.True(ok)
 	is.True(ms <= time.Second-2*hopReserve)
 }
--- a/traffic/writer.go
+++ b/traffic/writer.go
@@ -32,6 +32,8 @@
 	interim bool
 	// http1 is set when a connection carries one request after the other.
 	http1 bool
+	// last is set when the connection ends with this answer.
+	last bool
 
 	// mu orders interim answers and the beginning of the final one.
 	mu    sync.Mutex
@@ -83,6 +85,9 @@
 		// other requests on it that cannot be sent again.
 		header.Set("Connection", "close")
 	}
+	if w.http1 && w.last {
+		header.Set("Connection", "close")
+	}
 	w.extend()
 	w.ResponseWriter.WriteHeader(status)
 }
