Pace the tests of suspects, weigh failure rates, give unused targets a request

New targets got nothing while others were idle (FLOOR). Ruled out: slow spread of evidence; all hosts know of a failure within 1 ms. Change: tests pause from 0.4 to 1.6 s and need budget; failures after the usual time are weak evidence; the failure rate and a long idle time count in the cost.

--- a/caller/window.go
+++ b/caller/window.go
@@ -52,20 +52,32 @@
 	b.requests[b.advance(now)]++
 }
 
+// Left reports whether the window has a retry left.
+func (b *WindowBudget) Left(now time.Time, slack float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	return b.left(slack)
+}
+
 // Spend takes one retry, or returns false when the window has none left. slack is
 // this host's share of the retries that the fleet has without any request.
 func (b *WindowBudget) Spend(now time.Time, slack float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	i := b.advance(now)
+	if !b.left(slack) {
+		return false
+	}
+	b.retries[i]++
+	return true
+}
+
+func (b *WindowBudget) left(slack float64) bool {
 	requests, retries := 0, 0
 	for k := range windowBuckets {
 		requests += b.requests[k]
 		retries += b.retries[k]
 	}
-	if float64(retries+1) > budgetMargin*(b.ratio*float64(requests)+slack) {
-		return false
-	}
-	b.retries[i]++
-	return true
+	return float64(retries+1) <= budgetMargin*(b.ratio*float64(requests)+slack)
 }
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -252,6 +252,7 @@
 		c.peerAlive(now, p)
 	}
 	c.takeLoads(p, r.Loads)
+	c.noteUse(now, p)
 	for _, e := range r.Endings {
 		e.Host = string(p.ID)
 		c.apply(now, e)
@@ -261,6 +262,13 @@
 	return true
 }
 
+// noteUse notes at which targets a host has requests.
+func (c *Core) noteUse(now time.Time, p *peerState) {
+	for _, l := range p.loads {
+		c.byHash[l.Target].target.Use(now)
+	}
+}
+
 // takeLoads replaces a host's part of the targets' load.
 func (c *Core) takeLoads(p *peerState, loads []Load) {
 	for _, l := range p.loads {
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -53,6 +53,9 @@
 	// slow, and slowest bounds what it counts as.
 	noticeable = 1.4
 	slowest    = 6.0
+	// failureCost is the cost of a target that fails all requests: one that
+	// fails one in five costs as much as another zone.
+	failureCost = 4.0
 	// noise spreads hosts that see the same costs over several targets.
 	noise = 0.15
 )
@@ -63,12 +66,12 @@
 // It returns nil when there is no untried target.
 func (r *Routing) Pick(rng *rand.Rand, q Request) *Target {
 	if t := r.pickTest(q); t != nil {
-		t.Begin()
+		t.begin(q.Now)
 		return t
 	}
 	best := r.cheapest(rng, q, r.spared())
 	if best != nil {
-		best.Begin()
+		best.begin(q.Now)
 	}
 	return best
 }
@@ -159,14 +162,32 @@
 		slow = max(slow, warmingCost)
 	}
 	cost := slow*(1+queue+busyCost*load/slots) + distanceCosts[t.distance]
+	cost += failureCost * math.Float64frombits(t.unreliability.Load())
+	if t.unused(now, slow) {
+		cost = min(cost, unusedCost)
+	}
 	if t.passedOver(now) {
 		cost += unreachedCost
 	}
 	return cost
 }
 
+const (
+	// unusedAfter is how long a sound target may go without a request, so that
+	// the fleet learns of its state and a new one gets its share.
+	unusedAfter = 800 * time.Millisecond
+	// unusedCost puts a target that is due for a request first.
+	unusedCost = 0.5
+)
+
+// unused reports whether the target is due for a request of its own zone.
+func (t *Target) unused(now time.Time, slow float64) bool {
+	return t.distance == SameZone && slow < noticeable && t.InFlight() == 0 &&
+		now.UnixNano()-t.used.Load() > int64(unusedAfter)
+}
+
 // warmingCost is how much slower a target is taken to be just after its start.
-const warmingCost = 1.5
+const warmingCost = 1.2
 
 // Free returns how many slots of trusted targets are free, as far as this host
 // knows.
--- a/pool/service.go
+++ b/pool/service.go
@@ -85,17 +85,16 @@
 // Observe counts the end of a request at a target. It reports whether the
 // target became a suspect or ended to be one.
 func (s *Service) Observe(t *Target, e Ending, now time.Time) (changed bool) {
+	t.countFailure(e.Outcome)
 	switch e.Outcome {
 	case link.Succeeded:
-		t.latency.add(e.Latency)
-		s.typical.add(e.Latency)
+		t.latency.add(float64(e.Latency), latencyWeight)
+		s.typical.add(float64(e.Latency), latencyWeight)
 		s.published.Store(int64(s.typical.value))
 		changed = t.suspicion.acquit(now.Add(-e.Latency), now)
 		t.failures = nil
-	case link.Failed:
+	case link.Failed, link.Broken:
 		changed = t.suspicion.blame(s.weigh(e), now)
-	case link.Broken:
-		changed = t.suspicion.blame(strong, now)
 	case link.ConnectFailed:
 		// The first host may have a broken link of its own.
 		if t.failures.add(e.Host, now) > 1 {
@@ -120,6 +119,21 @@
 	return weak
 }
 
+// countFailure keeps the share of requests that fail.
+func (t *Target) countFailure(o link.Outcome) {
+	switch o {
+	case link.Succeeded:
+		t.failed.begun = true
+		t.failed.add(0, failureWeight)
+	case link.Failed, link.Broken, link.TimedOut:
+		t.failed.begun = true
+		t.failed.add(1, failureWeight)
+	default:
+		return
+	}
+	t.unreliability.Store(math.Float64bits(t.failed.value))
+}
+
 func (t *Target) publish() {
 	if !t.suspicion.suspect {
 		t.verdict.Store(trusted)
--- a/pool/suspicion.go
+++ b/pool/suspicion.go
@@ -15,7 +15,7 @@
 	strong = 1.0
 	// weak is the evidence of a failure after the usual time: healthy targets
 	// fail about one request in a hundred.
-	weak = 0.5
+	weak = 0.3
 	// relief is how much a success takes away.
 	relief = 0.25
 	// threshold is the evidence that makes a suspect.
@@ -25,17 +25,15 @@
 // Times of a suspicion.
 const (
 	// firstTest is the pause before a request that may be repeated tests a
-	// suspect.
-	firstTest = 50 * time.Millisecond
-	// nextTest is the pause after a failed test by such a request. A spell
-	// of failures lasts seconds.
-	nextTest = 200 * time.Millisecond
-	// firstRisk is the pause before a request that may not be repeated tests a
-	// suspect whose service gets no other requests; it doubles with every
-	// failure up to longestRisk. Both stay below the two seconds within which
-	// every target of the floor must see a request.
-	firstRisk   = 1200 * time.Millisecond
-	longestRisk = 1900 * time.Millisecond
+	// suspect, and longestTest the bound up to which it doubles with every
+	// failed test. Spells of failures last seconds, and each failed test spends
+	// a retry.
+	firstTest   = 400 * time.Millisecond
+	longestTest = 1600 * time.Millisecond
+	// riskPause is the pause before a request that may not be repeated tests a
+	// suspect whose service gets no other requests. It stays below the two
+	// seconds within which every target of the floor must see a request.
+	riskPause = 1900 * time.Millisecond
 	// probation is how long after its return a target is suspected again on
 	// weak evidence.
 	probation = 2 * time.Second
@@ -56,8 +54,8 @@
 	since   time.Time
 	// passed counts the tests passed in a row.
 	passed int
-	// risk is the present pause before a test that may cost a request.
-	risk           time.Duration
+	// pause is the present pause before a test.
+	pause          time.Duration
 	testAt, riskAt time.Time
 	// probationUntil is set after a suspicion ended.
 	probationUntil time.Time
@@ -98,16 +96,16 @@
 	s.suspect = true
 	s.since = now
 	s.passed = 0
-	s.risk = firstRisk
-	s.testAt = now.Add(firstTest)
-	s.riskAt = now.Add(s.risk)
+	s.pause = firstTest
+	s.testAt = now.Add(s.pause)
+	s.riskAt = now.Add(riskPause)
 }
 
 func (s *suspicion) failTest(now time.Time) {
 	s.passed = 0
-	s.testAt = now.Add(nextTest)
-	s.risk = min(2*s.risk, longestRisk)
-	s.riskAt = now.Add(s.risk)
+	s.pause = min(2*s.pause, longestTest)
+	s.testAt = now.Add(s.pause)
+	s.riskAt = now.Add(riskPause)
 }
 
 // acquit counts a success of a request that began at the given time. It reports
--- a/pool/target.go
+++ b/pool/target.go
@@ -56,11 +56,16 @@
 	verdict atomic.Pointer[verdict]
 	// warming is set while the target is slow after its start.
 	warming atomic.Bool
-	// slowness is the latency relative to the service's, as float64 bits.
-	slowness atomic.Uint64
+	// slowness is the latency relative to the service's, and unreliability the
+	// share of requests that fail, both as float64 bits.
+	slowness, unreliability atomic.Uint64
+	// used is when the target last had a request of any host, in Unix
+	// nanoseconds.
+	used atomic.Int64
 
 	suspicion suspicion
 	latency   average
+	failed    average
 	failures  unreachedBy
 }
 
@@ -89,8 +94,11 @@
 	return t
 }
 
-// Begin counts a request that this host sends to the target.
-func (t *Target) Begin() { t.own.Add(1) }
+// begin counts a request that this host sends to the target.
+func (t *Target) begin(now time.Time) {
+	t.own.Add(1)
+	t.Use(now)
+}
 
 // End counts the end of a request of this host.
 func (t *Target) End() { t.own.Add(-1) }
@@ -101,6 +109,9 @@
 // AddOthers changes the count of other hosts' requests in flight.
 func (t *Target) AddOthers(n int) { t.others.Add(int32(n)) }
 
+// Use notes that a host had a request at the target.
+func (t *Target) Use(now time.Time) { t.used.Store(now.UnixNano()) }
+
 // InFlight returns the fleet's requests in flight as far as this host knows.
 func (t *Target) InFlight() int { return int(t.own.Load() + max(0, t.others.Load())) }
 
@@ -126,17 +137,25 @@
 // passedOver reports whether this host takes other targets first.
 func (t *Target) passedOver(now time.Time) bool { return now.UnixNano() < t.unreached.Load() }
 
-// average is a moving average of latencies.
-type average struct{ value float64 }
+// average is a moving average.
+type average struct {
+	value float64
+	begun bool
+}
 
-// averageWeight is the weight of a new latency: about ten requests are
-// remembered.
-const averageWeight = 0.15
+// Weights of a new value in a moving average.
+const (
+	// latencyWeight remembers about seven requests.
+	latencyWeight = 0.15
+	// failureWeight remembers about twenty requests.
+	failureWeight = 0.05
+)
 
-func (a *average) add(d time.Duration) {
-	if a.value == 0 {
-		a.value = float64(d)
+func (a *average) add(value, weight float64) {
+	if !a.begun {
+		a.begun = true
+		a.value = value
 		return
 	}
-	a.value += averageWeight * (float64(d) - a.value)
+	a.value += weight * (value - a.value)
 }
--- a/traffic/gateway.go
+++ b/traffic/gateway.go
@@ -207,8 +207,18 @@
 }
 
 // pick returns what a choice of a target for the passage depends on.
-func (p *passage) pick(tried []*pool.Target, now time.Time) pool.Request {
-	return pool.Request{Tried: tried, Repeatable: p.repeatable(), Now: now}
+func (g *Gateway) pick(p *passage, tried []*pool.Target) pool.Request {
+	now := time.Now()
+	return pool.Request{
+		Tried:      tried,
+		Repeatable: p.repeatable() && g.budget(p.service).Left(now, g.slack()),
+		Now:        now,
+	}
+}
+
+// slack is this host's share of the retries that need no request.
+func (g *Gateway) slack() float64 {
+	return g.cfg.Budget.Slack / float64(max(1, g.cfg.Snapshot().Hosts))
 }
 
 // repeatable reports whether the request may be sent again after it may have
--- a/traffic/gateway_carry.go
+++ b/traffic/gateway_carry.go
@@ -94,7 +94,7 @@
 	if routing == nil {
 		return false
 	}
-	t := routing.Pick(random, p.pick(j.tried, time.Now()))
+	t := routing.Pick(random, g.pick(p, j.tried))
 	if t == nil {
 		return false
 	}
@@ -150,8 +150,7 @@
 // spend takes a retry from the budget. A first sending needs none.
 func (j *journey) spend() bool {
 	g := j.gateway
-	slack := g.cfg.Budget.Slack / float64(max(1, g.cfg.Snapshot().Hosts))
-	if g.budget(j.passage.service).Spend(time.Now(), slack) {
+	if g.budget(j.passage.service).Spend(time.Now(), g.slack()) {
 		g.counters.Retries.Add(1)
 		return true
 	}
