Count confirmations by the store's clock, and follow targets by the store's feed

Ruled out: a lost reader; the first host was up and its reads succeeded. Change: a stamp counts only when the store's clock in it is later; targets are read through the feed, since entries change only when more than a heartbeat changes.

--- a/discovery/target.go
+++ b/discovery/target.go
@@ -49,12 +49,26 @@
 	List []Target
 	// Digest is equal for two readings that say the same.
 	Digest uint32
+	// At is the store's steady clock at the reading, in milliseconds.
+	At int64
 }
 
-// NewTargets returns the targets of a reading. It takes the list over.
-func NewTargets(revision uint64, list []Target) *Targets {
+// NewTargets returns the targets of a reading at a time of the store's clock. It
+// takes the list over.
+func NewTargets(revision uint64, at int64, list []Target) *Targets {
 	slices.SortFunc(list, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
-	return &Targets{Revision: revision, List: list, Digest: digest(list)}
+	return &Targets{Revision: revision, At: at, List: list, Digest: digest(list)}
+}
+
+// Draining returns how many targets have announced that they leave.
+func (t *Targets) Draining() int {
+	n := 0
+	for _, e := range t.List {
+		if e.Draining {
+			n++
+		}
+	}
+	return n
 }
 
 // digest covers what decides where requests go. The revisions of entries change
@@ -127,7 +141,7 @@
 			list = append(list, t)
 		}
 	}
-	r.known = NewTargets(read.Revision, list)
+	r.known = NewTargets(read.Revision, read.At, list)
 	return true
 }
 
@@ -157,6 +171,6 @@
 		return ok && lapsed.Revision == t.Revision
 	})
 	r.missing = nil
-	r.known = NewTargets(r.known.Revision, list)
+	r.known = NewTargets(r.known.Revision, r.known.At, list)
 	return true
 }
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -12,18 +12,16 @@
 
 // Timing holds the periods that follow from what the fleet promises.
 type Timing struct {
-	// ReadTargets is the age of the view of targets at which the first host
-	// in order reads the store.
-	ReadTargets time.Duration
-	// WaitConfiguration is how long a read waits for a new configuration.
-	WaitConfiguration time.Duration
+	// WaitTargets and WaitConfiguration are how long a read of the store waits
+	// for a change.
+	WaitTargets, WaitConfiguration time.Duration
 }
 
 // TimingFor returns the periods for a fleet in which a leaving target gets no
 // request after drain, and a configuration is in force after apply. A third
 // leaves time for a lost reader, or for two, to be replaced.
 func TimingFor(drain, apply time.Duration) Timing {
-	return Timing{ReadTargets: drain / 3, WaitConfiguration: apply / 3}
+	return Timing{WaitTargets: drain / 3, WaitConfiguration: apply / 3}
 }
 
 // Config is what a Core needs to know at its start.
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -36,7 +36,9 @@
 	ConfigurationRead struct {
 		// Document is nil when there is nothing newer.
 		Document *Document
-		Err      error
+		// At is the store's clock in milliseconds.
+		At  int64
+		Err error
 	}
 
 	// PeersRead is the answer to ReadPeers.
@@ -53,9 +55,9 @@
 		Peers    []Peer
 		Targets  *discovery.Targets
 		Document *Document
-		// TargetsAge and DocumentAge are the ages at the peer.
-		TargetsAge, DocumentAge time.Duration
-		Err                     error
+		// TargetsStamp and DocumentStamp are those of the peer.
+		TargetsStamp, DocumentStamp Stamp
+		Err                         error
 	}
 
 	// ShutdownRequested asks the host to leave.
@@ -101,15 +103,10 @@
 		Datagram Datagram
 	}
 
-	// ReadTargets reads the registered targets from the store.
-	ReadTargets struct{}
-
-	// ReadConfiguration waits up to Wait for a newer configuration in the
-	// store.
-	ReadConfiguration struct {
-		After discovery.Version
-		Wait  time.Duration
-	}
+	// ReadTargets waits up to Wait for a change of the registered targets in
+	// the store, and ReadConfiguration for one of the configuration.
+	ReadTargets       struct{ Wait time.Duration }
+	ReadConfiguration struct{ Wait time.Duration }
 
 	// ReadPeers reads the registered hosts from the store.
 	ReadPeers struct{}
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -58,8 +58,10 @@
 	Revision uint64
 	// Digest is equal for versions that say the same.
 	Digest uint32
-	// Age is the time since the store last confirmed the version.
-	Age time.Duration
+	// Confirmed is the store's clock in milliseconds when it last had this
+	// version as its newest, and Age the time since.
+	Confirmed int64
+	Age       time.Duration
 }
 
 // Report is what a host tells all others of itself.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -1,9 +1,9 @@
 package fleet
 
 import (
+	"fmt"
 	"time"
 
-	"github.com/crocushinge/crocushinge/discovery"
 	"github.com/crocushinge/crocushinge/timeline"
 )
 
@@ -11,8 +11,11 @@
 type view struct {
 	revision uint64
 	digest   uint32
-	// confirmed is when the store last had this version as its newest.
+	// confirmed is when the store last had this version as its newest, and
+	// storeTime the store's clock then. Stamps of peers count by the store's
+	// clock: an age grows less on its way than the time does.
 	confirmed time.Time
+	storeTime int64
 	// wantedSince is when this host heard of a newer version that says
 	// something else; zero when it has the newest.
 	wantedSince time.Time
@@ -26,7 +29,7 @@
 	if v.revision == 0 {
 		return Stamp{}
 	}
-	return Stamp{Revision: v.revision, Digest: v.digest, Age: now.Sub(v.confirmed)}
+	return Stamp{Revision: v.revision, Digest: v.digest, Confirmed: v.storeTime, Age: now.Sub(v.confirmed)}
 }
 
 // age returns the time since the store confirmed the view.
@@ -37,8 +40,10 @@
 	return now.Sub(v.confirmed)
 }
 
-func (v *view) confirm(at time.Time) {
-	if at.After(v.confirmed) {
+// confirm notes that the store had this version at a time of its clock.
+func (v *view) confirm(at time.Time, storeTime int64) {
+	if storeTime > v.storeTime {
+		v.storeTime = storeTime
 		v.confirmed = at
 	}
 }
@@ -49,10 +54,10 @@
 	switch {
 	case s.Revision == 0 || s.Revision < v.revision:
 	case s.Revision == v.revision:
-		v.confirm(at)
+		v.confirm(at, s.Confirmed)
 	case v == &c.targets && v.revision > 0 && s.Digest == v.digest:
 		v.revision = s.Revision
-		v.confirm(at)
+		v.confirm(at, s.Confirmed)
 	case v.wantedSince.IsZero():
 		v.wantedSince = now
 		c.fetchNews(now)
@@ -86,28 +91,27 @@
 		return
 	}
 	rank := c.rank()
-	if c.due(&c.targets, now, rank, c.cfg.Timing.ReadTargets) {
+	if c.due(&c.targets, now, rank, c.cfg.Timing.WaitTargets) {
 		c.targets.reading = true
-		c.emit(ReadTargets{})
+		c.emit(ReadTargets{Wait: c.cfg.Timing.WaitTargets})
 	}
-	limit := time.Duration(0)
-	if rank > 0 {
-		limit = c.cfg.Timing.WaitConfiguration
-	}
-	if c.due(&c.config, now, rank, limit) {
+	if c.due(&c.config, now, rank, c.cfg.Timing.WaitConfiguration) {
 		c.config.reading = true
-		c.emit(ReadConfiguration{After: discovery.Version(c.config.revision), Wait: c.cfg.Timing.WaitConfiguration})
+		c.emit(ReadConfiguration{Wait: c.cfg.Timing.WaitConfiguration})
 	}
 }
 
-// due reports whether this host reads a document.
-func (c *Core) due(v *view, now time.Time, rank int, limit time.Duration) bool {
+// due reports whether this host reads a document. The first host in order always
+// waits for changes; the others do when its answers, which come every wait at the
+// latest, stay away.
+func (c *Core) due(v *view, now time.Time, rank int, wait time.Duration) bool {
 	if v.reading || now.Before(v.retryAt) {
 		return false
 	}
-	if rank > 0 {
-		limit += takeOver + time.Duration(min(rank-1, takeOverSteps))*takeOverStep
+	if rank == 0 {
+		return true
 	}
+	limit := wait + takeOver + time.Duration(min(rank-1, takeOverSteps))*takeOverStep
 	if v.age(now) < limit {
 		return false
 	}
@@ -151,19 +155,24 @@
 	}
 	outage := c.targets.age(now) > outageAge && c.targets.revision > 0
 	if c.registry.Merge(ev.Targets, outage, now) {
-		c.targetsChanged(now)
-		c.targets.confirm(now)
+		c.targetsChanged(now, fmt.Sprintf("read from the store, last confirmed %s ago", c.targets.age(now).Round(time.Millisecond)))
+		c.targets.confirm(now, ev.Targets.At)
 	}
 }
 
 // targetsChanged takes the registry's view over.
-func (c *Core) targetsChanged(now time.Time) {
+func (c *Core) targetsChanged(now time.Time, how string) {
 	known := c.registry.Known()
 	same := c.targets.digest == known.Digest && c.targets.revision > 0
 	c.targets.revision = max(c.targets.revision, known.Revision)
 	c.targets.digest = known.Digest
 	c.targets.wantedSince = time.Time{}
 	if !same {
+		c.record(now, timeline.Event{
+			Kind:     timeline.TargetsInForce,
+			Revision: known.Revision,
+			Reason:   fmt.Sprintf("%s: %d targets, %d draining", how, len(known.List), known.Draining()),
+		})
 		c.applyTargets()
 		c.out.schedule(now)
 	}
@@ -172,7 +181,7 @@
 // expireTargets drops entries that lapsed during an outage and stayed away.
 func (c *Core) expireTargets(now time.Time) {
 	if c.registry.Expire(now) {
-		c.targetsChanged(now)
+		c.targetsChanged(now, "entries that lapsed in an outage dropped")
 	}
 }
 
@@ -184,7 +193,7 @@
 		c.putInForce(now, ev.Document)
 	}
 	if c.document != nil {
-		c.config.confirm(now)
+		c.config.confirm(now, ev.At)
 	}
 }
 
@@ -287,13 +296,13 @@
 	c.fetching.retryAt = time.Time{}
 	c.meet(now, ev.Peers)
 	if ev.Targets != nil && ev.Targets.Revision >= c.targets.revision && c.registry.Merge(ev.Targets, false, now) {
-		c.targetsChanged(now)
-		c.targets.confirm(now.Add(-ev.TargetsAge))
+		c.targetsChanged(now, "fetched from a peer")
+		c.targets.confirm(now.Add(-ev.TargetsStamp.Age), ev.TargetsStamp.Confirmed)
 	}
 	if ev.Document != nil {
 		c.putInForce(now, ev.Document)
 		if uint64(ev.Document.Configuration.Version) == c.config.revision {
-			c.config.confirm(now.Add(-ev.DocumentAge))
+			c.config.confirm(now.Add(-ev.DocumentStamp.Age), ev.DocumentStamp.Confirmed)
 		}
 	}
 	// What the peer no longer had newer is asked for again when a report tells
@@ -303,7 +312,11 @@
 
 // Documents returns what this host has for another one, with the ages.
 func (c *Core) Documents(now time.Time) Fetched {
-	f := Fetched{Peers: c.Peers(), Targets: c.registry.Known(), Document: c.document}
-	f.TargetsAge, f.DocumentAge = c.targets.age(now), c.config.age(now)
-	return f
+	return Fetched{
+		Peers:         c.Peers(),
+		Targets:       c.registry.Known(),
+		TargetsStamp:  c.targets.stamp(now),
+		Document:      c.document,
+		DocumentStamp: c.config.stamp(now),
+	}
 }
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -35,7 +35,7 @@
 // send the answer back as an event.
 type effector interface {
 	send(fleet.Send)
-	readTargets()
+	readTargets(fleet.ReadTargets)
 	readConfiguration(fleet.ReadConfiguration)
 	readPeers()
 	register(fleet.Register)
@@ -151,7 +151,7 @@
 		case fleet.Send:
 			c.effects.send(e)
 		case fleet.ReadTargets:
-			c.effects.readTargets()
+			c.effects.readTargets(e)
 		case fleet.ReadConfiguration:
 			c.effects.readConfiguration(e)
 		case fleet.ReadPeers:
--- a/gateway/effects.go
+++ b/gateway/effects.go
@@ -71,10 +71,12 @@
 	return f(second)
 }
 
-func (g *Gateway) readTargets() {
+func (g *Gateway) readTargets(e fleet.ReadTargets) {
 	g.counters.storeCalls.Add(1)
 	g.start(func(ctx context.Context) fleet.Event {
-		targets, err := twice(ctx, g.store.Targets)
+		ctx, cancel := context.WithTimeout(ctx, e.Wait+firstRead)
+		defer cancel()
+		targets, err := g.store.Targets(ctx, e.Wait)
 		return fleet.TargetsRead{Targets: targets, Err: err}
 	})
 }
@@ -84,8 +86,8 @@
 	g.start(func(ctx context.Context) fleet.Event {
 		ctx, cancel := context.WithTimeout(ctx, e.Wait+firstRead)
 		defer cancel()
-		document, err := g.store.Configuration(ctx, e.Wait)
-		return fleet.ConfigurationRead{Document: document, Err: err}
+		document, at, err := g.store.Configuration(ctx, e.Wait)
+		return fleet.ConfigurationRead{Document: document, At: at, Err: err}
 	})
 }
 
@@ -141,14 +143,14 @@
 	for _, h := range resp.GetHosts() {
 		out.Peers = append(out.Peers, share.PeerFromProto(h))
 	}
-	out.Targets, out.TargetsAge = share.TargetsFromProto(resp.GetTargets())
+	out.Targets, out.TargetsStamp = share.TargetsFromProto(resp.GetTargets())
 	if c := resp.GetConfiguration(); c != nil {
 		configuration, err := g.protocol.ParseConfiguration(c.GetDocument())
 		if err != nil {
 			return fleet.Fetched{Err: err}
 		}
 		out.Document = &fleet.Document{Bytes: c.GetDocument(), Configuration: configuration}
-		out.DocumentAge = time.Duration(c.GetAgeMs()) * time.Millisecond
+		out.DocumentStamp = share.StampFromProto(c.GetStamp())
 	}
 	return out
 }
@@ -169,13 +171,12 @@
 		}
 	}
 	if req.Msg.GetTargets() {
-		resp.Targets = share.TargetsToProto(have.Targets, have.TargetsAge)
+		resp.Targets = share.TargetsToProto(have.Targets, have.TargetsStamp)
 	}
 	if d := have.Document; req.Msg.GetConfiguration() && d != nil {
 		resp.Configuration = &sharev1.Configuration{
-			Version:  uint64(d.Configuration.Version),
+			Stamp:    share.StampToProto(have.DocumentStamp),
 			Document: d.Bytes,
-			AgeMs:    uint32(have.DocumentAge.Milliseconds()),
 		}
 	}
 	return connect.NewResponse(resp), nil
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -13,11 +13,13 @@
 // Store is the metadata store as a host uses it. Its methods are safe for
 // concurrent use.
 type Store interface {
-	// Targets reads the registered targets.
-	Targets(ctx context.Context) (*discovery.Targets, error)
-	// Configuration waits for a configuration that is newer than any it has
-	// returned, up to the given time. It returns nil when there is none.
-	Configuration(ctx context.Context, wait time.Duration) (*fleet.Document, error)
+	// Targets waits up to the given time for a change of the registered targets
+	// since it last returned, and returns those of now.
+	Targets(ctx context.Context, wait time.Duration) (*discovery.Targets, error)
+	// Configuration waits up to the given time for a configuration that it has
+	// not returned yet. The document is nil when there is none; at is the store's
+	// clock in milliseconds.
+	Configuration(ctx context.Context, wait time.Duration) (document *fleet.Document, at int64, err error)
 	// Hosts reads the rows of the fleet's hosts.
 	Hosts(ctx context.Context) ([][]byte, error)
 	// PutHost writes the row of a host.
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -14,6 +14,8 @@
 	HostLost             Kind = "host-lost"
 	HostLeaving          Kind = "host-leaving"
 	ConfigurationInForce Kind = "configuration-in-force"
+	// TargetsInForce events tell of a new view of the registered targets.
+	TargetsInForce Kind = "targets-in-force"
 	// ConfigurationUnreadable events name a contract that this host cannot
 	// read.
 	ConfigurationUnreadable Kind = "configuration-unreadable"
--- a/wire/share/share.go
+++ b/wire/share/share.go
@@ -61,8 +61,8 @@
 		Sequence:      r.Sequence,
 		Ready:         r.Ready,
 		Leaving:       r.Leaving,
-		Targets:       stampToProto(r.Targets),
-		Configuration: stampToProto(r.Configuration),
+		Targets:       StampToProto(r.Targets),
+		Configuration: StampToProto(r.Configuration),
 	}
 	for _, l := range r.Loads {
 		out.Loads = append(out.Loads, &sharev1.Load{Target: uint32(l.Target), Requests: uint32(l.Requests)})
@@ -84,8 +84,8 @@
 		Sequence:      r.GetSequence(),
 		Ready:         r.GetReady(),
 		Leaving:       r.GetLeaving(),
-		Targets:       stampFromProto(r.GetTargets()),
-		Configuration: stampFromProto(r.GetConfiguration()),
+		Targets:       StampFromProto(r.GetTargets()),
+		Configuration: StampFromProto(r.GetConfiguration()),
 	}
 	for _, l := range r.GetLoads() {
 		out.Loads = append(out.Loads, fleet.Load{Target: pool.Hash(l.GetTarget()), Requests: int(l.GetRequests())})
@@ -102,15 +102,17 @@
 	return out
 }
 
-func stampToProto(s fleet.Stamp) *sharev1.Stamp {
+// StampToProto encodes a stamp.
+func StampToProto(s fleet.Stamp) *sharev1.Stamp {
 	if s.Revision == 0 {
 		return nil
 	}
-	return &sharev1.Stamp{Revision: s.Revision, Digest: s.Digest, AgeMs: millis(s.Age)}
+	return &sharev1.Stamp{Revision: s.Revision, Digest: s.Digest, AgeMs: millis(s.Age), ConfirmedMs: s.Confirmed}
 }
 
-func stampFromProto(s *sharev1.Stamp) fleet.Stamp {
-	return fleet.Stamp{Revision: s.GetRevision(), Digest: s.GetDigest(), Age: duration(s.GetAgeMs())}
+// StampFromProto decodes a stamp.
+func StampFromProto(s *sharev1.Stamp) fleet.Stamp {
+	return fleet.Stamp{Revision: s.GetRevision(), Digest: s.GetDigest(), Age: duration(s.GetAgeMs()), Confirmed: s.GetConfirmedMs()}
 }
 
 // PeerToProto encodes a host.
@@ -159,11 +161,11 @@
 }
 
 // TargetsToProto encodes the registered targets.
-func TargetsToProto(t *discovery.Targets, age time.Duration) *sharev1.Targets {
+func TargetsToProto(t *discovery.Targets, stamp fleet.Stamp) *sharev1.Targets {
 	if t == nil {
 		return nil
 	}
-	out := &sharev1.Targets{Revision: t.Revision, AgeMs: millis(age)}
+	out := &sharev1.Targets{Stamp: StampToProto(stamp)}
 	for _, e := range t.List {
 		out.Targets = append(out.Targets, &sharev1.Target{
 			Id:       e.ID,
@@ -181,10 +183,11 @@
 }
 
 // TargetsFromProto decodes the registered targets.
-func TargetsFromProto(in *sharev1.Targets) (*discovery.Targets, time.Duration) {
+func TargetsFromProto(in *sharev1.Targets) (*discovery.Targets, fleet.Stamp) {
 	if in == nil {
-		return nil, 0
+		return nil, fleet.Stamp{}
 	}
+	stamp := StampFromProto(in.GetStamp())
 	list := make([]discovery.Target, 0, len(in.GetTargets()))
 	for _, e := range in.GetTargets() {
 		list = append(list, discovery.Target{
@@ -199,5 +202,5 @@
 			Revision: e.GetRevision(),
 		})
 	}
-	return discovery.NewTargets(in.GetRevision(), list), duration(in.GetAgeMs())
+	return discovery.NewTargets(stamp.Revision, stamp.Confirmed, list), stamp
 }
