Do not spare targets that failed a test

Ruled out: late evidence (3 requests were in flight), first failures (35). Change: a suspect that failed a test does not count as healthy capacity, so the floor spares only unconfirmed suspects; a target's 504 is no failure of its own.

--- a/pool/pick.go
+++ b/pool/pick.go
@@ -98,32 +98,40 @@
 }
 
 // spared returns how many suspects must take ordinary requests, so that
-// suspicion leaves the floor's share of the targets in use.
+// suspicion leaves the floor's share of the healthy targets in use. A target that
+// failed a test is not healthy.
 func (r *Routing) spared() int {
-	suspects := 0
+	healthy, suspects := len(r.Targets), 0
 	for _, t := range r.Targets {
-		if t.Suspect() {
+		switch v := t.verdict.Load(); {
+		case v.confirmed:
+			healthy--
+		case v.suspect:
 			suspects++
 		}
 	}
-	return suspects - int(math.Round((1-r.floor)*float64(len(r.Targets))))
+	return suspects - int(math.Round((1-r.floor)*float64(healthy)))
 }
 
 // cheapest returns the untried target of least cost. While more suspects than
 // the floor allows are out, the ones with the earliest test count as trusted.
+// When no other is left, it returns the suspect of least cost.
 func (r *Routing) cheapest(rng *rand.Rand, q Request, spared int) *Target {
 	limit := r.sparedUntil(spared)
 	var best, suspect *Target
-	least := math.Inf(1)
+	least, leastSuspect := math.Inf(1), math.Inf(1)
 	for _, t := range r.Targets {
 		if slices.Contains(q.Tried, t) {
 			continue
 		}
-		if v := t.verdict.Load(); v.suspect && v.riskAt.After(limit) {
-			suspect = t
-			continue
-		}
-		if c := t.cost(q.Now) + noise*rng.Float64(); c < least {
+		c := t.cost(q.Now) + noise*rng.Float64()
+		v := t.verdict.Load()
+		switch {
+		case v.suspect && (v.confirmed || v.riskAt.After(limit)):
+			if c < leastSuspect {
+				suspect, leastSuspect = t, c
+			}
+		case c < least:
 			best, least = t, c
 		}
 	}
@@ -140,14 +148,11 @@
 	}
 	var due []time.Time
 	for _, t := range r.Targets {
-		if v := t.verdict.Load(); v.suspect {
+		if v := t.verdict.Load(); v.suspect && !v.confirmed {
 			due = append(due, v.riskAt)
 		}
 	}
 	slices.SortFunc(due, time.Time.Compare)
-	if len(due) == 0 {
-		return time.Time{}
-	}
 	return due[min(spared, len(due))-1]
 }
 
--- a/pool/service.go
+++ b/pool/service.go
@@ -139,7 +139,12 @@
 		t.verdict.Store(trusted)
 		return
 	}
-	t.verdict.Store(&verdict{suspect: true, testAt: t.suspicion.testAt, riskAt: t.suspicion.riskAt})
+	t.verdict.Store(&verdict{
+		suspect:   true,
+		confirmed: t.suspicion.failed,
+		testAt:    t.suspicion.testAt,
+		riskAt:    t.suspicion.riskAt,
+	})
 }
 
 // slownessMemory is the time in which a target that gets no requests is taken
--- a/pool/suspicion.go
+++ b/pool/suspicion.go
@@ -52,8 +52,10 @@
 
 	suspect bool
 	since   time.Time
-	// passed counts the tests passed in a row.
+	// passed counts the tests passed in a row, and failed is set after a test
+	// has failed.
 	passed int
+	failed bool
 	// pause is the present pause before a test.
 	pause          time.Duration
 	testAt, riskAt time.Time
@@ -103,6 +105,7 @@
 
 func (s *suspicion) failTest(now time.Time) {
 	s.passed = 0
+	s.failed = true
 	s.pause = min(2*s.pause, longestTest)
 	s.testAt = now.Add(s.pause)
 	s.riskAt = now.Add(riskPause)
--- a/pool/target.go
+++ b/pool/target.go
@@ -71,8 +71,9 @@
 
 // verdict is the state of a target as traffic reads it.
 type verdict struct {
-	// suspect is set while the target takes only tests.
-	suspect bool
+	// suspect is set while the target takes only tests, and confirmed once a
+	// test has failed: such a target is no healthy capacity.
+	suspect, confirmed bool
 	// testAt is when a request that may be repeated may test the target, and
 	// riskAt when any request may.
 	testAt, riskAt time.Time
--- a/traffic/gateway_attempt.go
+++ b/traffic/gateway_attempt.go
@@ -73,8 +73,12 @@
 	return s
 }
 
-// answered returns the outcome of a whole answer.
+// answered returns the outcome of a whole answer. A target that ran out of the
+// caller's time has not failed.
 func answered(resp *http.Response) link.Outcome {
+	if resp.StatusCode == http.StatusGatewayTimeout {
+		return link.TimedOut
+	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return link.Failed
 	}
