Order views by the store's clock; report to several relays while one is in doubt; tests

Cause: a test on the virtual clock that killed three readers at once showed hosts of a zone 2.2 s late with a drain (bound 2.0 s): two relays of one zone were lost together, and each took 0.4 s to be noticed. Another showed entries that lapsed in an outage dropped at once by a host that had heard of the store's return from a peer. Change: readings are ordered by the store's clock, and the grace after an outage is computed from it on every host; while a relay is silent for longer than its heartbeat, two more hosts get the reports.

--- a/discovery/target.go
+++ b/discovery/target.go
@@ -95,82 +95,75 @@
 	return uint32(h.Sum64())
 }
 
-// RegisterGrace is how long after the store's return an entry that lapsed while
-// it was away may still come back. Source: the platform promises two seconds.
-const RegisterGrace = 2200 * time.Millisecond
+const (
+	// RegisterGrace is how long after the store's return an entry that lapsed
+	// while it was away may still come back. Source: the platform promises two
+	// seconds.
+	RegisterGrace = 2200 * time.Millisecond
+	// OutageGap is the time between two readings from which entries may have
+	// lapsed because the store was away: longer than it takes to replace lost
+	// readers.
+	OutageGap = 2500 * time.Millisecond
+)
 
-// Registry merges readings of the store into what is believed. The control
-// thread owns it.
+// Registry merges readings of the store into what is believed. All times are
+// those of the store's clock, so that all hosts decide alike. The control thread
+// owns it.
 type Registry struct {
 	known *Targets
-	// missing holds entries that lapsed while the store was away.
-	missing map[string]Target
-	// missingUntil is when they are taken to be gone.
-	missingUntil time.Time
+	// confirmed is the time of the latest reading by any host.
+	confirmed int64
+	// graceUntil is when entries that lapsed in an outage are taken to be gone.
+	graceUntil int64
 }
 
 // Known returns the targets believed in, or nil before the first reading.
 func (r *Registry) Known() *Targets { return r.known }
 
-// Merge takes a reading over. outage is set when the store was away between this
-// reading and the one before. It reports whether the reading was newer.
-func (r *Registry) Merge(read *Targets, outage bool, now time.Time) bool {
-	if r.known != nil && read.Revision < r.known.Revision {
+// Confirm notes that some host has read the store at a time. A long gap since the
+// reading before begins a grace.
+func (r *Registry) Confirm(at int64) {
+	if r.known != nil && at-r.confirmed > OutageGap.Milliseconds() {
+		r.graceUntil = at + RegisterGrace.Milliseconds()
+	}
+	r.confirmed = max(r.confirmed, at)
+}
+
+// Merge takes a reading over, by this host or another one. It reports whether the
+// reading was as new as what was known.
+func (r *Registry) Merge(read *Targets) bool {
+	if r.known != nil && read.At < r.known.At {
 		return false
 	}
+	r.Confirm(read.At)
+	if r.known == nil {
+		r.known = read
+		return true
+	}
 	byID := make(map[string]Target, len(read.List))
 	for _, t := range read.List {
 		byID[t.ID] = t
 	}
-	if outage {
-		r.missing = make(map[string]Target)
-		r.missingUntil = now.Add(RegisterGrace)
-	}
-	if r.known != nil {
-		r.keepOld(byID, outage)
-	}
-	if !now.Before(r.missingUntil) {
-		r.missing = nil
-	}
-	list := make([]Target, 0, len(byID)+len(r.missing))
+	r.keepOld(byID, read.At < r.graceUntil)
+	list := make([]Target, 0, len(byID))
 	for _, t := range byID {
 		list = append(list, t)
 	}
-	for id, t := range r.missing {
-		if _, back := byID[id]; !back {
-			list = append(list, t)
-		}
-	}
 	r.known = NewTargets(read.Revision, read.At, list)
 	return true
 }
 
 // keepOld keeps what a reading must not undo: a later incarnation of a target,
-// whose entry a delayed write of an earlier one may have replaced, and, after
-// an outage, entries that lapsed in it.
-func (r *Registry) keepOld(byID map[string]Target, outage bool) {
+// whose entry a delayed write of an earlier one may have replaced, and, in the
+// grace after an outage, entries that lapsed in it.
+func (r *Registry) keepOld(byID map[string]Target, grace bool) {
 	for _, old := range r.known.List {
 		read, there := byID[old.ID]
 		switch {
 		case there && read.Born != 0 && read.Born < old.Born:
 			byID[old.ID] = old
-		case !there && outage && !old.Draining:
-			r.missing[old.ID] = old
+		case !there && grace && !old.Draining:
+			byID[old.ID] = old
 		}
 	}
 }
-
-// Expire drops lapsed entries that did not come back in time. It reports whether
-// any was dropped.
-func (r *Registry) Expire(now time.Time) bool {
-	if len(r.missing) == 0 || now.Before(r.missingUntil) {
-		return false
-	}
-	list := slices.DeleteFunc(slices.Clone(r.known.List), func(t Target) bool {
-		lapsed, ok := r.missing[t.ID]
-		return ok && lapsed.Revision == t.Revision
-	})
-	r.missing = nil
-	r.known = NewTargets(r.known.Revision, r.known.At, list)
-	return true
-}
--- /dev/null
+++ b/fleet/cluster_test.go
@@ -0,0 +1,326 @@
+package fleet
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/timeline"
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const (
+	wireDelay  = 500 * time.Microsecond
+	storeDelay = 4 * time.Millisecond
+)
+
+var errAway = errors.New("the store is away")
+
+// cluster runs cores on a virtual clock with a network and a store in memory.
+type cluster struct {
+	now   time.Time
+	rand  *rand.Rand
+	queue eventQueue
+	order int
+	hosts map[string]*node
+	// names are the hosts' addresses in a fixed order.
+	names []string
+	zones *zone.Map
+
+	// targets and config are what the store holds.
+	targets  map[string]discovery.Target
+	config   *discovery.Configuration
+	revision uint64
+	changed  map[string]time.Time
+	// away makes every call to the store fail, and cut those of some hosts.
+	away bool
+	cut  map[string]bool
+	// reads counts calls to the store.
+	reads int
+	// loss is the share of datagrams that get lost.
+	loss float64
+	// partition reports whether two hosts cannot reach each other.
+	partition func(a, b string) bool
+}
+
+// node is one host of the cluster.
+type node struct {
+	core     *Core
+	config   Config
+	address  string
+	down     bool
+	snapshot *Snapshot
+	events   []timeline.Event
+	wake     time.Time
+}
+
+type queued struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type eventQueue []queued
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if c := q[i].at.Compare(q[j].at); c != 0 {
+		return c < 0
+	}
+	return q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(queued)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// newCluster starts hosts of three zones with one target a host.
+func newCluster(seed uint64, perZone int) *cluster {
+	c := &cluster{
+		now:     epoch,
+		rand:    rand.New(rand.NewPCG(seed, 1)),
+		hosts:   make(map[string]*node),
+		targets: make(map[string]discovery.Target),
+		changed: make(map[string]time.Time),
+		cut:     make(map[string]bool),
+		zones:   zone.NewMap([]zone.Zone{{ID: "a", Region: "r"}, {ID: "b", Region: "r"}, {ID: "c", Region: "r"}}, nil),
+	}
+	c.configure(1)
+	for i, z := range []zone.ID{"a", "b", "c"} {
+		for k := range perZone {
+			address := fmt.Sprintf("10.%d.0.%d:7000", i, k)
+			c.putTarget(discovery.Target{
+				ID: "t-" + address, Service: "orders", Address: address, Zone: z, Slots: 4,
+			})
+			c.names = append(c.names, address)
+		}
+	}
+	for i, address := range c.names {
+		c.start(address, zone.ID([]string{"a", "b", "c"}[i/perZone]), true)
+	}
+	return c
+}
+
+func (c *cluster) start(address string, z zone.ID, first bool) *node {
+	n := &node{address: address}
+	n.config = Config{
+		Self: Peer{
+			ID: ID("host-" + address), Incarnation: uint64(c.now.UnixMilli()), Zone: z,
+			Address: address, Datagrams: address, Documents: address, Capacity: 32,
+		},
+		Zones:  c.zones,
+		Seeds:  []string{"10.0.0.0:7000", "10.1.0.0:7000", "10.2.0.0:7000"},
+		Timing: TimingFor(2*time.Second, 2*time.Second),
+		Floor:  0.7,
+		First:  first,
+		Rand:   rand.New(rand.NewPCG(c.rand.Uint64(), 2)),
+	}
+	n.core = New(n.config, c.now)
+	n.snapshot = n.core.Snapshot()
+	c.hosts[address] = n
+	delete(c.changed, "targets"+address)
+	delete(c.changed, "config"+address)
+	c.deliver(n, Tick{})
+	return n
+}
+
+// kill ends a host.
+func (c *cluster) kill(address string) { c.hosts[address].down = true }
+
+// restart starts a host again.
+func (c *cluster) restart(address string) *node {
+	return c.start(address, c.hosts[address].config.Self.Zone, false)
+}
+
+func (c *cluster) after(d time.Duration, run func()) {
+	c.order++
+	heap.Push(&c.queue, queued{at: c.now.Add(d), order: c.order, run: run})
+}
+
+// run lets time pass.
+func (c *cluster) run(d time.Duration) {
+	end := c.now.Add(d)
+	for len(c.queue) > 0 && !c.queue[0].at.After(end) {
+		next := heap.Pop(&c.queue).(queued)
+		c.now = next.at
+		next.run()
+	}
+	c.now = end
+}
+
+// deliver hands an event to a host and carries out the effects.
+func (c *cluster) deliver(n *node, ev Event) {
+	if n.down || c.hosts[n.address] != n {
+		return
+	}
+	for _, e := range slices.Clone(n.core.Handle(c.now, ev)) {
+		c.effect(n, e)
+	}
+	if wake := n.core.Wake(); !wake.Equal(n.wake) {
+		n.wake = wake
+		c.after(max(0, wake.Sub(c.now)), func() {
+			if n.wake.Equal(wake) {
+				n.wake = time.Time{}
+				c.deliver(n, Tick{})
+			}
+		})
+	}
+}
+
+func (c *cluster) effect(n *node, e Effect) {
+	switch e := e.(type) {
+	case Publish:
+		n.snapshot = e.Snapshot
+	case Send:
+		for _, to := range e.To {
+			c.send(n.address, to, e.Datagram)
+		}
+	case ReadTargets:
+		c.waitStore(n, "targets", e.Wait, func() Event {
+			list := make([]discovery.Target, 0, len(c.targets))
+			for _, t := range c.targets {
+				list = append(list, t)
+			}
+			slices.SortFunc(list, func(a, b discovery.Target) int { return cmp.Compare(a.ID, b.ID) })
+			return TargetsRead{Targets: discovery.NewTargets(c.revision, c.now.UnixMilli(), list)}
+		}, func(err error) Event { return TargetsRead{Err: err} })
+	case ReadConfiguration:
+		c.waitStore(n, "config", e.Wait, func() Event {
+			return ConfigurationRead{Document: &Document{Configuration: c.config}, At: c.now.UnixMilli()}
+		}, func(err error) Event { return ConfigurationRead{Err: err} })
+	case ReadPeers:
+		c.callStore(n, func() Event {
+			var peers []Peer
+			for _, name := range c.names {
+				if h := c.hosts[name]; h != nil {
+					peers = append(peers, h.config.Self)
+				}
+			}
+			return PeersRead{Peers: peers}
+		}, func(err error) Event { return PeersRead{Err: err} })
+	case Register:
+		c.callStore(n, func() Event { return Registered{} }, func(err error) Event { return Registered{Err: err} })
+	case Fetch:
+		c.fetch(n, e)
+	case Record:
+		n.events = append(n.events, e.Event)
+	}
+}
+
+func (c *cluster) reach(from, to string) bool {
+	return c.partition == nil || !c.partition(from, to)
+}
+
+func (c *cluster) send(from, to string, d Datagram) {
+	if c.rand.Float64() < c.loss || !c.reach(from, to) {
+		return
+	}
+	c.after(wireDelay, func() {
+		if n := c.hosts[to]; n != nil {
+			c.deliver(n, Heard{Datagram: d})
+		}
+	})
+}
+
+func (c *cluster) fetch(n *node, e Fetch) {
+	c.after(wireDelay, func() {
+		peer := c.hosts[e.From]
+		if peer == nil || peer.down || !c.reach(n.address, e.From) {
+			c.after(100*time.Millisecond, func() { c.deliver(n, Fetched{Err: errAway}) })
+			return
+		}
+		have := peer.core.Documents(c.now)
+		c.after(wireDelay, func() { c.deliver(n, have) })
+	})
+}
+
+func (c *cluster) callStore(n *node, answer func() Event, fail func(error) Event) {
+	c.reads++
+	c.after(storeDelay, func() {
+		if c.away || c.cut[n.address] {
+			c.deliver(n, fail(errAway))
+			return
+		}
+		c.deliver(n, answer())
+	})
+}
+
+// waitStore answers when something has changed since the host's last reading, or
+// after the wait.
+func (c *cluster) waitStore(n *node, what string, wait time.Duration, answer func() Event, fail func(error) Event) {
+	c.reads++
+	began := c.now
+	key := what + n.address
+	var poll func()
+	poll = func() {
+		switch {
+		case c.away || c.cut[n.address]:
+			c.deliver(n, fail(errAway))
+		case c.changed[what].After(c.changed[key]) || c.now.Sub(began) >= wait:
+			c.changed[key] = c.now
+			c.deliver(n, answer())
+		default:
+			c.after(storeDelay, poll)
+		}
+	}
+	c.after(storeDelay, poll)
+}
+
+func (c *cluster) putTarget(t discovery.Target) {
+	c.revision++
+	t.Revision = c.revision
+	c.targets[t.ID] = t
+	c.changed["targets"] = c.now
+}
+
+func (c *cluster) dropTarget(id string) {
+	c.revision++
+	delete(c.targets, id)
+	c.changed["targets"] = c.now
+}
+
+// configure writes a configuration to the store.
+func (c *cluster) configure(v discovery.Version) {
+	c.revision++
+	c.config = discovery.NewConfiguration(v, []discovery.Route{{
+		Name: "r", Authority: "shop.example", Prefix: "/", Idempotent: true, Attempts: 2,
+		Timeout: time.Second, Parts: []discovery.Part{{Service: "orders", Weight: 1}},
+	}}, map[string]discovery.Service{"orders": {}}, discovery.Limits{})
+	c.changed["config"] = c.now
+}
+
+// each calls f for every host that is up.
+func (c *cluster) each(f func(n *node)) {
+	for _, name := range c.names {
+		if n := c.hosts[name]; !n.down {
+			f(n)
+		}
+	}
+}
+
+// all reports whether f holds on every host that is up.
+func (c *cluster) all(f func(n *node) bool) bool {
+	ok := true
+	c.each(func(n *node) { ok = ok && f(n) })
+	return ok
+}
+
+// ranked returns the hosts in the order of duties, as the first host sees it.
+func (c *cluster) ranked() []string {
+	var out []string
+	for _, p := range c.hosts[c.names[0]].core.live() {
+		out = append(out, p.Address)
+	}
+	return out
+}
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -78,7 +78,7 @@
 
 	out      reporter
 	relay    relay
-	contacts map[zone.ID]*contact
+	relays   map[zone.ID]*contact
 	fetching fetchState
 	joining  joinState
 
@@ -95,7 +95,7 @@
 		peers:    make(map[Hash]*peerState),
 		services: make(map[string]*pool.Service),
 		byHash:   make(map[pool.Hash]targetRef),
-		contacts: make(map[zone.ID]*contact),
+		relays:   make(map[zone.ID]*contact),
 		nextTick: now,
 		lastTick: now,
 		outdated: true,
@@ -176,7 +176,6 @@
 	c.nextTick = now.Add(tickInterval)
 	c.joining.tick(c, now)
 	c.expirePeers(now)
-	c.expireTargets(now)
 	c.readStore(now)
 	c.fetchNews(now)
 	c.refresh(now)
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -21,6 +22,9 @@
 	return c.order
 }
 
+// known returns the names of the other hosts in a fixed order.
+func (c *Core) known() []Hash { return slices.Sorted(maps.Keys(c.peers)) }
+
 // rank returns this host's place among the live hosts.
 func (c *Core) rank() int { return slices.Index(c.live(), c.self) }
 
@@ -54,7 +58,8 @@
 
 // expirePeers drops hosts that are silent.
 func (c *Core) expirePeers(now time.Time) {
-	for hash, p := range c.peers {
+	for _, hash := range c.known() {
+		p := c.peers[hash]
 		quiet := now.Sub(p.heard)
 		if p.alive && quiet > silence {
 			p.alive = false
@@ -72,8 +77,8 @@
 // Peers returns the hosts that this one knows, itself included.
 func (c *Core) Peers() []Peer {
 	out := []Peer{c.cfg.Self}
-	for _, p := range c.peers {
-		out = append(out, p.Peer)
+	for _, hash := range c.known() {
+		out = append(out, c.peers[hash].Peer)
 	}
 	return out
 }
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -129,6 +129,9 @@
 	// silence is how long a host may be silent before its load does not count
 	// and callers are not sent to it: four lost heartbeats.
 	silence = 900 * time.Millisecond
+	// relayDoubt is how long a relay may be silent before others get the reports
+	// too: a little more than its own heartbeat.
+	relayDoubt = 260 * time.Millisecond
 	// relaySilence is how long a relay may be silent before another is taken.
 	relaySilence = 400 * time.Millisecond
 	// relayPause is how long a silent relay is passed over.
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -56,12 +57,14 @@
 	}
 	report := c.newReport(now)
 	c.out.due = now.Add(heartbeat)
-	to := c.contact(c.cfg.Self.Zone, now)
-	if to == nil || to == c.self {
+	if c.contact(c.cfg.Self.Zone, now) == c.self {
 		c.relayReport(now, report, ToRelay)
 		return
 	}
-	c.send(to, Datagram{Hop: ToRelay, Reports: []Report{report}})
+	c.emit(Send{
+		To:       c.contacts(c.cfg.Self.Zone, now),
+		Datagram: Datagram{From: c.hash, Hop: ToRelay, Reports: []Report{report}},
+	})
 }
 
 func (c *Core) newReport(now time.Time) Report {
@@ -77,7 +80,8 @@
 		Configuration: c.config.stamp(now),
 	}
 	c.out.endings = nil
-	for hash, ref := range c.byHash {
+	for _, hash := range slices.Sorted(maps.Keys(c.byHash)) {
+		ref := c.byHash[hash]
 		if n := ref.target.Own(); n > 0 {
 			r.Loads = append(r.Loads, Load{Target: hash, Requests: n})
 		}
@@ -85,11 +89,6 @@
 	return r
 }
 
-func (c *Core) send(to *peerState, d Datagram) {
-	d.From = c.hash
-	c.emit(Send{To: []string{to.Datagrams}, Datagram: d})
-}
-
 // relay gathers reports that this host passes on.
 type relay struct {
 	// zone and world hold reports for the own zone, and for the other zones.
@@ -144,15 +143,13 @@
 	return out
 }
 
-// farContacts returns the addresses of one host of each other zone.
+// farContacts returns the addresses of the hosts that pass reports on in the
+// other zones.
 func (c *Core) farContacts(now time.Time) []string {
 	var out []string
 	for _, z := range c.cfg.Zones.Zones() {
-		if z.ID == c.cfg.Self.Zone {
-			continue
-		}
-		if to := c.contact(z.ID, now); to != nil {
-			out = append(out, to.Datagrams)
+		if z.ID != c.cfg.Self.Zone {
+			out = append(out, c.contacts(z.ID, now)...)
 		}
 	}
 	return out
@@ -182,6 +179,29 @@
 	since time.Time
 }
 
+// doubtedContacts is how many further hosts get the reports while a relay is
+// silent for longer than usual. Several relays may be lost at once.
+const doubtedContacts = 2
+
+// contacts returns the addresses of the hosts of a zone that pass reports on: one,
+// or some more while that one may be lost.
+func (c *Core) contacts(z zone.ID, now time.Time) []string {
+	first := c.contact(z, now)
+	if first == nil {
+		return nil
+	}
+	out := []string{first.Datagrams}
+	if first == c.self || now.Sub(first.direct) <= relayDoubt {
+		return out
+	}
+	for _, p := range c.live() {
+		if p.Zone == z && p != first && p != c.self && !now.Before(p.avoided) && len(out) <= doubtedContacts {
+			out = append(out, p.Datagrams)
+		}
+	}
+	return out
+}
+
 // contact returns the host of a zone that passes reports on: the first in order
 // that has not been silent. It returns nil when none is known.
 func (c *Core) contact(z zone.ID, now time.Time) *peerState {
@@ -195,9 +215,9 @@
 	if first == nil || first == c.self {
 		return first
 	}
-	known := c.contacts[z]
+	known := c.relays[z]
 	if known == nil || known.host != first.hash {
-		c.contacts[z] = &contact{host: first.hash, since: now}
+		c.relays[z] = &contact{host: first.hash, since: now}
 		return first
 	}
 	if now.Sub(known.since) > relaySilence && now.Sub(first.direct) > relaySilence {
@@ -257,8 +277,7 @@
 		e.Host = string(p.ID)
 		c.apply(now, e)
 	}
-	c.takeStamp(now, &c.targets, r.Targets)
-	c.takeStamp(now, &c.config, r.Configuration)
+	c.takeStamps(now, r)
 	return true
 }
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/crocushinge/crocushinge/discovery"
 	"github.com/crocushinge/crocushinge/timeline"
 )
 
@@ -48,17 +49,28 @@
 	}
 }
 
-// takeStamp learns from a peer how new its copy is.
-func (c *Core) takeStamp(now time.Time, v *view, s Stamp) {
-	at := now.Add(-s.Age)
-	switch {
-	case s.Revision == 0 || s.Revision < v.revision:
-	case s.Revision == v.revision:
-		v.confirm(at, s.Confirmed)
-	case v == &c.targets && v.revision > 0 && s.Digest == v.digest:
-		v.revision = s.Revision
-		v.confirm(at, s.Confirmed)
-	case v.wantedSince.IsZero():
+// takeStamps learns from a peer how new its copies are.
+func (c *Core) takeStamps(now time.Time, r Report) {
+	if s := r.Targets; s.Revision > 0 && s.Confirmed > c.targets.storeTime {
+		if s.Digest == c.targets.digest && c.targets.revision > 0 {
+			c.registry.Confirm(s.Confirmed)
+			c.targets.revision = max(c.targets.revision, s.Revision)
+			c.targets.confirm(now.Add(-s.Age), s.Confirmed)
+		} else {
+			c.want(now, &c.targets)
+		}
+	}
+	switch s := r.Configuration; {
+	case s.Revision > c.config.revision:
+		c.want(now, &c.config)
+	case s.Revision > 0 && s.Revision == c.config.revision:
+		c.config.confirm(now.Add(-s.Age), s.Confirmed)
+	}
+}
+
+// want notes that a peer has a newer copy.
+func (c *Core) want(now time.Time, v *view) {
+	if v.wantedSince.IsZero() {
 		v.wantedSince = now
 		c.fetchNews(now)
 	}
@@ -80,9 +92,6 @@
 	// doubles with every failure and is drawn from half of it to one and a half.
 	firstRetry   = 300 * time.Millisecond
 	longestRetry = 4 * time.Second
-	// outageAge is the age of a view from which entries may have lapsed because
-	// the store was away: longer than any chain of lost readers takes.
-	outageAge = 2500 * time.Millisecond
 )
 
 // readStore reads what is too old on this host.
@@ -153,36 +162,31 @@
 	if !c.readEnded(now, &c.targets, ev.Err) {
 		return
 	}
-	outage := c.targets.age(now) > outageAge && c.targets.revision > 0
-	if c.registry.Merge(ev.Targets, outage, now) {
-		c.targetsChanged(now, fmt.Sprintf("read from the store, last confirmed %s ago", c.targets.age(now).Round(time.Millisecond)))
-		c.targets.confirm(now, ev.Targets.At)
-	}
+	how := fmt.Sprintf("read from the store, last confirmed %s ago", c.targets.age(now).Round(time.Millisecond))
+	c.mergeTargets(now, ev.Targets, now, how)
 }
 
-// targetsChanged takes the registry's view over.
-func (c *Core) targetsChanged(now time.Time, how string) {
+// mergeTargets takes a reading over that the store confirmed at a time.
+func (c *Core) mergeTargets(now time.Time, read *discovery.Targets, confirmed time.Time, how string) {
+	if !c.registry.Merge(read) {
+		return
+	}
 	known := c.registry.Known()
 	same := c.targets.digest == known.Digest && c.targets.revision > 0
 	c.targets.revision = max(c.targets.revision, known.Revision)
 	c.targets.digest = known.Digest
 	c.targets.wantedSince = time.Time{}
-	if !same {
-		c.record(now, timeline.Event{
-			Kind:     timeline.TargetsInForce,
-			Revision: known.Revision,
-			Reason:   fmt.Sprintf("%s: %d targets, %d draining", how, len(known.List), known.Draining()),
-		})
-		c.applyTargets()
-		c.out.schedule(now)
-	}
-}
-
-// expireTargets drops entries that lapsed during an outage and stayed away.
-func (c *Core) expireTargets(now time.Time) {
-	if c.registry.Expire(now) {
-		c.targetsChanged(now, "entries that lapsed in an outage dropped")
+	c.targets.confirm(confirmed, known.At)
+	if same {
+		return
 	}
+	c.record(now, timeline.Event{
+		Kind:     timeline.TargetsInForce,
+		Revision: known.Revision,
+		Reason:   fmt.Sprintf("%s: %d targets, %d draining", how, len(known.List), known.Draining()),
+	})
+	c.applyTargets()
+	c.out.schedule(now)
 }
 
 func (c *Core) configurationRead(now time.Time, ev ConfigurationRead) {
@@ -257,7 +261,7 @@
 		if p == c.self || p.hash == c.fetching.from && len(c.order) > 2 && !c.fetching.retryAt.IsZero() {
 			continue
 		}
-		if targets && p.last.Targets.Revision <= c.targets.revision || config && p.last.Configuration.Revision <= c.config.revision {
+		if targets && p.last.Targets.Confirmed <= c.targets.storeTime || config && p.last.Configuration.Revision <= c.config.revision {
 			continue
 		}
 		if p.Zone == c.cfg.Self.Zone {
@@ -295,9 +299,8 @@
 	}
 	c.fetching.retryAt = time.Time{}
 	c.meet(now, ev.Peers)
-	if ev.Targets != nil && ev.Targets.Revision >= c.targets.revision && c.registry.Merge(ev.Targets, false, now) {
-		c.targetsChanged(now, "fetched from a peer")
-		c.targets.confirm(now.Add(-ev.TargetsStamp.Age), ev.TargetsStamp.Confirmed)
+	if ev.Targets != nil {
+		c.mergeTargets(now, ev.Targets, now.Add(-ev.TargetsStamp.Age), "fetched from a peer")
 	}
 	if ev.Document != nil {
 		c.putInForce(now, ev.Document)
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -66,12 +66,12 @@
 // It returns nil when there is no untried target.
 func (r *Routing) Pick(rng *rand.Rand, q Request) *Target {
 	if t := r.pickTest(q); t != nil {
-		t.begin(q.Now)
+		t.Begin(q.Now)
 		return t
 	}
 	best := r.cheapest(rng, q, r.spared())
 	if best != nil {
-		best.begin(q.Now)
+		best.Begin(q.Now)
 	}
 	return best
 }
--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,309 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/link"
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+const (
+	testFloor = 0.7
+	usual     = 200 * time.Millisecond
+)
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func place() Place {
+	return Place{Zone: "a", Zones: zone.NewMap([]zone.Zone{{ID: "a", Region: "r"}, {ID: "b", Region: "r"}, {ID: "z", Region: "s"}}, nil)}
+}
+
+// newService returns a service of n targets in this host's zone whose usual
+// latency is known.
+func newService(n int) *Service {
+	s := NewService("orders", place())
+	var list []discovery.Target
+	for i := range n {
+		list = append(list, discovery.Target{
+			ID: fmt.Sprintf("t%02d", i), Service: "orders", Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: "a", Slots: 4,
+		})
+	}
+	s.Apply(list)
+	for _, t := range s.Targets() {
+		t.Use(epoch)
+		succeed(s, t, epoch)
+	}
+	return s
+}
+
+func succeed(s *Service, t *Target, now time.Time) {
+	s.Observe(t, Ending{Host: "h", Outcome: link.Succeeded, Latency: usual}, now)
+}
+
+func fail(s *Service, t *Target, after time.Duration, now time.Time) {
+	s.Observe(t, Ending{Host: "h", Outcome: link.Failed, Latency: after}, now)
+}
+
+func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// pick chooses a target for a request and ends the request at once.
+func pick(s *Service, q Request) *Target {
+	t := s.Routing(testFloor).Pick(rng(), q)
+	if t != nil {
+		t.End()
+	}
+	return t
+}
+
+func TestOneEarlyFailureMakesASuspect(t *testing.T) {
+	is := is.New(t)
+	s := newService(8)
+	bad := s.Targets()[3]
+	fail(s, bad, time.Millisecond, epoch)
+	is.True(bad.Suspect())
+	random := rng()
+	for range 200 {
+		got := s.Routing(testFloor).Pick(random, Request{Now: epoch})
+		is.True(got != bad)
+		got.End()
+	}
+}
+
+func TestFailuresAfterTheUsualTimeAreWeakEvidence(t *testing.T) {
+	is := is.New(t)
+	s := newService(8)
+	bad := s.Targets()[0]
+	fail(s, bad, usual, epoch)
+	is.True(!bad.Suspect())
+	for i := range 3 {
+		fail(s, bad, usual, epoch.Add(time.Duration(i)*100*time.Millisecond))
+	}
+	is.True(bad.Suspect())
+}
+
+func TestEvidenceFades(t *testing.T) {
+	is := is.New(t)
+	s := newService(8)
+	bad := s.Targets()[0]
+	for i := range 20 {
+		fail(s, bad, usual, epoch.Add(time.Duration(i)*10*time.Second))
+	}
+	is.True(!bad.Suspect())
+}
+
+func TestSuspectIsTestedByRequestsThatMayBeRepeated(t *testing.T) {
+	is := is.New(t)
+	s := newService(8)
+	s.Repeatable = true
+	bad := s.Targets()[2]
+	fail(s, bad, time.Millisecond, epoch)
+	later := epoch.Add(10 * time.Second)
+	is.True(pick(s, Request{Now: later}) != bad) // may not be repeated
+	is.Equal(pick(s, Request{Now: later, Repeatable: true}), bad)
+	is.True(pick(s, Request{Now: epoch, Repeatable: true}) != bad) // too early
+	is.True(pick(s, Request{Now: later, Repeatable: true, Tried: s.Targets()[:1]}) != bad)
+}
+
+func TestOneTestAtATime(t *testing.T) {
+	is := is.New(t)
+	s := newService(8)
+	s.Repeatable = true
+	bad := s.Targets()[2]
+	fail(s, bad, time.Millisecond, epoch)
+	later := epoch.Add(10 * time.Second)
+	bad.AddOthers(1) // another host tests it
+	is.True(pick(s, Request{Now: later, Repeatable: true}) != bad)
+}
+
+func TestSuspectOfAServiceWithoutRepeatsIsTestedWithinTheFloorsWindow(t *testing.T) {
+	is := is.New(t)
+	s := newService(8)
+	bad := s.Targets()[2]
+	fail(s, bad, time.Millisecond, epoch)
+	for i := range 5 {
+		at := epoch.Add(time.Duration(i) * 2 * time.Second)
+		is.Equal(pick(s, Request{Now: at.Add(2 * time.Second)}), bad)
+		fail(s, bad, time.Millisecond, at.Add(2*time.Second))
+	}
+}
+
+func TestPassedTestsEndASuspicion(t *testing.T) {
+	is := is.New(t)
+	s := newService(8)
+	bad := s.Targets()[2]
+	fail(s, bad, time.Millisecond, epoch)
+	now := epoch.Add(usual / 2)
+	succeed(s, bad, now) // began before the failure
+	is.True(bad.Suspect())
+	for range passes {
+		is.True(bad.Suspect())
+		now = now.Add(2 * usual)
+		succeed(s, bad, now)
+	}
+	is.True(!bad.Suspect())
+	// On probation weak evidence is enough.
+	fail(s, bad, usual, now)
+	fail(s, bad, usual, now)
+	is.True(bad.Suspect())
+}
+
+// TestFloorKeepsHealthyTargetsInUse checks that unconfirmed suspicion leaves the
+// floor's share of the targets that have not failed a test.
+func TestFloorKeepsHealthyTargetsInUse(t *testing.T) {
+	is := is.New(t)
+	s := newService(10)
+	for _, bad := range s.Targets()[:8] {
+		fail(s, bad, time.Millisecond, epoch)
+	}
+	used := make(map[*Target]bool)
+	random := rng()
+	for range 400 {
+		got := s.Routing(testFloor).Pick(random, Request{Now: epoch})
+		used[got] = true
+	}
+	is.True(float64(len(used)) >= testFloor*10)
+}
+
+func TestTargetsThatFailedATestAreNotSpared(t *testing.T) {
+	is := is.New(t)
+	s := newService(10)
+	for _, bad := range s.Targets()[:6] {
+		fail(s, bad, time.Millisecond, epoch)
+		fail(s, bad, time.Millisecond, epoch)
+	}
+	random := rng()
+	for range 200 {
+		got := s.Routing(testFloor).Pick(random, Request{Now: epoch})
+		is.True(!got.Suspect())
+	}
+}
+
+func TestServiceWhoseTargetsAllFailIsStillTried(t *testing.T) {
+	is := is.New(t)
+	s := newService(4)
+	for _, bad := range s.Targets() {
+		fail(s, bad, time.Millisecond, epoch)
+		fail(s, bad, time.Millisecond, epoch)
+	}
+	used := make(map[*Target]bool)
+	for range 100 {
+		used[s.Routing(testFloor).Pick(rng(), Request{Now: epoch})] = true
+	}
+	is.Equal(len(used), 4) // the load spreads over them
+}
+
+func TestLoadOfOtherHostsCounts(t *testing.T) {
+	is := is.New(t)
+	s := newService(3)
+	s.Targets()[0].AddOthers(4)
+	s.Targets()[1].AddOthers(3)
+	is.Equal(pick(s, Request{Now: epoch}), s.Targets()[2])
+}
+
+func TestOtherZonesTakeWhatTheOwnHasNoSlotFor(t *testing.T) {
+	is := is.New(t)
+	s := NewService("orders", place())
+	s.Apply([]discovery.Target{
+		{ID: "near", Address: "10.0.0.1:80", Zone: "a", Slots: 4},
+		{ID: "next", Address: "10.0.0.2:80", Zone: "b", Slots: 4},
+		{ID: "far", Address: "10.0.0.3:80", Zone: "z", Slots: 4},
+	})
+	var order []string
+	random := rng()
+	for range 24 {
+		order = append(order, s.Routing(testFloor).Pick(random, Request{Now: epoch}).Key.Name)
+	}
+	is.Equal(order[:3], []string{"near", "near", "near"})
+	first := func(name string) int {
+		for i, n := range order {
+			if n == name {
+				return i
+			}
+		}
+		return len(order)
+	}
+	is.True(first("near") < first("next"))
+	is.True(first("next") < first("far"))
+}
+
+func TestHostsOwnBrokenLinkIsNoSuspicion(t *testing.T) {
+	is := is.New(t)
+	s := newService(4)
+	cut := s.Targets()[1]
+	cut.ObserveReach(link.ConnectFailed, epoch)
+	s.Observe(cut, Ending{Host: "h", Outcome: link.ConnectFailed}, epoch)
+	s.Observe(cut, Ending{Host: "h", Outcome: link.ConnectFailed}, epoch)
+	is.True(!cut.Suspect())
+	for range 100 {
+		is.True(pick(s, Request{Now: epoch}) != cut) // this host goes around it
+	}
+	s.Observe(cut, Ending{Host: "other", Outcome: link.ConnectFailed}, epoch)
+	is.True(cut.Suspect()) // two hosts see it
+}
+
+func TestRefusalsAndDeadlinesAreNoSuspicion(t *testing.T) {
+	is := is.New(t)
+	s := newService(4)
+	busy := s.Targets()[0]
+	for range 50 {
+		for _, o := range []link.Outcome{link.Refused, link.TimedOut, link.Canceled} {
+			s.Observe(busy, Ending{Host: "h", Outcome: o, Latency: usual}, epoch)
+		}
+	}
+	is.True(!busy.Suspect())
+}
+
+func TestDrainingTargetsTakeNoRequests(t *testing.T) {
+	is := is.New(t)
+	s := newService(2)
+	list := []discovery.Target{
+		{ID: "t00", Service: "orders", Address: "10.0.0.0:80", Zone: "a", Slots: 4, Draining: true},
+		{ID: "t01", Service: "orders", Address: "10.0.0.1:80", Zone: "a", Slots: 4},
+	}
+	s.Apply(list)
+	for range 50 {
+		is.Equal(s.Routing(testFloor).Pick(rng(), Request{Now: epoch}).Key.Name, "t01")
+	}
+	is.Equal(len(s.All()), 2) // its requests in flight are still counted
+}
+
+func TestRestartedTargetBeginsAnew(t *testing.T) {
+	is := is.New(t)
+	s := newService(4)
+	fail(s, s.Targets()[0], time.Millisecond, epoch)
+	s.Apply([]discovery.Target{{ID: "t00", Born: 7, Service: "orders", Address: "10.0.0.0:80", Zone: "a", Slots: 4}})
+	is.True(!s.Targets()[0].Suspect())
+}
+
+func TestUnusedTargetGetsARequest(t *testing.T) {
+	is := is.New(t)
+	s := newService(3)
+	for _, other := range s.Targets()[1:] {
+		other.Use(epoch.Add(unusedAfter))
+	}
+	s.Targets()[0].warming.Store(true)
+	is.Equal(pick(s, Request{Now: epoch.Add(unusedAfter + time.Millisecond)}), s.Targets()[0])
+}
+
+func TestSlowTargetIsAvoidedAndForgiven(t *testing.T) {
+	is := is.New(t)
+	s := newService(3)
+	slow := s.Targets()[0]
+	for range 30 {
+		s.Observe(slow, Ending{Host: "h", Outcome: link.Succeeded, Latency: 6 * usual}, epoch)
+	}
+	s.Refresh(250 * time.Millisecond)
+	for range 50 {
+		is.True(pick(s, Request{Now: epoch}) != slow)
+	}
+	for range 80 {
+		s.Refresh(250 * time.Millisecond)
+	}
+	is.True(slow.cost(epoch) < 1.5)
+}
--- a/pool/target.go
+++ b/pool/target.go
@@ -95,8 +95,8 @@
 	return t
 }
 
-// begin counts a request that this host sends to the target.
-func (t *Target) begin(now time.Time) {
+// Begin counts a request that this host sends to the target.
+func (t *Target) Begin(now time.Time) {
 	t.own.Add(1)
 	t.Use(now)
 }
