Refuse early what cannot be in time

Ruled out: unequal queues; the busiest target had 1.56 times the mean. Change: a request is refused at once with a time to come back when the shortest queue leaves no time for it; less urgent requests and those that are late already first.

--- a/traffic/gateway.go
+++ b/traffic/gateway.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/textproto"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -64,8 +65,11 @@
 type Gateway struct {
 	cfg GatewayConfig
 	// budgets holds a *caller.WindowBudget for each service.
-	budgets  sync.Map
-	counters GatewayCounters
+	budgets sync.Map
+	// deadlines holds the longest deadline of each route as an *atomic.Int64, in
+	// nanoseconds.
+	deadlines sync.Map
+	counters  GatewayCounters
 }
 
 var _ http.Handler = (*Gateway)(nil)
@@ -85,6 +89,9 @@
 	route   *discovery.Route
 	service string
 	version discovery.Version
+	// returning is set when the caller has waited for longer than the objective
+	// before this attempt.
+	returning bool
 	// due is when the caller or the route stops waiting.
 	due     time.Time
 	interim func(status int, fields textproto.MIMEHeader) error
@@ -148,11 +155,28 @@
 	limit := p.route.Timeout
 	if left, ok := timeLeft(r.Header, g.cfg.Headers.Deadline); ok {
 		limit = min(limit, left)
+		p.returning = g.patience(p.route.Name, left)-left > p.route.Objective
 	}
 	p.due = p.arrived.Add(limit)
 	return p, nil
 }
 
+// patience returns the longest deadline that callers of a route have brought. A
+// caller that brings much less has spent time on earlier attempts.
+func (g *Gateway) patience(route string, left time.Duration) time.Duration {
+	known, _ := g.deadlines.LoadOrStore(route, &atomic.Int64{})
+	longest := known.(*atomic.Int64)
+	for {
+		old := longest.Load()
+		if int64(left) <= old {
+			return time.Duration(old)
+		}
+		if longest.CompareAndSwap(old, int64(left)) {
+			return left
+		}
+	}
+}
+
 // headBytes returns the size of a request's head as it was sent, about.
 func headBytes(r *http.Request) int {
 	const lineBytes = len(": \r\n")
--- a/traffic/gateway_carry.go
+++ b/traffic/gateway_carry.go
@@ -45,6 +45,11 @@
 	defer cancel()
 	j := &journey{gateway: g, passage: p, ctx: ctx, results: make(chan *sending, p.route.Attempts+maxConnects)}
 	defer j.finish()
+	if routing := snap.Services[p.service]; routing != nil && !routing.Admit(p.demand()) {
+		g.counters.Overload.Add(1)
+		g.refuse(w, p, refuseFor(p.comeBack(), "every target's queue is too long for the objective"))
+		return
+	}
 	if !j.start() {
 		g.refuse(w, p, refuseFor(retryPause, "no target of the service is known"))
 		return
@@ -188,7 +193,7 @@
 		g.log(p, s, j.sent, "failure passed on")
 		g.deliver(w, s)
 	case !j.mayHaveRun:
-		g.refuse(w, p, refuseFor(j.comeBack(), "no target took the request: "+j.last.err.Error()))
+		g.refuse(w, p, refuseFor(p.comeBack(), "no target took the request: "+j.last.err.Error()))
 	case errors.Is(j.ctx.Err(), context.DeadlineExceeded):
 		g.refuse(w, p, answer(http.StatusGatewayTimeout, caller.Unknown, "no answer in time"))
 	case j.ctx.Err() != nil:
@@ -199,13 +204,15 @@
 	}
 }
 
-// comeBack returns after what time a refused caller may find a free slot: a
-// random part of the usual latency, so that callers spread.
-func (j *journey) comeBack() time.Duration {
-	pause := retryPause
-	if routing := j.gateway.cfg.Snapshot().Services[j.passage.service]; routing != nil && routing.Typical() > 0 {
-		pause = routing.Typical()
-	}
+// demand returns what decides whether the passage is taken.
+func (p *passage) demand() pool.Demand {
+	return pool.Demand{Objective: p.route.Objective, Priority: p.route.Priority, Late: p.returning}
+}
+
+// comeBack returns after what time a refused caller may find a free slot: a random
+// time around the objective, so that callers spread.
+func (p *passage) comeBack() time.Duration {
+	pause := max(p.route.Objective, retryPause)
 	return pause/2 + time.Duration(random.Int64N(int64(pause)))
 }
 
--- a/traffic/gateway_record.go
+++ b/traffic/gateway_record.go
@@ -18,6 +18,8 @@
 	Answered, Refused, Failed, TimedOut atomic.Int64
 	// Gone counts requests whose caller went away.
 	Gone atomic.Int64
+	// Overload counts requests that were refused because of the targets' queues.
+	Overload atomic.Int64
 	// Retries counts requests sent to a further target, and BudgetSpent those
 	// that were not because the budget was spent.
 	Retries, BudgetSpent atomic.Int64
