--- a/caller/window.go
+++ b/caller/window.go
@@ -11,7 +11,7 @@
 
 // budgetMargin is the share of a window's budget that one host uses. The rest
 // covers requests that other hosts count into a neighboring window.
-const budgetMargin = 0.8
+const budgetMargin = 0.95
 
 // WindowBudget bounds the retries of a service over any window of time. Each host
 // of a fleet keeps one and stays within its share of the fleet's budget by itself.
--- a/traffic/gateway_carry.go
+++ b/traffic/gateway_carry.go
@@ -68,7 +68,7 @@
 				j.start()
 			}
 		case <-hedge.C:
-			if j.mayRepeat() && j.spend() {
+			if j.mayRepeat() && j.spare() && j.spend() {
 				j.start()
 			}
 		case <-ctx.Done():
@@ -152,6 +152,16 @@
 	return j.sent == 0 || j.spend()
 }
 
+// spareShare is the share of a service's slots that must be free for a second copy
+// of a request that is only slow: under load copies make all slower.
+const spareShare = 0.2
+
+// spare reports whether the service has slots for a second copy.
+func (j *journey) spare() bool {
+	routing := j.gateway.cfg.Snapshot().Services[j.passage.service]
+	return routing != nil && float64(routing.Free()) >= spareShare*float64(routing.Slots)
+}
+
 // spend takes a retry from the budget. A first sending needs none.
 func (j *journey) spend() bool {
 	g := j.gateway
