--- a/cmd/crocushinge-gateway/main.go
+++ b/cmd/crocushinge-gateway/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -48,6 +49,9 @@
 		return nil
 	}
 	log := zerolog.New(gateway.NewLogWriter(os.Stdout)).With().Timestamp().Str("host", settings.Gateway.Host).Logger()
+	// net/http reports strange bytes of targets and callers to the standard logger.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.Level(zerolog.WarnLevel))
 	store := platform.NewStore(settings.Store, log)
 	g, err := gateway.New(settings.Gateway, store, platform.Protocol{}, log)
 	if err != nil {
--- /dev/null
+++ b/traffic/gateway_harness_test.go
@@ -0,0 +1,228 @@
+package traffic
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/fleet"
+	"github.com/crocushinge/crocushinge/link"
+	"github.com/crocushinge/crocushinge/pool"
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+var testHeaders = GatewayHeaders{RequestID: "X-Id", Deadline: "X-Left-Ms", ExpectedTarget: "X-For", NotRun: "X-Not-Run"}
+
+const signatureHeader = "X-Signature"
+
+// gatewayBench is a gateway before fake targets.
+type gatewayBench struct {
+	t       *testing.T
+	service *pool.Service
+	routes  []discovery.Route
+	limits  discovery.Limits
+	budget  RetryBudget
+	closing atomic.Bool
+	leaving atomic.Bool
+	none    atomic.Bool
+
+	mu       sync.Mutex
+	observed []fleet.Observation
+	lines    []Decision
+
+	targets []discovery.Target
+	gateway *Gateway
+	server  *httptest.Server
+}
+
+// newGatewayBench returns a bench with routes for "/read/", which may be repeated,
+// and "/write/", which may not.
+func newGatewayBench(t *testing.T) *gatewayBench {
+	b := &gatewayBench{t: t, budget: RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}}
+	b.service = pool.NewService("orders", pool.Place{Zone: "a", Zones: zone.NewMap([]zone.Zone{{ID: "a", Region: "r"}}, nil)})
+	b.service.Repeatable = true
+	for _, r := range []discovery.Route{
+		{Name: "read", Prefix: "/read/", Idempotent: true, Timeout: 2 * time.Second},
+		{Name: "write", Prefix: "/write/", Timeout: 2 * time.Second},
+		{Name: "hasty", Prefix: "/hasty/", Timeout: 150 * time.Millisecond},
+	} {
+		r.Authority, r.Attempts = "shop.example", 2
+		r.Objective = 500 * time.Millisecond
+		r.Parts = []discovery.Part{{Service: "orders", Weight: 1}}
+		b.routes = append(b.routes, r)
+	}
+	return b
+}
+
+// start begins to serve.
+func (b *gatewayBench) start() *gatewayBench {
+	b.service.Apply(b.targets)
+	b.gateway = NewGateway(GatewayConfig{
+		Snapshot:  b.snapshot,
+		Observe:   b.observe,
+		Started:   func() {},
+		Closing:   b.closing.Load,
+		Transport: NewTargets(DialTCP),
+		Bodies:    caller.NewMemory(1 << 20),
+		Headers:   testHeaders,
+		Budget:    b.budget,
+		Log: func(d Decision) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.lines = append(b.lines, d)
+		},
+	})
+	b.server = httptest.NewUnstartedServer(b.gateway)
+	b.server.Config = NewServer(b.gateway)
+	b.server.Start()
+	b.t.Cleanup(b.server.Close)
+	return b
+}
+
+func (b *gatewayBench) snapshot() *fleet.Snapshot {
+	s := &fleet.Snapshot{Hosts: 1, Ready: true, Leaving: b.leaving.Load()}
+	if !b.none.Load() {
+		s.Configuration = discovery.NewConfiguration(7, b.routes, map[string]discovery.Service{"orders": {}}, b.limits)
+		s.Services = map[string]*pool.Routing{"orders": b.service.Routing(0.7)}
+	}
+	return s
+}
+
+// observe judges at once, as the control thread does a little later.
+func (b *gatewayBench) observe(o fleet.Observation) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.observed = append(b.observed, o)
+	b.service.Observe(o.Target, pool.Ending{Host: "h", Outcome: o.Outcome, Latency: o.Latency}, time.Now())
+}
+
+func (b *gatewayBench) outcomes() []link.Outcome {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []link.Outcome
+	for _, o := range b.observed {
+		out = append(out, o.Outcome)
+	}
+	return out
+}
+
+// fakeTarget counts what arrives at a target.
+type fakeTarget struct {
+	name    string
+	arrived atomic.Int64
+	mu      sync.Mutex
+	seen    []*http.Request
+	bodies  []string
+}
+
+func (f *fakeTarget) requests() []*http.Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.seen
+}
+
+// target adds a target that answers by a handler. Without one it echoes the id and
+// answers with its name.
+func (b *gatewayBench) target(name string, h http.HandlerFunc) *fakeTarget {
+	f := &fakeTarget{name: name}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		f.arrived.Add(1)
+		f.mu.Lock()
+		f.seen = append(f.seen, r)
+		f.bodies = append(f.bodies, string(body))
+		f.mu.Unlock()
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		if h != nil {
+			h(w, r)
+			return
+		}
+		w.Header().Set(signatureHeader, name)
+		_, _ = io.WriteString(w, "from "+name)
+	}))
+	b.t.Cleanup(server.Close)
+	b.add(name, server.Listener.Addr().String())
+	return f
+}
+
+func (b *gatewayBench) add(name, address string) {
+	b.targets = append(b.targets, discovery.Target{ID: name, Service: "orders", Address: address, Zone: "a", Slots: 4})
+}
+
+// rawTarget adds a target that writes bytes of its own for each request that it
+// reads, and then goes on or closes.
+func (b *gatewayBench) rawTarget(name string, answer func(id string) string, closes bool) *atomic.Int64 {
+	var arrived atomic.Int64
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveGatewayRaw(conn, answer, closes, &arrived)
+		}
+	}()
+	b.add(name, l.Addr().String())
+	return &arrived
+}
+
+func serveGatewayRaw(conn net.Conn, answer func(id string) string, closes bool, arrived *atomic.Int64) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		arrived.Add(1)
+		if _, err := io.WriteString(conn, answer(r.Header.Get("X-Id"))); err != nil || closes {
+			return
+		}
+	}
+}
+
+// gatewayReply is what a caller got.
+type gatewayReply struct {
+	status int
+	header http.Header
+	body   string
+	// closed is set when the answer ends its connection.
+	closed bool
+	err    error
+}
+
+// send sends a request to the gateway.
+func (b *gatewayBench) send(method, path, body string, header ...string) gatewayReply {
+	b.t.Helper()
+	req, err := http.NewRequest(method, b.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	req.Host = "shop.example"
+	req.Header.Set("X-Id", "id-"+path)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return gatewayReply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return gatewayReply{status: resp.StatusCode, header: resp.Header, body: string(data), closed: resp.Close, err: err}
+}
