--- a/layout_test.go
+++ b/layout_test.go
@@ -1,7 +1,10 @@
 package crocushinge_test
 
 import (
+	"os"
 	"os/exec"
+	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -9,6 +12,7 @@
 // decisionPackages hold decisions only.
 var decisionPackages = []string{
 	"./zone", "./contract", "./target", "./link", "./service", "./route", "./caller", "./host", "./timeline", "./finding",
+	"./discovery", "./pool", "./fleet",
 }
 
 // encodings are what decision packages must not depend on, even indirectly.
@@ -16,7 +20,8 @@
 	"net/http", "encoding/json", "github.com/kataras/iris", "connectrpc.com/connect",
 	"google.golang.org/protobuf", "github.com/aws/", "github.com/goccy/go-yaml",
 	"github.com/crocushinge/crocushinge/wire", "github.com/crocushinge/crocushinge/traffic",
-	"github.com/crocushinge/crocushinge/daemon",
+	"github.com/crocushinge/crocushinge/daemon", "github.com/crocushinge/crocushinge/gateway",
+	"github.com/crocushinge/crocushinge/platform",
 }
 
 func TestDecisionsDependOnNoEncoding(t *testing.T) {
@@ -34,3 +39,46 @@
 		}
 	}
 }
+
+// wireNames are names of the users' platform.
+var wireNames = []string{
+	"X-Crocushinge-", "/v1/rows-", "/v1/resolve", "/v1/ready", "CROCUSHINGE_CONFIG", "max_attempts", "warmup_left_ms",
+	"traffic_split", "internal_ports", "config_apply_ms",
+}
+
+// platformUser is the only program that runs on the users' platform.
+const platformUser = "github.com/crocushinge/crocushinge/cmd/crocushinge-gateway"
+
+const platformPackage = "github.com/crocushinge/crocushinge/platform"
+
+func TestOnlyTheAdapterKnowsTheUsersPlatform(t *testing.T) {
+	out, err := exec.Command("go", "list", "-f", `{{.ImportPath}}{{"\t"}}{{.Dir}}{{"\t"}}{{join .GoFiles " "}}{{"\t"}}{{join .Imports " "}}`, "./...").Output()
+	if err != nil {
+		t.Fatalf("go list: %v", err)
+	}
+	for line := range strings.Lines(string(out)) {
+		fields := strings.Split(strings.TrimSpace(line), "\t")
+		pkg, dir := fields[0], fields[1]
+		if pkg == platformPackage {
+			continue
+		}
+		for file := range strings.FieldsSeq(fields[2]) {
+			checkWireNames(t, filepath.Join(dir, file))
+		}
+		if len(fields) > 3 && pkg != platformUser && slices.Contains(strings.Fields(fields[3]), platformPackage) {
+			t.Errorf("%s imports the adapter", pkg)
+		}
+	}
+}
+
+func checkWireNames(t *testing.T, path string) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range wireNames {
+		if strings.Contains(string(text), name) {
+			t.Errorf("%s has the platform's name %q", path, name)
+		}
+	}
+}
