--- a/fleet/event.go
+++ b/fleet/event.go
@@ -104,8 +104,11 @@
 	}
 
 	// ReadTargets waits up to Wait for a change of the registered targets in
-	// the store, and ReadConfiguration for one of the configuration.
-	ReadTargets       struct{ Wait time.Duration }
+	// the store.
+	ReadTargets struct{ Wait time.Duration }
+
+	// ReadConfiguration waits up to Wait for a change of the configuration in
+	// the store.
 	ReadConfiguration struct{ Wait time.Duration }
 
 	// ReadPeers reads the registered hosts from the store.
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -73,7 +73,7 @@
 // many: one that fails must not leave it without any.
 const leastHosts = 3
 
-// Hosts returns the hosts for a caller of a zone, up to limit: those of the
+// HostsFor returns the hosts for a caller of a zone, up to limit: those of the
 // zone, and as long as these are few, those of near zones.
 func (s *Snapshot) HostsFor(of zone.ID, limit int) []Peer {
 	out := slices.Clone(s.Directory[of])
--- a/layout_test.go
+++ b/layout_test.go
@@ -57,7 +57,7 @@
 		t.Fatalf("go list: %v", err)
 	}
 	for line := range strings.Lines(string(out)) {
-		fields := strings.Split(strings.TrimSpace(line), "\t")
+		fields := strings.Split(strings.TrimSuffix(line, "\n"), "\t")
 		pkg, dir := fields[0], fields[1]
 		if pkg == platformPackage {
 			continue
--- a/pool/target.go
+++ b/pool/target.go
@@ -47,8 +47,6 @@
 	// own and others count the requests in flight from this host and from the
 	// other hosts.
 	own, others atomic.Int32
-	// testing counts the requests of this host that test a suspect.
-	testing atomic.Int32
 	// unreached is until when this host takes other targets first because it
 	// could not connect, in Unix nanoseconds.
 	unreached atomic.Int64
--- a/traffic/gateway_test.go
+++ b/traffic/gateway_test.go
@@ -309,7 +309,7 @@
 	b := newGatewayBench(t)
 	var hang atomic.Bool
 	for i := range 4 {
-		b.target(fmt.Sprint("t", i), func(w http.ResponseWriter, r *http.Request) {
+		b.target(fmt.Sprint("t", i), func(_ http.ResponseWriter, r *http.Request) {
 			if hang.CompareAndSwap(true, false) {
 				<-r.Context().Done()
 				return
