Metrics, bounded lines, settings that change while running, fewer calls to the store

Change: a reading that finds no configuration confirms that there is none; a starting host reads the rows of the others first and documents in their order; a row that is there already is not written again. Lines about requests are limited to 50 failures and 20 answers a second, metrics are served at the address of the deploy file, changed settings are taken up with and without SIGHUP.

--- a/cmd/crocushinge-gateway/main.go
+++ b/cmd/crocushinge-gateway/main.go
@@ -8,6 +8,7 @@
 	stdlog "log"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -23,12 +24,17 @@
 	exitSettings = 2
 )
 
+// memoryShare is the part of the process's memory from which the garbage collector
+// works harder.
+const memoryShare = 0.7
+
 func main() {
 	cmd := &cli.Command{
 		Name:  "crocushinge-gateway",
 		Usage: "run one host of the proxy fleet with discovered targets",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` in TOML", Sources: cli.EnvVars(platform.SettingsVariable), Required: true},
+			&cli.StringFlag{Name: "metrics", Usage: "serve metrics at `PORT/PATH`"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
 		Action: run,
@@ -40,12 +46,16 @@
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
-	settings, err := platform.ReadSettings(cmd.String("settings"))
+	path := cmd.String("settings")
+	settings, err := platform.ReadSettings(path)
+	if err == nil && cmd.IsSet("metrics") {
+		err = settings.ServeMetrics(cmd.String("metrics"))
+	}
 	if err != nil {
 		return cli.Exit(err, exitSettings)
 	}
 	if cmd.Bool("check") {
-		fmt.Printf("%s: no findings\n", cmd.String("settings"))
+		fmt.Printf("%s: no findings\n", path)
 		return nil
 	}
 	log := zerolog.New(gateway.NewLogWriter(os.Stdout)).With().Timestamp().Str("host", settings.Gateway.Host).Logger()
@@ -57,7 +67,19 @@
 	if err != nil {
 		return err
 	}
+	if settings.Gateway.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Gateway.Memory)))
+	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go platform.WatchSettings(ctx, path, hangups, func(s platform.Settings, err error) {
+		if err != nil {
+			g.RefuseSettings(err)
+			return
+		}
+		g.Reload(s.Gateway)
+	})
 	return g.Run(ctx)
 }
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -143,6 +143,9 @@
 		c.registered(now, ev)
 	case Fetched:
 		c.fetched(now, ev)
+	case SettingsChanged:
+		c.cfg.Timing, c.cfg.Floor, c.cfg.Seeds = ev.Timing, ev.Floor, ev.Seeds
+		c.outdated = true
 	case ShutdownRequested:
 		c.shutdown(now)
 	}
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -60,6 +60,13 @@
 		Err                         error
 	}
 
+	// SettingsChanged puts changed settings in force.
+	SettingsChanged struct {
+		Timing Timing
+		Floor  float64
+		Seeds  []string
+	}
+
 	// ShutdownRequested asks the host to leave.
 	ShutdownRequested struct{}
 )
@@ -73,6 +80,7 @@
 func (PeersRead) isEvent()         {}
 func (Registered) isEvent()        {}
 func (Fetched) isEvent()           {}
+func (SettingsChanged) isEvent()   {}
 func (ShutdownRequested) isEvent() {}
 
 // Document is a configuration as read from the store.
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -91,6 +91,9 @@
 	// firstPatience is how long a host waits for the seeds at the first
 	// start of the fleet, before it reads the store.
 	firstPatience = 1500 * time.Millisecond
+	// joinPatience is how long a host that starts later waits for the rows of the
+	// others before it reads the store on its own.
+	joinPatience = 100 * time.Millisecond
 	// spread is the time over which the hosts of a fleet write their rows at its
 	// first start.
 	spread = 2 * time.Second
@@ -102,6 +105,10 @@
 
 // joinState is how far this host has joined the fleet.
 type joinState struct {
+	started time.Time
+	// patience is until when the host waits for the order of the hosts before it
+	// reads the store.
+	patience     time.Time
 	nextHello    time.Time
 	registerAt   time.Time
 	registered   bool
@@ -116,8 +123,10 @@
 
 func (j *joinState) begin(c *Core, now time.Time) {
 	j.nextHello = now
+	j.started, j.patience = now, now.Add(joinPatience)
 	j.registerAt, j.readPeersAt = now, now
 	if c.cfg.First {
+		j.patience = now.Add(firstPatience)
 		j.registerAt = now.Add(time.Duration(c.cfg.Rand.Int64N(int64(spread))))
 		j.readPeersAt = now.Add(firstPatience)
 	}
@@ -125,7 +134,7 @@
 
 func (j *joinState) tick(c *Core, now time.Time) {
 	j.hello(c, now)
-	if !j.registered && !j.registering && !now.Before(j.registerAt) {
+	if !j.registered && !j.registering && !now.Before(j.registerAt) && (j.peersRead || now.After(j.patience)) {
 		j.registering = true
 		c.emit(Register{Peer: c.cfg.Self})
 	}
@@ -181,6 +190,12 @@
 		return
 	}
 	c.joining.peersRead = true
+	for _, p := range ev.Peers {
+		p.Incarnation = c.cfg.Self.Incarnation
+		if p == c.cfg.Self {
+			c.joining.registered = true // by an earlier incarnation
+		}
+	}
 	c.meet(now, ev.Peers)
 }
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -27,7 +27,7 @@
 }
 
 func (v *view) stamp(now time.Time) Stamp {
-	if v.revision == 0 {
+	if v.storeTime == 0 {
 		return Stamp{}
 	}
 	return Stamp{Revision: v.revision, Digest: v.digest, Confirmed: v.storeTime, Age: now.Sub(v.confirmed)}
@@ -63,7 +63,7 @@
 	switch s := r.Configuration; {
 	case s.Revision > c.config.revision:
 		c.want(now, &c.config)
-	case s.Revision > 0 && s.Revision == c.config.revision:
+	case s.Confirmed > 0 && s.Revision == c.config.revision:
 		c.config.confirm(now.Add(-s.Age), s.Confirmed)
 	}
 }
@@ -83,6 +83,9 @@
 	// further one waits.
 	takeOver     = 250 * time.Millisecond
 	takeOverStep = 100 * time.Millisecond
+	// firstStep is how much longer each further host waits for the first reading
+	// after its start: time for the one before it to read and to tell.
+	firstStep = 40 * time.Millisecond
 	// takeOverSteps is the rank from which hosts wait a random time, so that a
 	// fleet does not press a store that is away.
 	takeOverSteps = 5
@@ -96,8 +99,8 @@
 
 // readStore reads what is too old on this host.
 func (c *Core) readStore(now time.Time) {
-	if c.cfg.First && !c.joining.peersRead && now.Before(c.joining.readPeersAt) && !c.joined() {
-		return
+	if !c.joining.peersRead && now.Before(c.joining.patience) {
+		return // the order of the hosts is not known yet
 	}
 	rank := c.rank()
 	if c.due(&c.targets, now, rank, c.cfg.Timing.WaitTargets) {
@@ -120,11 +123,14 @@
 	if rank == 0 {
 		return true
 	}
+	if v.confirmed.IsZero() {
+		return !now.Before(c.joining.started.Add(time.Duration(min(rank, takeOverSteps)) * firstStep))
+	}
 	limit := wait + takeOver + time.Duration(min(rank-1, takeOverSteps))*takeOverStep
 	if v.age(now) < limit {
 		return false
 	}
-	if rank > takeOverSteps && v.failures == 0 && v.retryAt.IsZero() && v.revision > 0 {
+	if rank > takeOverSteps && v.failures == 0 && v.retryAt.IsZero() {
 		v.retryAt = now.Add(time.Duration(c.cfg.Rand.Int64N(int64(takeOverSpread))))
 		return false
 	}
@@ -196,9 +202,7 @@
 	if ev.Document != nil {
 		c.putInForce(now, ev.Document)
 	}
-	if c.document != nil {
-		c.config.confirm(now, ev.At)
-	}
+	c.config.confirm(now, ev.At)
 }
 
 // putInForce puts a configuration in force unless a later one is.
@@ -323,3 +327,11 @@
 		DocumentStamp: c.config.stamp(now),
 	}
 }
+
+// Ages are the times since the store confirmed the documents.
+type Ages struct{ Targets, Configuration time.Duration }
+
+// Ages returns how old this host's documents are.
+func (c *Core) Ages(now time.Time) Ages {
+	return Ages{Targets: c.targets.age(now), Configuration: c.config.age(now)}
+}
--- a/gateway/effects.go
+++ b/gateway/effects.go
@@ -76,7 +76,9 @@
 	g.start(func(ctx context.Context) fleet.Event {
 		ctx, cancel := context.WithTimeout(ctx, e.Wait+firstRead)
 		defer cancel()
+		began := time.Now()
 		targets, err := g.store.Targets(ctx, e.Wait)
+		g.metrics.storeCalled("targets", began, err)
 		return fleet.TargetsRead{Targets: targets, Err: err}
 	})
 }
@@ -86,7 +88,9 @@
 	g.start(func(ctx context.Context) fleet.Event {
 		ctx, cancel := context.WithTimeout(ctx, e.Wait+firstRead)
 		defer cancel()
+		began := time.Now()
 		document, at, err := g.store.Configuration(ctx, e.Wait)
+		g.metrics.storeCalled("configuration", began, err)
 		return fleet.ConfigurationRead{Document: document, At: at, Err: err}
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,7 +24,7 @@
 
 // Gateway is one host as a process.
 type Gateway struct {
-	settings   Settings
+	settings   atomic.Pointer[Settings]
 	store      Store
 	protocol   Protocol
 	log        zerolog.Logger
@@ -34,14 +34,18 @@
 	servers    []*server
 	peers      *http.Client
 	counters   counters
+	metrics    *metrics
+	lines      *lineLimits
 	closing    atomic.Bool
 	background sync.WaitGroup
-	ctx        context.Context
+	// ctx ends when the process has finished its work in flight.
+	ctx  context.Context
+	stop context.CancelFunc
 }
 
 // counters count what the process did besides requests.
 type counters struct {
-	datagramsSent, datagramsHeard, unsent, unreadable, storeCalls, fetches atomic.Int64
+	datagramsSent, datagramsHeard, unsent, unreadable, storeCalls, fetches, linesOmitted atomic.Int64
 }
 
 // server is a listener with the HTTP server on it.
@@ -61,7 +65,9 @@
 // New builds a gateway and opens its sockets.
 func New(s Settings, store Store, protocol Protocol, log zerolog.Logger) (*Gateway, error) {
 	now := time.Now()
-	g := &Gateway{settings: s, store: store, protocol: protocol, log: log}
+	g := &Gateway{store: store, protocol: protocol, log: log, lines: newLineLimits()}
+	g.settings.Store(&s)
+	g.ctx, g.stop = context.WithCancel(context.Background())
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
@@ -99,6 +105,12 @@
 		Log:       g.logDecision,
 	})
 	g.peers = &http.Client{Transport: traffic.NewPeerTransport(dialTarget)}
+	if s.Metrics != "" {
+		var err error
+		if g.metrics, err = newMetrics(g); err != nil {
+			return nil, err
+		}
+	}
 	g.handlers()
 	return g, nil
 }
@@ -114,7 +126,7 @@
 
 // listen opens the sockets.
 func (g *Gateway) listen() error {
-	s := g.settings
+	s := g.settings.Load()
 	addr, err := net.ResolveUDPAddr("udp4", s.Datagrams)
 	if err != nil {
 		return errors.Wrapf(err, "address for datagrams %q", s.Datagrams)
@@ -148,14 +160,14 @@
 		case "ready":
 			s.http = traffic.NewServer(g.protocol.ReadyHandler(g.Ready))
 		case "directory":
-			s.http = traffic.NewServer(g.protocol.DirectoryHandler(g.hostsFor, g.settings.DirectoryTTL))
+			s.http = traffic.NewServer(g.protocol.DirectoryHandler(g.hostsFor, g.directoryTTL))
 		case "documents":
 			path, handler := sharev1connect.NewShareServiceHandler(&documentServer{control: g.control}, connect.WithCompressMinBytes(compressFrom))
 			mux := http.NewServeMux()
 			mux.Handle(path, handler)
 			s.http = traffic.NewServer(mux)
 		case "metrics":
-			s.http = traffic.NewServer(g.metricsHandler())
+			s.http = traffic.NewServer(g.metrics.handler(g.settings.Load().MetricsPath))
 		}
 	}
 }
@@ -168,7 +180,7 @@
 
 // hostsFor returns the addresses for a caller of a zone.
 func (g *Gateway) hostsFor(of zone.ID) []string {
-	hosts := g.control.snapshot.Load().HostsFor(of, g.settings.DirectoryLimit)
+	hosts := g.control.snapshot.Load().HostsFor(of, g.settings.Load().DirectoryLimit)
 	out := make([]string, len(hosts))
 	for i, h := range hosts {
 		out[i] = h.Address
@@ -176,13 +188,15 @@
 	return out
 }
 
+// directoryTTL is how long a caller may keep an answer of the directory.
+func (g *Gateway) directoryTTL() time.Duration { return g.settings.Load().DirectoryTTL }
+
 // Run serves until ctx ends, then leaves the fleet, finishes the work in flight
 // and returns.
 func (g *Gateway) Run(ctx context.Context) error {
-	background, stop := context.WithCancel(context.Background())
-	defer stop()
-	g.ctx = background
-	g.background.Go(func() { g.control.run(background) })
+	defer g.stop()
+	g.background.Go(func() { g.summarize(g.ctx) })
+	g.background.Go(func() { g.control.run(g.ctx) })
 	g.background.Go(g.receive)
 	group, failed := errgroup.WithContext(ctx)
 	for _, s := range g.servers {
@@ -193,11 +207,12 @@
 			return nil
 		})
 	}
-	g.log.Info().Str("callers", g.settings.Callers).Bool("first", g.settings.First).Msg("started")
+	settings := g.settings.Load()
+	g.log.Info().Str("callers", settings.Callers).Bool("first", settings.First).Msg("started")
 	<-failed.Done()
-	g.leave(background)
+	g.leave(g.ctx)
 	err := group.Wait()
-	stop()
+	g.stop()
 	_ = g.datagrams.Close()
 	g.background.Wait()
 	g.log.Info().Msg("stopped")
@@ -217,13 +232,13 @@
 // are served for half of the grace and refused after that, and what is in flight
 // is finished.
 func (g *Gateway) leave(ctx context.Context) {
-	began := time.Now()
-	g.log.Info().Dur("grace", g.settings.Grace).Msg("stopping")
+	began, grace := time.Now(), g.settings.Load().Grace
+	g.log.Info().Dur("grace", grace).Msg("stopping")
 	g.control.send(ctx, fleet.ShutdownRequested{})
-	wait.For(ctx, time.Duration(refuseAfter*float64(g.settings.Grace)))
+	wait.For(ctx, time.Duration(refuseAfter*float64(grace)))
 	g.closing.Store(true)
-	wait.For(ctx, time.Until(began.Add(time.Duration(closeAfter*float64(g.settings.Grace)))))
-	limit, cancel := context.WithDeadline(ctx, began.Add(g.settings.Grace))
+	wait.For(ctx, time.Until(began.Add(time.Duration(closeAfter*float64(grace)))))
+	limit, cancel := context.WithDeadline(ctx, began.Add(grace))
 	defer cancel()
 	for _, s := range g.servers {
 		if err := s.http.Shutdown(limit); err != nil {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -1,11 +1,17 @@
 package gateway
 
 import (
+	"context"
 	"io"
+	"net/http"
 	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"github.com/crocushinge/crocushinge/fleet"
-	"github.com/crocushinge/crocushinge/link"
+	"github.com/crocushinge/crocushinge/internal/wait"
 	"github.com/crocushinge/crocushinge/traffic"
 	"github.com/crocushinge/crocushinge/wire/share"
 )
@@ -21,18 +27,62 @@
 	g.control.offer(fleet.Heard{Datagram: d})
 }
 
-// logDecision writes the line of a decision about a request.
+// Rates of the lines about requests, in lines a second. What is beyond them is
+// summed up, so that the volume stays bounded under load: at 300 bytes a line
+// these are 15 and 6 KB a second.
+const (
+	failureLines = 50
+	answerLines  = 20
+	// lineBurst is how many seconds' lines may come at once.
+	lineBurst = 4
+)
+
+// summaryInterval is the time between two lines that sum up what was left out.
+const summaryInterval = 5 * time.Second
+
+// lineLimits bound the lines about requests. Failures have a limit of their own,
+// so that answers never crowd them out.
+type lineLimits struct{ failures, answers *rate.Limiter }
+
+func newLineLimits() *lineLimits {
+	return &lineLimits{
+		failures: rate.NewLimiter(failureLines, lineBurst*failureLines),
+		answers:  rate.NewLimiter(answerLines, lineBurst*answerLines),
+	}
+}
+
+// logDecision writes the line of a decision about a request, within the limits.
 func (g *Gateway) logDecision(d traffic.Decision) {
-	line := g.log.Info()
-	if !d.Final || d.Target == "" {
-		line = g.log.Warn()
-	} else if d.Outcome == link.Succeeded {
-		line = g.log.Debug()
+	g.metrics.count(d)
+	limit, level := g.lines.failures, zerolog.WarnLevel
+	if d.Final && d.Status < http.StatusInternalServerError {
+		limit, level = g.lines.answers, zerolog.InfoLevel
+	}
+	if !limit.Allow() {
+		g.counters.linesOmitted.Add(1)
+		return
+	}
+	line := g.log.WithLevel(level).Str("request", d.Request).Str("route", d.Route).Str("service", d.Service).
+		Int("status", d.Status).Dur("took_ms", d.Took).Uint64("configuration", uint64(d.Configuration))
+	if d.Target != "" {
+		line = line.Str("target", d.Target).Str("outcome", d.Outcome.String()).Int("attempt", d.Attempt).
+			Dur("attempt_ms", d.Attempted).Int("in_flight", d.InFlight).Bool("suspect", d.Suspect)
+	}
+	if d.Reason != "" {
+		line = line.Str("reason", d.Reason)
+	}
+	line.Msg(d.Event)
+}
+
+// summarize writes how many lines were left out, while any are.
+func (g *Gateway) summarize(ctx context.Context) {
+	before := int64(0)
+	for wait.For(ctx, summaryInterval) {
+		if n := g.counters.linesOmitted.Load(); n > before {
+			g.log.Warn().Int64("lines", n-before).Msg("lines about requests left out")
+			before = n
+		}
 	}
-	line.Str("request", d.Request).Str("route", d.Route).Str("service", d.Service).Str("target", d.Target).
-		Str("outcome", d.Outcome.String()).Int("status", d.Status).Int("attempt", d.Attempt).
-		Dur("took_ms", d.Took).Dur("attempt_ms", d.Attempted).Uint64("configuration", uint64(d.Configuration)).
-		Str("reason", d.Reason).Msg(d.Event)
 }
 
 // LogWriter writes lines to another writer on a goroutine of its own. When that
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -34,5 +34,5 @@
 	ReadyHandler(ready func() bool) http.Handler
 	// DirectoryHandler serves callers that ask which addresses to use. hosts
 	// returns those for a caller of a zone.
-	DirectoryHandler(hosts func(of zone.ID) []string, ttl time.Duration) http.Handler
+	DirectoryHandler(hosts func(of zone.ID) []string, ttl func() time.Duration) http.Handler
 }
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -205,6 +205,17 @@
 // warmingCost is how much slower a target is taken to be just after its start.
 const warmingCost = 1.2
 
+// Suspects returns how many targets take only tests.
+func (r *Routing) Suspects() int {
+	n := 0
+	for _, t := range r.Targets {
+		if t.Suspect() {
+			n++
+		}
+	}
+	return n
+}
+
 // Free returns how many slots of trusted targets are free, as far as this host
 // knows.
 func (r *Routing) Free() int {
--- a/pool/service.go
+++ b/pool/service.go
@@ -177,17 +177,6 @@
 	}
 }
 
-// Suspects returns how many targets take only tests.
-func (s *Service) Suspects() int {
-	n := 0
-	for _, t := range s.order {
-		if t.suspicion.suspect {
-			n++
-		}
-	}
-	return n
-}
-
 // Routing returns the immutable view that traffic reads.
 func (s *Service) Routing(floor float64) *Routing {
 	if s.routing == nil || s.routing.floor != floor || s.routing.repeatable != s.Repeatable {
--- a/traffic/gateway_record.go
+++ b/traffic/gateway_record.go
@@ -37,6 +37,10 @@
 	Outcome link.Outcome
 	Status  int
 	Attempt int
+	// InFlight is the fleet's requests in flight at the target as this host
+	// believes, and Suspect whether it takes the target for a suspect.
+	InFlight int
+	Suspect  bool
 	// Took is the time since the request arrived.
 	Took time.Duration
 	// Attempted is the time that the attempt took.
@@ -54,6 +58,7 @@
 	d := p.decision(event)
 	d.Target, d.Outcome, d.Attempt = s.target.Key.Name, s.outcome, attempt
 	d.Attempted = time.Since(s.started)
+	d.InFlight, d.Suspect = s.target.InFlight(), s.target.Suspect()
 	if s.err != nil {
 		d.Reason = s.err.Error()
 	}
