--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,12 +116,17 @@
 }
 
 // connectTimeout bounds the opening of a connection. A lost first packet is sent
-// again only after a second, so another target is faster.
-const connectTimeout = 300 * time.Millisecond
+// again only after a second, so another target is faster; two regions are at most
+// some 60 ms apart one way.
+const connectTimeout = 200 * time.Millisecond
+
+// keepAlive finds idle connections whose link is cut, before a request that may
+// not be repeated is lost on one.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
 // dialTarget opens a connection to a target or to another host.
 func dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
-	return (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, network, address)
+	return (&net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive}).DialContext(ctx, network, address)
 }
 
 // listen opens the sockets.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -68,6 +68,9 @@
 		line = line.Str("target", d.Target).Str("outcome", d.Outcome.String()).Int("attempt", d.Attempt).
 			Dur("attempt_ms", d.Attempted).Int("in_flight", d.InFlight).Bool("suspect", d.Suspect)
 	}
+	if len(d.Tried) > 0 {
+		line = line.Strs("tried", d.Tried)
+	}
 	if d.Reason != "" {
 		line = line.Str("reason", d.Reason)
 	}
--- a/pool/target.go
+++ b/pool/target.go
@@ -129,7 +129,7 @@
 // called by traffic.
 func (t *Target) ObserveReach(o link.Outcome, now time.Time) {
 	switch o {
-	case link.ConnectFailed:
+	case link.ConnectFailed, link.Overdue:
 		t.unreached.Store(now.Add(unreachedPause).UnixNano())
 	case link.Succeeded, link.Failed, link.Refused:
 		t.unreached.Store(0)
--- a/traffic/gateway.go
+++ b/traffic/gateway.go
@@ -95,6 +95,8 @@
 	// due is when the caller or the route stops waiting.
 	due     time.Time
 	interim func(status int, fields textproto.MIMEHeader) error
+	// tried names the targets that the request was sent to.
+	tried []string
 }
 
 // ServeHTTP implements http.Handler.
--- a/traffic/gateway_attempt.go
+++ b/traffic/gateway_attempt.go
@@ -151,6 +151,7 @@
 		return func() {}
 	}
 	t := time.AfterFunc(overdueFactor*routing.Typical(), func() {
+		s.target.ObserveReach(link.Overdue, time.Now())
 		g.cfg.Observe(fleet.Observation{Target: s.target, Outcome: link.Overdue, Latency: time.Since(s.started)})
 	})
 	return func() { t.Stop() }
--- a/traffic/gateway_carry.go
+++ b/traffic/gateway_carry.go
@@ -104,6 +104,7 @@
 		return false
 	}
 	j.tried = append(j.tried, t)
+	p.tried = append(p.tried, t.Key.Name)
 	j.sent++
 	j.open++
 	go func() { j.results <- g.send(j.ctx, p, t) }()
--- a/traffic/gateway_record.go
+++ b/traffic/gateway_record.go
@@ -35,6 +35,9 @@
 	Service string
 	Target  string
 	Outcome link.Outcome
+	// Tried names the targets that the request was sent to, on the line of an
+	// answer of the system's own.
+	Tried   []string
 	Status  int
 	Attempt int
 	// InFlight is the fleet's requests in flight at the target as this host
@@ -91,7 +94,7 @@
 		g.counters.Failed.Add(1)
 	}
 	d := p.decision("refused")
-	d.Status, d.Reason, d.Final = f.status, f.message, true
+	d.Status, d.Reason, d.Final, d.Tried = f.status, f.message, true, p.tried
 	g.cfg.Log(d)
 	f.writeFraction(w)
 }
