Know the usual latency after 25 successes, end within the grace, press a store that is away less

Change: the usual latency counts from 25 successes on; requests in flight are cut at 95% of the grace; after a failed read the first three hosts retry up to every 2 s, the others every 4 s, both documents together.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -23,7 +23,8 @@
 
 	reading  bool
 	failures int
-	retryAt  time.Time
+	// retryAt is when this host may read again.
+	retryAt time.Time
 }
 
 func (v *view) stamp(now time.Time) Stamp {
@@ -91,10 +92,15 @@
 	takeOverSteps = 5
 	// takeOverSpread is the longest of these random times.
 	takeOverSpread = 3 * time.Second
-	// firstRetry and longestRetry bound the pause after a failed read. It
-	// doubles with every failure and is drawn from half of it to one and a half.
+	// firstRetry and longestRetry bound the pause of the first hosts in order after
+	// a failed read. It doubles with every failure and is drawn from half of it to
+	// one and a half.
 	firstRetry   = 300 * time.Millisecond
-	longestRetry = 4 * time.Second
+	longestRetry = 2 * time.Second
+	// eagerHosts is how many hosts try that often. The others hear from them, and
+	// try after otherRetry, for the case that the store turns these away.
+	eagerHosts = 3
+	otherRetry = 4 * time.Second
 )
 
 // readStore reads what is too old on this host.
@@ -151,12 +157,29 @@
 	if v.failures == 0 {
 		c.record(now, timeline.Event{Kind: timeline.StoreLost, Service: c.documentName(v), Reason: err.Error()})
 	}
-	pause := min(firstRetry<<min(v.failures, 8), longestRetry)
-	v.retryAt = now.Add(pause/2 + time.Duration(c.cfg.Rand.Int64N(int64(pause))))
 	v.failures++
+	// A store that fails for one document is away for the other.
+	at := now.Add(c.retryPause(v.failures))
+	c.targets.retryAt, c.config.retryAt = later(c.targets.retryAt, at), later(c.config.retryAt, at)
 	return false
 }
 
+// retryPause returns the pause after a number of failed reads.
+func (c *Core) retryPause(failures int) time.Duration {
+	pause := min(firstRetry<<min(failures-1, 8), longestRetry)
+	if c.rank() >= eagerHosts {
+		pause = otherRetry
+	}
+	return pause/2 + time.Duration(c.cfg.Rand.Int64N(int64(pause)))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (c *Core) documentName(v *view) string {
 	if v == &c.targets {
 		return "targets"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -229,8 +229,11 @@
 	// refuseAfter is the share after which new requests are refused: requests
 	// taken before it have the rest of the grace to end.
 	refuseAfter = 0.5
-	// closeAfter is the share after which the sockets are closed.
+	// closeAfter is the share after which the sockets are closed, and endAfter
+	// the one after which requests in flight are cut, so that the process ends by
+	// itself.
 	closeAfter = 0.85
+	endAfter   = 0.95
 )
 
 // leave ends the process gracefully: callers are sent elsewhere at once, requests
@@ -243,11 +246,12 @@
 	wait.For(ctx, time.Duration(refuseAfter*float64(grace)))
 	g.closing.Store(true)
 	wait.For(ctx, time.Until(began.Add(time.Duration(closeAfter*float64(grace)))))
-	limit, cancel := context.WithDeadline(ctx, began.Add(grace))
+	limit, cancel := context.WithDeadline(ctx, began.Add(time.Duration(endAfter*float64(grace))))
 	defer cancel()
 	for _, s := range g.servers {
 		if err := s.http.Shutdown(limit); err != nil {
 			g.log.Warn().Err(err).Str("server", s.name).Msg("shutdown cut short")
+			_ = s.http.Close() // what it reports was reported above
 		}
 	}
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -35,7 +35,8 @@
 		})
 	}
 	s.Apply(list)
-	for _, t := range s.Targets() {
+	for i := range max(enoughSuccesses, n) {
+		t := s.Targets()[i%n]
 		t.Use(epoch)
 		succeed(s, t, epoch)
 	}
@@ -307,3 +308,44 @@
 	}
 	is.True(slow.cost(epoch) < 1.5)
 }
+
+// TestFirstSuccessesDoNotSetTheUsualLatency covers a restarted fleet: the first
+// answers that arrive are those of the shortest requests.
+func TestFirstSuccessesDoNotSetTheUsualLatency(t *testing.T) {
+	is := is.New(t)
+	s := NewService("orders", place())
+	s.Apply([]discovery.Target{{ID: "t", Address: "10.0.0.1:80", Zone: "a", Slots: 4}})
+	for range enoughSuccesses - 1 {
+		s.Observe(s.Targets()[0], Ending{Host: "h", Outcome: link.Succeeded, Latency: time.Millisecond}, epoch)
+		is.Equal(s.Routing(testFloor).Typical(), time.Duration(0))
+	}
+	succeed(s, s.Targets()[0], epoch)
+	is.True(s.Routing(testFloor).Typical() > 0)
+}
+
+func TestAdmissionRefusesLessUrgentRequestsFirst(t *testing.T) {
+	is := is.New(t)
+	s := newService(2)
+	demand := func(priority int) Demand { return Demand{Objective: 3 * usual, Priority: priority} }
+	admitted := func() (out [3]bool) {
+		for p := range out {
+			out[p] = s.Routing(testFloor).Admit(demand(p))
+		}
+		return out
+	}
+	is.Equal(admitted(), [3]bool{true, true, true})
+	refusedFrom := [3]int{}
+	for load := 1; load < 60; load++ {
+		for _, t := range s.Targets() {
+			t.AddOthers(1)
+		}
+		for p, ok := range admitted() {
+			if !ok && refusedFrom[p] == 0 {
+				refusedFrom[p] = load
+			}
+		}
+	}
+	is.True(refusedFrom[2] > 4) // never while a slot is free
+	is.True(refusedFrom[2] < refusedFrom[1] && refusedFrom[1] < refusedFrom[0])
+	is.True(!s.Routing(testFloor).Admit(Demand{Objective: 3 * usual, Late: true}))
+}
--- a/pool/service.go
+++ b/pool/service.go
@@ -42,6 +42,7 @@
 	// typical is the usual latency of the service's successes, and published
 	// what traffic reads of it, in nanoseconds.
 	typical   average
+	successes int
 	published atomic.Int64
 	routing   *Routing
 }
@@ -74,6 +75,10 @@
 // Targets returns the targets that may take requests.
 func (s *Service) Targets() []*Target { return s.order }
 
+// enoughSuccesses is how many successes make the usual latency known. The first ones
+// after a start are the shortest requests.
+const enoughSuccesses = 25
+
 // fastShare is the share of the usual latency below which a failure was not
 // the end of work.
 const fastShare = 0.4
@@ -90,7 +95,9 @@
 	case link.Succeeded:
 		t.latency.add(float64(e.Latency), latencyWeight)
 		s.typical.add(float64(e.Latency), latencyWeight)
-		s.published.Store(int64(s.typical.value))
+		if s.successes++; s.successes >= enoughSuccesses {
+			s.published.Store(int64(s.typical.value))
+		}
 		changed = t.suspicion.acquit(now.Add(-e.Latency), now)
 		t.failures = nil
 	case link.Failed, link.Broken:
@@ -109,7 +116,7 @@
 
 // weigh returns the evidence of a failure by how early it came.
 func (s *Service) weigh(e Ending) float64 {
-	early := time.Duration(fastShare * s.typical.value)
+	early := time.Duration(fastShare * float64(s.published.Load()))
 	if early == 0 {
 		early = fastest
 	}
