Queues and single lost answers are no suspicion; write the last lines at the end

No process wrote its line 'stopped'. Change: on probation two late failures make a suspect; overdue requests count only at targets with free slots; the log is flushed at the end.

--- a/cmd/crocushinge-gateway/main.go
+++ b/cmd/crocushinge-gateway/main.go
@@ -58,7 +58,10 @@
 		fmt.Printf("%s: no findings\n", path)
 		return nil
 	}
-	log := zerolog.New(gateway.NewLogWriter(os.Stdout)).With().Timestamp().Str("host", settings.Gateway.Host).Logger()
+	lines := gateway.NewLogWriter(os.Stdout)
+	// A reader that does not read must not hold up the end of the process.
+	defer func() { _ = lines.Close() }()
+	log := zerolog.New(lines).With().Timestamp().Str("host", settings.Gateway.Host).Logger()
 	// net/http reports strange bytes of targets and callers to the standard logger.
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(log.Level(zerolog.WarnLevel))
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
@@ -93,6 +94,8 @@
 type LogWriter struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	// written is closed after Close, once all lines are written.
+	written chan struct{}
 }
 
 var _ io.Writer = (*LogWriter)(nil)
@@ -102,7 +105,7 @@
 
 // NewLogWriter returns a writer to w.
 func NewLogWriter(w io.Writer) *LogWriter {
-	l := &LogWriter{lines: make(chan []byte, logLines)}
+	l := &LogWriter{lines: make(chan []byte, logLines), written: make(chan struct{})}
 	go l.run(w)
 	return l
 }
@@ -117,10 +120,26 @@
 	return len(p), nil
 }
 
+// flushTime is how long Close waits for a reader that does not read.
+const flushTime = 100 * time.Millisecond
+
+// Close writes the lines that wait, as far as the other writer takes them in
+// flushTime. There must be no Write after it.
+func (l *LogWriter) Close() error {
+	close(l.lines)
+	select {
+	case <-l.written:
+		return nil
+	case <-time.After(flushTime):
+		return errors.New("log: lines were left unwritten")
+	}
+}
+
 // Dropped returns how many lines were dropped.
 func (l *LogWriter) Dropped() int64 { return l.dropped.Load() }
 
 func (l *LogWriter) run(w io.Writer) {
+	defer close(l.written)
 	for line := range l.lines {
 		for more := len(l.lines); more > 0; more-- {
 			line = append(line, <-l.lines...)
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -148,12 +148,46 @@
 		succeed(s, bad, now)
 	}
 	is.True(!bad.Suspect())
-	// On probation weak evidence is enough.
+	// On probation less evidence is enough, but not a single lost answer.
 	fail(s, bad, usual, now)
+	is.True(!bad.Suspect())
 	fail(s, bad, usual, now)
 	is.True(bad.Suspect())
 }
 
+// TestTargetThatLosesSomeAnswersStaysInUse covers targets that run requests and
+// lose one answer in four: taking them out leaves too few for the load.
+func TestTargetThatLosesSomeAnswersStaysInUse(t *testing.T) {
+	is := is.New(t)
+	s := newService(4)
+	lossy := s.Targets()[0]
+	now := epoch
+	for i := range 400 {
+		now = now.Add(200 * time.Millisecond)
+		if i%4 == 0 {
+			s.Observe(lossy, Ending{Host: "h", Outcome: link.Broken, Latency: usual}, now)
+		} else {
+			succeed(s, lossy, now)
+		}
+		is.True(!lossy.Suspect())
+	}
+}
+
+func TestOverdueRequestsInAQueueAreNoSuspicion(t *testing.T) {
+	is := is.New(t)
+	s := newService(4)
+	full, idle := s.Targets()[0], s.Targets()[1]
+	full.AddOthers(full.Slots + 1)
+	for range 10 {
+		for _, x := range []*Target{full, idle} {
+			x.ObserveReach(link.Overdue, epoch)
+			s.Observe(x, Ending{Host: "h", Outcome: link.Overdue}, epoch)
+		}
+	}
+	is.True(!full.Suspect() && !full.passedOver(epoch))
+	is.True(idle.Suspect() && idle.passedOver(epoch)) // it hangs
+}
+
 // TestFloorKeepsHealthyTargetsInUse checks that unconfirmed suspicion leaves the
 // floor's share of the targets that have not failed a test.
 func TestFloorKeepsHealthyTargetsInUse(t *testing.T) {
--- a/pool/service.go
+++ b/pool/service.go
@@ -108,7 +108,10 @@
 			changed = t.suspicion.blame(strong, now)
 		}
 	case link.Overdue:
-		changed = t.suspicion.blame(weak, now)
+		// Where requests queue, all are late.
+		if !t.Full() {
+			changed = t.suspicion.blame(weak, now)
+		}
 	}
 	t.publish()
 	return changed
--- a/pool/suspicion.go
+++ b/pool/suspicion.go
@@ -18,8 +18,11 @@
 	weak = 0.3
 	// relief is how much a success takes away.
 	relief = 0.25
-	// threshold is the evidence that makes a suspect.
-	threshold = 1.0
+	// threshold is the evidence that makes a suspect, and probationThreshold
+	// what makes one again soon after its return: two failures after the usual
+	// time, since healthy targets lose single answers.
+	threshold          = 1.0
+	probationThreshold = 0.55
 )
 
 // Times of a suspicion.
@@ -35,7 +38,7 @@
 	// seconds within which every target of the floor must see a request.
 	riskPause = 1900 * time.Millisecond
 	// probation is how long after its return a target is suspected again on
-	// weak evidence.
+	// less evidence.
 	probation = 2 * time.Second
 	// forget is the time in which half of the evidence fades.
 	forget = 3 * time.Second
@@ -86,7 +89,7 @@
 	s.evidence += nats
 	limit := threshold
 	if now.Before(s.probationUntil) {
-		limit = weak
+		limit = probationThreshold
 	}
 	if s.evidence < limit {
 		return false
--- a/pool/target.go
+++ b/pool/target.go
@@ -117,6 +117,9 @@
 // InFlight returns the fleet's requests in flight as far as this host knows.
 func (t *Target) InFlight() int { return int(t.own.Load() + max(0, t.others.Load())) }
 
+// Full reports whether the target has requests in flight beyond its slots.
+func (t *Target) Full() bool { return t.InFlight() > t.Slots }
+
 // Suspect reports whether the target takes only tests.
 func (t *Target) Suspect() bool { return t.verdict.Load().suspect }
 
@@ -129,7 +132,11 @@
 // called by traffic.
 func (t *Target) ObserveReach(o link.Outcome, now time.Time) {
 	switch o {
-	case link.ConnectFailed, link.Overdue:
+	case link.Overdue:
+		if !t.Full() {
+			t.unreached.Store(now.Add(unreachedPause).UnixNano())
+		}
+	case link.ConnectFailed:
 		t.unreached.Store(now.Add(unreachedPause).UnixNano())
 	case link.Succeeded, link.Failed, link.Refused:
 		t.unreached.Store(0)
