--- a/daemon/api_status.go
+++ b/daemon/api_status.go
@@ -16,7 +16,7 @@
 
 func (d *Daemon) getStatus(ctx iris.Context) {
 	var health []service.Health
-	err := d.control.call(ctx.Request().Context(), func(core *host.Core) { health = core.Health() })
+	err := d.control.Call(ctx.Request().Context(), func(core *host.Core) { health = core.Health() })
 	if err != nil {
 		fail(ctx, http.StatusServiceUnavailable, errors.Wrap(err, "control thread"))
 		return
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -25,7 +25,7 @@
 // inForce returns the configuration in force on this host.
 func (d *Daemon) inForce(ctx context.Context) (publish.View, error) {
 	var view publish.View
-	err := d.control.call(ctx, func(core *host.Core) {
+	err := d.control.Call(ctx, func(core *host.Core) {
 		view = publish.View{Revision: core.Revision(), Changes: core.Changes(0)}
 	})
 	return view, err
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/host"
+	"github.com/crocushinge/crocushinge/internal/mailbox"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/timeline"
 )
@@ -28,12 +29,10 @@
 // control is the control thread: the one goroutine, on an OS thread of its
 // own, that owns all control state of the process.
 type control struct {
+	mailbox.Mailbox[*host.Core, host.Event, link.Observation]
 	core     *host.Core
 	snapshot atomic.Pointer[host.Snapshot]
 	ring     *timeline.Ring
-	events   chan host.Event
-	calls    chan func(*host.Core)
-	observed chan link.Observation
 	// endings are kept apart from events, so that a flood of them holds up
 	// nothing else.
 	endings chan host.RequestEnded
@@ -41,7 +40,6 @@
 	endedLimit, unknownLimit *rate.Limiter
 	// published holds a token after a snapshot was published.
 	published chan struct{}
-	dropped   atomic.Int64
 	// unrecorded counts ended requests that are not on the time line, because
 	// there were too many or the control thread was behind.
 	unrecorded atomic.Int64
@@ -64,11 +62,11 @@
 
 func newControl(core *host.Core, ring *timeline.Ring) *control {
 	c := &control{
+		Mailbox: mailbox.New[*host.Core, host.Event, link.Observation](mailbox.Sizes{
+			Events: eventQueue, Observations: observationQueue, Batch: observationBatch,
+		}),
 		core:      core,
 		ring:      ring,
-		events:    make(chan host.Event, eventQueue),
-		calls:     make(chan func(*host.Core)),
-		observed:  make(chan link.Observation, observationQueue),
 		endings:   make(chan host.RequestEnded, endedBurst),
 		published: make(chan struct{}, 1),
 
@@ -80,16 +78,6 @@
 	return c
 }
 
-// observe hands an observation over without blocking. When the control thread
-// is behind, the observation is dropped and counted.
-func (c *control) observe(o link.Observation) {
-	select {
-	case c.observed <- o:
-	default:
-		c.dropped.Add(1)
-	}
-}
-
 // endedRate and endedBurst bound the ends of requests on the time line, in
 // events a second. Unknown outcomes have the same again for themselves.
 const (
@@ -119,7 +107,7 @@
 // thread is behind, the request that needs them waits in vain.
 func (c *control) wantSigns(service string) {
 	select {
-	case c.events <- host.SignsWanted{Service: service}:
+	case c.Events <- host.SignsWanted{Service: service}:
 	default:
 	}
 }
@@ -132,33 +120,9 @@
 	}
 }
 
-// send hands an event over. It gives up when the control thread has stopped.
-func (c *control) send(ctx context.Context, ev host.Event) {
-	select {
-	case c.events <- ev:
-	case <-ctx.Done():
-	}
-}
-
-// call runs f on the control thread and waits for its end.
-func (c *control) call(ctx context.Context, f func(*host.Core)) error {
-	done := make(chan struct{})
-	select {
-	case c.calls <- func(core *host.Core) { f(core); close(done) }:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // deliver hands an event over and waits until it is handled.
 func (c *control) deliver(ctx context.Context, ev host.Event) error {
-	return c.call(ctx, func(*host.Core) { c.handle(ev) })
+	return c.Call(ctx, func(*host.Core) { c.handle(ev) })
 }
 
 // run is the control thread.
@@ -168,7 +132,7 @@
 	ticker := time.NewTicker(host.TickInterval)
 	defer ticker.Stop()
 	c.handle(host.Tick{})
-	observed := c.observed
+	observed := c.Observed
 	pause := time.NewTimer(observationPause)
 	defer pause.Stop()
 	for {
@@ -177,35 +141,21 @@
 			return
 		case <-ticker.C:
 			c.handle(host.Tick{})
-		case ev := <-c.events:
+		case ev := <-c.Events:
 			c.handle(ev)
 		case ev := <-c.endings:
 			c.handle(ev)
-		case f := <-c.calls:
+		case f := <-c.Calls:
 			f(c.core)
 		case o := <-observed:
-			c.handle(host.Observed{Observations: c.batch(o)})
+			c.handle(host.Observed{Observations: c.Batch(o)})
 			// Receiving from nil waits for ever.
 			observed = nil
 			pause.Reset(observationPause)
 		case <-pause.C:
-			observed = c.observed
-		}
-	}
-}
-
-// batch gathers the observations that already wait behind the first.
-func (c *control) batch(first link.Observation) []link.Observation {
-	list := []link.Observation{first}
-	for len(list) < observationBatch {
-		select {
-		case o := <-c.observed:
-			list = append(list, o)
-		default:
-			return list
+			observed = c.Observed
 		}
 	}
-	return list
 }
 
 func (c *control) handle(ev host.Event) {
--- a/daemon/control_test.go
+++ b/daemon/control_test.go
@@ -31,16 +31,16 @@
 		defer stop()
 		go c.run(ctx)
 		time.Sleep(observationPause)
-		c.observe(link.Observation{})
+		c.Observe(link.Observation{})
 		synctest.Wait()
-		is.Equal(len(c.observed), 0) // the first after a pause is taken at once
+		is.Equal(len(c.Observed), 0) // the first after a pause is taken at once
 		for range 3 {
-			c.observe(link.Observation{})
+			c.Observe(link.Observation{})
 		}
 		synctest.Wait()
-		is.Equal(len(c.observed), 3)
+		is.Equal(len(c.Observed), 3)
 		time.Sleep(observationPause)
 		synctest.Wait()
-		is.Equal(len(c.observed), 0)
+		is.Equal(len(c.Observed), 0)
 	})
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -186,7 +186,7 @@
 		group.Go(s.serve)
 	}
 	<-failed.Done()
-	d.control.send(background, host.ShutdownRequested{})
+	d.control.Send(background, host.ShutdownRequested{})
 	d.serveWhileLeaving(background)
 	close(d.closing)
 	err := shutdown(d.servers, d.drainTime())
--- a/daemon/drains.go
+++ b/daemon/drains.go
@@ -103,7 +103,7 @@
 
 func (d *Daemon) unkeptDrains(ctx context.Context) ([]host.OperatorDrain, error) {
 	var out []host.OperatorDrain
-	err := d.control.call(ctx, func(core *host.Core) { out = core.UnkeptDrains() })
+	err := d.control.Call(ctx, func(core *host.Core) { out = core.UnkeptDrains() })
 	return out, err
 }
 
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -25,7 +25,7 @@
 func (d *Daemon) readConfiguration(e host.ReadConfiguration) {
 	d.start(func(ctx context.Context) {
 		changes, revision, err := d.store.ChangesAfter(ctx, e.After)
-		d.control.send(d.ctx, host.ConfigurationRead{
+		d.control.Send(d.ctx, host.ConfigurationRead{
 			Changes: changes, Revision: revision, FromStore: true, Err: err,
 		})
 	})
@@ -36,7 +36,7 @@
 		req := connect.NewRequest(&fleetv1.ChangesRequest{After: e.After})
 		resp, err := d.peers.to(e.Peer.FleetAddress).Changes(ctx, req)
 		if err != nil {
-			d.control.send(d.ctx, host.ConfigurationRead{Err: err})
+			d.control.Send(d.ctx, host.ConfigurationRead{Err: err})
 			return
 		}
 		ev := host.ConfigurationRead{Revision: resp.Msg.GetRevision()}
@@ -46,7 +46,7 @@
 			ch, _ := wire.ChangeFromProto(p)
 			ev.Changes = append(ev.Changes, ch)
 		}
-		d.control.send(d.ctx, ev)
+		d.control.Send(d.ctx, ev)
 	})
 }
 
@@ -56,10 +56,10 @@
 		defer cancel()
 		answer, err := d.peers.ping(ctx, e.To.FleetAddress, e.Message)
 		if err != nil || answer.From.ID != e.To.ID {
-			d.control.send(d.ctx, host.PingFailed{Subject: e.To.ID})
+			d.control.Send(d.ctx, host.PingFailed{Subject: e.To.ID})
 			return
 		}
-		d.control.send(d.ctx, host.PingAnswered{Message: answer})
+		d.control.Send(d.ctx, host.PingAnswered{Message: answer})
 	})
 }
 
@@ -78,7 +78,7 @@
 		} else {
 			ev.Reached = resp.Msg.GetReached()
 		}
-		d.control.send(d.ctx, ev)
+		d.control.Send(d.ctx, ev)
 	})
 }
 
@@ -89,7 +89,7 @@
 		if err != nil {
 			return
 		}
-		d.control.send(d.ctx, host.SyncAnswered{
+		d.control.Send(d.ctx, host.SyncAnswered{
 			Message: wire.MessageFromProto(resp.Msg.GetMessage()),
 			Members: wire.UpdatesFromProto(resp.Msg.GetMembers()),
 		})
@@ -111,19 +111,19 @@
 			ev.Leaving = wire.ReportsFromProto(resp.Msg.GetLeaving())
 		}
 		if ev.Err != nil || len(ev.SignsOf) > 0 {
-			d.control.send(d.ctx, ev)
+			d.control.Send(d.ctx, ev)
 		}
 	})
 }
 
 func (d *Daemon) sendProbe(e host.SendProbe) {
-	d.start(func(ctx context.Context) { d.control.send(d.ctx, d.prober.probe(ctx, e)) })
+	d.start(func(ctx context.Context) { d.control.Send(d.ctx, d.prober.probe(ctx, e)) })
 }
 
 func (d *Daemon) readHostList() {
 	d.start(func(ctx context.Context) {
 		listing, err := d.hostList.Hosts(ctx)
-		d.control.send(d.ctx, host.HostListRead{Hosts: listing.Hosts, Err: err})
+		d.control.Send(d.ctx, host.HostListRead{Hosts: listing.Hosts, Err: err})
 	})
 }
 
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -58,9 +58,9 @@
 	if m.From.ID == "" {
 		return host.Message{}, connect.NewError(connect.CodeInvalidArgument, errNoSender)
 	}
-	s.control.send(ctx, host.MessageHeard{Message: m})
+	s.control.Send(ctx, host.MessageHeard{Message: m})
 	var answer host.Message
-	err := s.control.call(ctx, func(core *host.Core) { answer = core.Message(time.Now(), m.From.ID) })
+	err := s.control.Call(ctx, func(core *host.Core) { answer = core.Message(time.Now(), m.From.ID) })
 	return answer, err
 }
 
@@ -68,7 +68,7 @@
 func (s *fleetServer) IndirectPing(ctx context.Context, req *connect.Request[fleetv1.IndirectPingRequest]) (*connect.Response[fleetv1.IndirectPingResponse], error) {
 	subject := wire.PeerFromProto(req.Msg.GetSubject())
 	var m host.Message
-	if err := s.control.call(ctx, func(core *host.Core) { m = core.Message(time.Now(), subject.ID) }); err != nil {
+	if err := s.control.Call(ctx, func(core *host.Core) { m = core.Message(time.Now(), subject.ID) }); err != nil {
 		return nil, err
 	}
 	// The relay keeps half of the asker's time for its own answer.
@@ -78,20 +78,20 @@
 	answer, err := s.peers.ping(pingCtx, subject.FleetAddress, m)
 	reached := err == nil && answer.From.ID == subject.ID
 	if reached {
-		s.control.send(ctx, host.PingAnswered{Message: answer})
+		s.control.Send(ctx, host.PingAnswered{Message: answer})
 	}
 	return connect.NewResponse(&fleetv1.IndirectPingResponse{Reached: reached}), nil
 }
 
 // Report implements fleetv1connect.FleetServiceHandler.
 func (s *fleetServer) Report(ctx context.Context, req *connect.Request[fleetv1.ReportRequest]) (*connect.Response[fleetv1.ReportResponse], error) {
-	s.control.send(ctx, host.ReportsHeard{
+	s.control.Send(ctx, host.ReportsHeard{
 		From:    wire.PeerFromProto(req.Msg.GetFrom()),
 		Reports: wire.ReportsFromProto(req.Msg.GetReports()),
 	})
 	resp := &fleetv1.ReportResponse{}
 	if asked := req.Msg.GetSignsOf(); len(asked) > 0 {
-		err := s.control.call(ctx, func(core *host.Core) { resp.Leaving = wire.ReportsToProto(core.Leaving(asked)) })
+		err := s.control.Call(ctx, func(core *host.Core) { resp.Leaving = wire.ReportsToProto(core.Leaving(asked)) })
 		if err != nil {
 			return nil, err
 		}
@@ -110,14 +110,14 @@
 	if answer.Digest == asked.Digest {
 		return connect.NewResponse(resp), nil
 	}
-	err = s.control.call(ctx, func(core *host.Core) { resp.Members = wire.UpdatesToProto(core.Members()) })
+	err = s.control.Call(ctx, func(core *host.Core) { resp.Members = wire.UpdatesToProto(core.Members()) })
 	return connect.NewResponse(resp), err
 }
 
 // Changes implements fleetv1connect.FleetServiceHandler.
 func (s *fleetServer) Changes(ctx context.Context, req *connect.Request[fleetv1.ChangesRequest]) (*connect.Response[fleetv1.ChangesResponse], error) {
 	resp := &fleetv1.ChangesResponse{}
-	err := s.control.call(ctx, func(core *host.Core) {
+	err := s.control.Call(ctx, func(core *host.Core) {
 		resp.Revision = core.Revision()
 		for _, ch := range core.Changes(req.Msg.GetAfter()) {
 			resp.Changes = append(resp.Changes, wire.ChangeToProto(ch))
--- a/daemon/health_metrics.go
+++ b/daemon/health_metrics.go
@@ -57,7 +57,7 @@
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	var health []service.Health
-	if err := g.control.call(ctx, func(core *host.Core) { health = core.Health() }); err != nil {
+	if err := g.control.Call(ctx, func(core *host.Core) { health = core.Health() }); err != nil {
 		return errors.Wrap(err, "control thread")
 	}
 	for _, h := range health {
--- a/daemon/health_test.go
+++ b/daemon/health_test.go
@@ -83,7 +83,7 @@
 	is.True(hasSample(scrape(t, d), "crocushinge_healthy_slots", "8", `service="catalogue"`))
 
 	for range 50 {
-		d.control.observe(link.Observation{
+		d.control.Observe(link.Observation{
 			Target: target.Key{Service: "catalogue", Name: "one"}, Outcome: link.Failed, Latency: time.Millisecond, At: time.Now()})
 	}
 	eventually(t, "the ejection among the metrics", func() bool {
@@ -95,7 +95,7 @@
 			hasSample(m, "crocushinge_events_total", "1", `kind="target-state-changed"`, `to="ejected"`)
 	})
 	var away []string
-	is.NoErr(d.control.call(context.Background(), func(core *host.Core) {
+	is.NoErr(d.control.Call(context.Background(), func(core *host.Core) {
 		for _, s := range serviceStatus(core.Snapshot(), core.Health()) {
 			for _, t := range s.Away {
 				away = append(away, t.Target+" "+t.State)
--- a/daemon/leaving.go
+++ b/daemon/leaving.go
@@ -27,7 +27,7 @@
 // notifyLeft tells the fleet that this host has finished its work.
 func (d *Daemon) notifyLeft(ctx context.Context) {
 	var pings []host.SendPing
-	if err := d.control.call(ctx, func(core *host.Core) { pings = core.LeaveNotices(time.Now()) }); err != nil {
+	if err := d.control.Call(ctx, func(core *host.Core) { pings = core.LeaveNotices(time.Now()) }); err != nil {
 		return
 	}
 	var sent sync.WaitGroup
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -72,7 +72,7 @@
 // counters returns the counters of a daemon.
 func (d *Daemon) counters() []instrument {
 	return []instrument{
-		{"crocushinge.observations.dropped", "Observations dropped because the control thread was behind.", d.control.dropped.Load},
+		{"crocushinge.observations.dropped", "Observations dropped because the control thread was behind.", d.control.Dropped},
 		{"crocushinge.configuration.unreadable", "Readings of items of the table that were left out because they cannot be decoded.", d.corrupt.Load},
 		{"crocushinge.operator.refused", "API requests refused for a missing or wrong operator token.", d.refusedOperators.Load},
 		{"crocushinge.peer.refused", "Calls between hosts refused for a missing or wrong fleet token.", d.refusedPeers.Load},
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -25,7 +25,7 @@
 		Ledger:      d.ledger,
 		Claims:      d.claims,
 		Bodies:      d.bodies,
-		Observe:     d.control.observe,
+		Observe:     d.control.Observe,
 		Ended:       d.control.ended,
 		WantSigns:   d.control.wantSigns,
 		Transport:   traffic.NewTargets(network.DialContext),
--- a/daemon/requests_test.go
+++ b/daemon/requests_test.go
@@ -18,7 +18,7 @@
 	for range 10 * endedBurst {
 		c.ended(host.RequestEnded{Result: caller.Completed})
 	}
-	is.Equal(len(c.events), 0)
+	is.Equal(len(c.Events), 0)
 	is.True(len(c.endings) <= endedBurst)
 	is.True(c.unrecorded.Load() > 0)
 	for range endedBurst {
--- /dev/null
+++ b/fleet/relay.go
@@ -0,0 +1,168 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+// batch gathers reports that this host passes on.
+type batch struct {
+	reports []Report
+	due     time.Time
+}
+
+// add takes a report in. A host's later report replaces its earlier one, but for
+// the endings.
+func (b *batch) add(r Report, due time.Time) {
+	if b.due.IsZero() || due.Before(b.due) {
+		b.due = due
+	}
+	for i, old := range b.reports {
+		if old.Host == r.Host && old.Incarnation == r.Incarnation {
+			r.Endings = slices.Concat(old.Endings, r.Endings)
+			b.reports[i] = r
+			return
+		}
+	}
+	b.reports = append(b.reports, r)
+}
+
+// take returns the reports when they are due.
+func (b *batch) take(now time.Time) []Report {
+	if b.due.IsZero() || now.Before(b.due) {
+		return nil
+	}
+	reports := b.reports
+	*b = batch{}
+	return reports
+}
+
+// relayReport takes a report in to pass it on.
+func (c *Core) relayReport(now time.Time, r Report, hop Hop) {
+	zoneDue, worldDue := now.Add(relayDelay), now.Add(worldDelay)
+	if slices.ContainsFunc(r.Endings, func(e Ending) bool { return urgent(e.Outcome) }) {
+		zoneDue, worldDue = now, now
+	}
+	c.toZone.add(r, zoneDue)
+	if hop == ToRelay {
+		c.toWorld.add(r, worldDue)
+	}
+	c.flushRelay(now)
+}
+
+// flushRelay passes the gathered reports on when they are due.
+func (c *Core) flushRelay(now time.Time) {
+	if reports := c.toZone.take(now); len(reports) > 0 {
+		c.pass(packets(reports), ToHost, c.neighbors())
+	}
+	if reports := c.toWorld.take(now); len(reports) > 0 {
+		c.pass(packets(reports), ToZone, c.farContacts(now))
+	}
+}
+
+// pass sends packets of reports to addresses.
+func (c *Core) pass(packets [][]Report, hop Hop, to []string) {
+	if len(to) == 0 {
+		return
+	}
+	for _, reports := range packets {
+		c.emit(Send{To: to, Datagram: Datagram{From: c.hash, Hop: hop, Reports: reports}})
+	}
+}
+
+// neighbors returns the addresses of the other live hosts of the zone.
+func (c *Core) neighbors() []string {
+	var out []string
+	for _, p := range c.live() {
+		if p != c.self && p.Zone == c.cfg.Self.Zone {
+			out = append(out, p.Datagrams)
+		}
+	}
+	return out
+}
+
+// farContacts returns the addresses of the hosts that pass reports on in the
+// other zones.
+func (c *Core) farContacts(now time.Time) []string {
+	var out []string
+	for _, z := range c.cfg.Zones.Zones() {
+		if z.ID != c.cfg.Self.Zone {
+			out = append(out, c.contacts(z.ID, now)...)
+		}
+	}
+	return out
+}
+
+// packets divides reports over datagrams.
+func packets(list []Report) [][]Report {
+	var out [][]Report
+	entries := 0
+	for _, r := range list {
+		n := len(r.Loads) + len(r.Endings)
+		last := len(out) - 1
+		if last < 0 || len(out[last]) == datagramReports || entries+n > datagramEntries {
+			out = append(out, nil)
+			last++
+			entries = 0
+		}
+		out[last] = append(out[last], r)
+		entries += n
+	}
+	return out
+}
+
+// contact is the host of a zone that this host reports to.
+type contact struct {
+	host  Hash
+	since time.Time
+}
+
+// doubtedContacts is how many further hosts get the reports while a relay is
+// silent for longer than usual. Several relays may be lost at once.
+const doubtedContacts = 2
+
+// contacts returns the addresses of the hosts of a zone that pass reports on: one,
+// or some more while that one may be lost.
+func (c *Core) contacts(z zone.ID, now time.Time) []string {
+	first := c.contact(z, now)
+	if first == nil {
+		return nil
+	}
+	out := []string{first.Datagrams}
+	if first == c.self || now.Sub(first.direct) <= relayDoubt {
+		return out
+	}
+	for _, p := range c.live() {
+		if p.Zone == z && p != first && p != c.self && !now.Before(p.avoided) && len(out) <= doubtedContacts {
+			out = append(out, p.Datagrams)
+		}
+	}
+	return out
+}
+
+// contact returns the host of a zone that passes reports on: the first in order
+// that has not been silent. It returns nil when none is known.
+func (c *Core) contact(z zone.ID, now time.Time) *peerState {
+	var first *peerState
+	for _, p := range c.live() {
+		if p.Zone == z && !now.Before(p.avoided) {
+			first = p
+			break
+		}
+	}
+	if first == nil || first == c.self {
+		return first
+	}
+	known := c.relays[z]
+	if known == nil || known.host != first.hash {
+		c.relays[z] = &contact{host: first.hash, since: now}
+		return first
+	}
+	if now.Sub(known.since) > relaySilence && now.Sub(first.direct) > relaySilence {
+		first.avoided = now.Add(relayPause)
+		return c.contact(z, now)
+	}
+	return first
+}
--- a/gateway/effects.go
+++ b/gateway/effects.go
@@ -34,7 +34,7 @@
 // start runs an effect's I/O on a goroutine of its own and hands its answer to
 // the control thread.
 func (g *Gateway) start(f func(context.Context) fleet.Event) {
-	g.background.Go(func() { g.control.send(g.ctx, f(g.ctx)) })
+	g.background.Go(func() { g.control.Send(g.ctx, f(g.ctx)) })
 }
 
 // send sends a datagram. A UDP socket takes or drops it without waiting.
@@ -165,7 +165,7 @@
 // Fetch implements sharev1connect.ShareServiceHandler.
 func (s *documentServer) Fetch(ctx context.Context, req *connect.Request[sharev1.FetchRequest]) (*connect.Response[sharev1.FetchResponse], error) {
 	var have fleet.Fetched
-	if err := s.control.call(ctx, func(core *fleet.Core) { have = core.Documents(time.Now()) }); err != nil {
+	if err := s.control.Call(ctx, func(core *fleet.Core) { have = core.Documents(time.Now()) }); err != nil {
 		return nil, err
 	}
 	resp := &sharev1.FetchResponse{}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,7 +95,7 @@
 	}
 	g.handler = traffic.NewGateway(traffic.GatewayConfig{
 		Snapshot:  g.control.snapshot.Load,
-		Observe:   g.control.observe,
+		Observe:   g.control.Observe,
 		Started:   g.control.started,
 		Closing:   g.closing.Load,
 		Transport: traffic.NewTargets(dialTarget),
@@ -242,7 +242,7 @@
 func (g *Gateway) leave(ctx context.Context) {
 	began, grace := time.Now(), g.settings.Load().Grace
 	g.log.Info().Dur("grace", grace).Msg("stopping")
-	g.control.send(ctx, fleet.ShutdownRequested{})
+	g.control.Send(ctx, fleet.ShutdownRequested{})
 	wait.For(ctx, time.Duration(refuseAfter*float64(grace)))
 	g.closing.Store(true)
 	wait.For(ctx, time.Until(began.Add(time.Duration(closeAfter*float64(grace)))))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -272,7 +272,7 @@
 		return a.Hosts == 2 && b.Hosts == 2 && a.Ready && b.Ready && len(b.Services["orders"].Targets) == 2
 	})
 	bad := first.gateway.control.snapshot.Load().Services["orders"].Targets[0]
-	first.gateway.control.observe(fleet.Observation{Target: bad, Outcome: link.Failed, Latency: time.Millisecond})
+	first.gateway.control.Observe(fleet.Observation{Target: bad, Outcome: link.Failed, Latency: time.Millisecond})
 	eventually(t, "suspect at the other", func() bool {
 		for _, x := range second.gateway.control.snapshot.Load().Services["orders"].Targets {
 			if x.Key == bad.Key {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -25,7 +25,7 @@
 		return
 	}
 	g.counters.datagramsHeard.Add(1)
-	g.control.offer(fleet.Heard{Datagram: d})
+	g.control.Offer(fleet.Heard{Datagram: d})
 }
 
 // Rates of the lines about requests, in lines a second. What is beyond them is
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -156,7 +156,7 @@
 		{name: "crocushinge.datagrams.sent", unit: "{datagram}", text: "Datagrams sent to other hosts.", values: one(c.datagramsSent.Load)},
 		{name: "crocushinge.datagrams.heard", unit: "{datagram}", text: "Datagrams of other hosts.", values: one(c.datagramsHeard.Load)},
 		{name: "crocushinge.datagrams.failed", unit: "{datagram}", text: "Datagrams that could not be sent or read.", values: one(func() int64 { return c.unsent.Load() + c.unreadable.Load() })},
-		{name: "crocushinge.control.dropped", unit: "{event}", text: "Observations and datagrams that did not fit a queue.", values: one(g.control.dropped.Load)},
+		{name: "crocushinge.control.dropped", unit: "{event}", text: "Observations and datagrams that did not fit a queue.", values: one(g.control.Dropped)},
 		{name: "crocushinge.log.omitted", unit: "{line}", text: "Lines left out to bound the volume.", values: one(c.linesOmitted.Load)},
 	}
 }
@@ -165,7 +165,7 @@
 // process stops.
 func (g *Gateway) ages() fleet.Ages {
 	var ages fleet.Ages
-	err := g.control.call(g.ctx, func(core *fleet.Core) { ages = core.Ages(time.Now()) })
+	err := g.control.Call(g.ctx, func(core *fleet.Core) { ages = core.Ages(time.Now()) })
 	if err != nil {
 		return fleet.Ages{}
 	}
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -21,7 +21,7 @@
 	needsRestart := !reflect.DeepEqual(s, changed)
 	changed.Zones = old.Zones
 	g.settings.Store(&changed)
-	g.control.send(g.ctx, fleet.SettingsChanged{
+	g.control.Send(g.ctx, fleet.SettingsChanged{
 		Timing: fleet.TimingFor(changed.DrainWithin, changed.ApplyWithin),
 		Floor:  changed.Floor,
 		Seeds:  changed.Seeds,
