--- a/traffic/gateway_attempt.go
+++ b/traffic/gateway_attempt.go
@@ -63,7 +63,7 @@
 	s.held, s.whole, err = holdAnswer(resp)
 	if err != nil {
 		_ = resp.Body.Close()
-		g.end(s, classifyCut(ctx), errors.Wrap(err, "the answer was cut short"))
+		g.end(s, classifyCut(ctx), err)
 		return s
 	}
 	if s.whole {
