--- a/fleet/core.go
+++ b/fleet/core.go
@@ -227,10 +227,8 @@
 	if !ok {
 		return
 	}
-	before := ref.target.Suspect()
-	ref.service.Observe(ref.target, e.Ending, now)
-	if after := ref.target.Suspect(); after != before {
-		c.recordSuspicion(now, ref, e, after)
+	if ref.service.Observe(ref.target, e.Ending, now) {
+		c.recordSuspicion(now, ref, e, ref.target.Suspect())
 	}
 }
 
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -1,7 +1,7 @@
 package fleet
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 
@@ -82,12 +82,12 @@
 		Configuration: c.config.stamp(now),
 	}
 	c.out.endings = nil
-	for _, hash := range slices.Sorted(maps.Keys(c.byHash)) {
-		ref := c.byHash[hash]
+	for hash, ref := range c.byHash {
 		if n := ref.target.Own(); n > 0 {
 			r.Loads = append(r.Loads, Load{Target: hash, Requests: n})
 		}
 	}
+	slices.SortFunc(r.Loads, func(a, b Load) int { return cmp.Compare(a.Target, b.Target) })
 	return r
 }
 
--- a/traffic/answer.go
+++ b/traffic/answer.go
@@ -115,10 +115,15 @@
 // stream passes the rest of an answer on. When the caller has gone it reads on
 // to learn whether the answer is whole. The error is that of the target.
 func (a *attempt) stream(w http.ResponseWriter, held []byte) error {
-	if err := copyBody(w, io.MultiReader(bytes.NewReader(held), a.response.Body)); err != nil {
+	return streamAnswer(w, a.response, held)
+}
+
+// streamAnswer passes on what was held of an answer and the rest of it.
+func streamAnswer(w http.ResponseWriter, resp *http.Response, held []byte) error {
+	if err := copyBody(w, io.MultiReader(bytes.NewReader(held), resp.Body)); err != nil {
 		return errors.Wrap(err, "the answer was cut short")
 	}
-	writeTrailers(w, a.response)
+	writeTrailers(w, resp)
 	return nil
 }
 
--- a/traffic/gateway_attempt.go
+++ b/traffic/gateway_attempt.go
@@ -1,9 +1,7 @@
 package traffic
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"time"
@@ -182,7 +180,7 @@
 		return
 	}
 	w.WriteHeader(s.response.StatusCode)
-	err := streamRest(w, s)
+	err := streamAnswer(w, s.response, s.held)
 	_ = s.response.Body.Close()
 	if err != nil {
 		g.end(s, link.Broken, err)
@@ -191,15 +189,6 @@
 	g.end(s, answered(s.response), nil)
 }
 
-// streamRest passes the rest of an answer on.
-func streamRest(w http.ResponseWriter, s *sending) error {
-	if err := copyBody(w, io.MultiReader(bytes.NewReader(s.held), s.response.Body)); err != nil {
-		return errors.Wrap(err, "the answer was cut short")
-	}
-	writeTrailers(w, s.response)
-	return nil
-}
-
 // discard gives up an answer that is not passed on.
 func (g *Gateway) discard(s *sending) {
 	if s.ended {
--- a/traffic/gateway_carry.go
+++ b/traffic/gateway_carry.go
@@ -205,11 +205,8 @@
 		g.deliver(w, s)
 	case !j.mayHaveRun:
 		g.refuse(w, p, refuseFor(p.comeBack(), "no target took the request: "+j.last.err.Error()))
-	case errors.Is(j.ctx.Err(), context.DeadlineExceeded):
-		g.refuse(w, p, answer(http.StatusGatewayTimeout, caller.Unknown, "no answer in time"))
 	case j.ctx.Err() != nil:
-		g.counters.Gone.Add(1)
-		panic(http.ErrAbortHandler)
+		j.expired(w)
 	default:
 		g.refuse(w, p, answer(http.StatusBadGateway, caller.Unknown, j.last.err.Error()))
 	}
