Share the stand-ins of the users' platform between tests

Cause: the fault soak needs the store's stand-in, targets and callers that the adapter's tests have in part; written twice they would drift apart.

--- a/layout_test.go
+++ b/layout_test.go
@@ -49,7 +49,12 @@
 // platformUser is the only program that runs on the users' platform.
 const platformUser = "github.com/crocushinge/crocushinge/cmd/crocushinge-gateway"
 
-const platformPackage = "github.com/crocushinge/crocushinge/platform"
+// platformPackage is the adapter, and platformStandIns are the stand-ins of what is
+// around it, which only tests use.
+const (
+	platformPackage  = "github.com/crocushinge/crocushinge/platform"
+	platformStandIns = platformPackage + "/platformtest"
+)
 
 func TestOnlyTheAdapterKnowsTheUsersPlatform(t *testing.T) {
 	out, err := exec.Command("go", "list", "-f", `{{.ImportPath}}{{"\t"}}{{.Dir}}{{"\t"}}{{join .GoFiles " "}}{{"\t"}}{{join .Imports " "}}`, "./...").Output()
@@ -59,7 +64,7 @@
 	for line := range strings.Lines(string(out)) {
 		fields := strings.Split(strings.TrimSuffix(line, "\n"), "\t")
 		pkg, dir := fields[0], fields[1]
-		if pkg == platformPackage {
+		if pkg == platformPackage || pkg == platformStandIns {
 			continue
 		}
 		for file := range strings.FieldsSeq(fields[2]) {
@@ -68,6 +73,9 @@
 		if len(fields) > 3 && pkg != platformUser && slices.Contains(strings.Fields(fields[3]), platformPackage) {
 			t.Errorf("%s imports the adapter", pkg)
 		}
+		if len(fields) > 3 && slices.Contains(strings.Fields(fields[3]), platformStandIns) {
+			t.Errorf("%s imports the stand-ins of tests", pkg)
+		}
 	}
 }
 
