Send no retry to a suspect

Ruled out: the retry budget (not spent); the floor's spared suspects (few). Change: a request that was tried before tests nothing.

--- a/pool/pick.go
+++ b/pool/pick.go
@@ -79,18 +79,22 @@
 	return best
 }
 
-// pickTest returns a suspect whose test is due and that this request may test.
+// pickTest returns a suspect whose test is due and that this request may test. A
+// request that has failed once tests nothing: its retry goes where it is served.
 func (r *Routing) pickTest(q Request) *Target {
+	if len(q.Tried) > 0 {
+		return nil
+	}
 	for _, t := range r.Targets {
 		v := t.verdict.Load()
-		if !v.suspect || t.InFlight() > 0 || t.passedOver(q.Now) || slices.Contains(q.Tried, t) {
+		if !v.suspect || t.InFlight() > 0 || t.passedOver(q.Now) {
 			continue
 		}
 		// A suspect that no repeatable request has tested in time is tested by any:
 		// no target may stay without a request for longer than the floor's window.
 		due := v.riskAt
 		switch {
-		case r.repeatable && q.Repeatable && len(q.Tried) == 0:
+		case r.repeatable && q.Repeatable:
 			due = v.testAt
 		case q.Idempotent:
 			due = due.Add(-idempotentLead)
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -438,3 +438,18 @@
 	is.True(refusedFrom[2] < refusedFrom[1] && refusedFrom[1] < refusedFrom[0])
 	is.True(!s.Routing(testFloor).Admit(Demand{Objective: 3 * usual, Late: true}))
 }
+
+// TestRetriesTestNoSuspect: a request that has failed at one target goes to a trusted one,
+// also while the test of a suspect is overdue.
+func TestRetriesTestNoSuspect(t *testing.T) {
+	is := is.New(t)
+	s := newService(4)
+	first, suspect := s.Targets()[0], s.Targets()[1]
+	fail(s, suspect, time.Millisecond, epoch)
+	is.True(suspect.Suspect())
+	later := epoch.Add(time.Minute)
+	for _, idempotent := range []bool{true, false} {
+		got := pick(s, Request{Tried: []*Target{first}, Repeatable: idempotent, Idempotent: idempotent, Now: later})
+		is.True(got != suspect && got != first)
+	}
+}
