--- a/pool/pick.go
+++ b/pool/pick.go
@@ -20,19 +20,8 @@
 	// floor is the share of the targets that suspicion must not take out.
 	floor      float64
 	repeatable bool
-	// typical is the usual latency in nanoseconds, and failing is set while many requests
-	// fail; both are kept up to date.
+	// typical is the usual latency in nanoseconds, kept up to date.
 	typical *atomic.Int64
-	failing *atomic.Bool
-}
-
-// scarce is the share of free slots below which a service is pressed.
-const scarce = 0.25
-
-// pressed reports whether the service does not serve well: many requests fail, or few
-// slots are free.
-func (r *Routing) pressed() bool {
-	return r.failing.Load() || float64(r.Free()) < scarce*float64(r.Slots)
 }
 
 // Typical returns the usual latency of the service's successes; 0 before the
@@ -96,7 +85,6 @@
 	if len(q.Tried) > 0 {
 		return nil
 	}
-	pressed := r.pressed()
 	for _, t := range r.Targets {
 		v := t.verdict.Load()
 		if !v.suspect || t.InFlight() > 0 || t.passedOver(q.Now) {
@@ -104,10 +92,7 @@
 		}
 		// A suspect that no repeatable request has tested in time is tested by any:
 		// no target may stay without a request for longer than the floor's window.
-		due := v.calmRiskAt
-		if pressed {
-			due = v.riskAt
-		}
+		due := v.riskAt
 		switch {
 		case r.repeatable && q.Repeatable:
 			due = v.testAt
--- a/pool/service.go
+++ b/pool/service.go
@@ -55,11 +55,7 @@
 	typical   average
 	successes int
 	published atomic.Int64
-	// unserved is the share of requests that trusted targets fail, and failing whether
-	// it is too large.
-	unserved average
-	failing  atomic.Bool
-	routing  *Routing
+	routing   *Routing
 }
 
 // NewService returns a service without targets.
@@ -105,7 +101,7 @@
 // Observe counts the end of a request at a target. It reports whether the
 // target became a suspect or ended to be one.
 func (s *Service) Observe(t *Target, e Ending, now time.Time) (changed bool) {
-	s.countFailure(t, e.Outcome)
+	t.countFailure(e.Outcome)
 	switch e.Outcome {
 	case link.Succeeded:
 		t.latency.add(float64(e.Latency), latencyWeight)
@@ -144,30 +140,19 @@
 	return weak
 }
 
-// failingShare is the share of failed requests from which a service counts as pressed. The
-// users' floor must be in use from a tenth.
-const failingShare = 0.06
-
-// countFailure keeps the shares of requests that fail at a target and at all trusted
-// ones.
-func (s *Service) countFailure(t *Target, o link.Outcome) {
-	failed := 0.0
+// countFailure keeps the share of requests that fail.
+func (t *Target) countFailure(o link.Outcome) {
 	switch o {
 	case link.Succeeded:
+		t.failed.begun = true
+		t.failed.add(0, failureWeight)
 	case link.Failed, link.Broken, link.TimedOut:
-		failed = 1
+		t.failed.begun = true
+		t.failed.add(1, failureWeight)
 	default:
 		return
 	}
-	t.failed.begun = true
-	t.failed.add(failed, failureWeight)
 	t.unreliability.Store(math.Float64bits(t.failed.value))
-	if t.suspicion.suspect {
-		return // tests are expected to fail
-	}
-	s.unserved.begun = true
-	s.unserved.add(failed, unservedWeight)
-	s.failing.Store(s.unserved.value > failingShare)
 }
 
 // publish shows traffic the suspicion. Each host has its own time for the next test:
@@ -178,11 +163,10 @@
 		return
 	}
 	t.verdict.Store(&verdict{
-		suspect:    true,
-		confirmed:  t.suspicion.failed > 0,
-		testAt:     t.suspicion.testAt().Add(p.spread(testSpread)),
-		calmRiskAt: t.suspicion.riskAt(calmPace).Add(p.spread(riskSpread)),
-		riskAt:     t.suspicion.riskAt(pressedPace).Add(p.spread(riskSpread)),
+		suspect:   true,
+		confirmed: t.suspicion.failed,
+		testAt:    t.suspicion.testAt.Add(p.spread(testSpread)),
+		riskAt:    t.suspicion.riskAt.Add(p.spread(riskSpread)),
 	})
 }
 
@@ -225,7 +209,6 @@
 			floor:      floor,
 			repeatable: s.Repeatable,
 			typical:    &s.published,
-			failing:    &s.failing,
 		}
 		for _, t := range s.order {
 			s.routing.Slots += t.Slots
--- a/pool/suspicion.go
+++ b/pool/suspicion.go
@@ -28,10 +28,15 @@
 // Times of a suspicion.
 const (
 	// firstTest is the pause before a request that may be repeated tests a
-	// suspect, and longestTest the bound up to which it doubles with every failed test.
-	// Spells of failures last seconds, and each failed test spends a retry.
+	// suspect, and longestTest the bound up to which it doubles with every
+	// failed test. Spells of failures last seconds, and each failed test spends
+	// a retry.
 	firstTest   = 400 * time.Millisecond
 	longestTest = 800 * time.Millisecond
+	// riskPause is the pause before any request tests a suspect that no repeatable
+	// one has tested meanwhile. It stays below the two seconds within which every
+	// target of the floor must see a request.
+	riskPause = 1700 * time.Millisecond
 	// testSpread and riskSpread are the times over which the hosts of a fleet
 	// spread the same test.
 	testSpread = 200 * time.Millisecond
@@ -43,25 +48,6 @@
 	forget = 3 * time.Second
 )
 
-// pace is the pause before any request tests a suspect that no repeatable one has tested
-// meanwhile. It doubles with every failed test: each fails a request of a caller.
-type pace struct{ first, longest time.Duration }
-
-// paces are those of a service that serves well and of one that is pressed. In the latter
-// each target counts, and none of the floor may go without a request for two seconds.
-var (
-	calmPace    = pace{first: 2500 * time.Millisecond, longest: 6 * time.Second}
-	pressedPace = pace{first: 1700 * time.Millisecond, longest: 1700 * time.Millisecond}
-)
-
-// after returns the pause after a number of tests failed in a row.
-func (p pace) after(failed int) time.Duration {
-	return min(p.first<<min(failed, maxDoublings), p.longest)
-}
-
-// maxDoublings bounds the doubling of pauses; all have reached their bound by then.
-const maxDoublings = 8
-
 // passes is how many tests in a row end a suspicion. A target that fails nine in
 // ten passes two with a chance of one in a hundred; one that fails half is caught
 // again on probation.
@@ -74,10 +60,13 @@
 
 	suspect bool
 	since   time.Time
-	// passed and failed count the tests passed and failed in a row.
-	passed, failed int
-	// tried is when the last test ended, or the suspicion began.
-	tried time.Time
+	// passed counts the tests passed in a row, and failed is set after a test
+	// has failed.
+	passed int
+	failed bool
+	// pause is the present pause before a test.
+	pause          time.Duration
+	testAt, riskAt time.Time
 	// probationUntil is set after a suspicion ended.
 	probationUntil time.Time
 }
@@ -116,31 +105,18 @@
 func (s *suspicion) begin(now time.Time) {
 	s.suspect = true
 	s.since = now
-	s.passed, s.failed = 0, 0
-	s.tried = now
+	s.passed = 0
+	s.pause = firstTest
+	s.testAt = now.Add(s.pause)
+	s.riskAt = now.Add(riskPause)
 }
 
 func (s *suspicion) failTest(now time.Time) {
 	s.passed = 0
-	s.failed++
-	s.tried = now
-}
-
-// testAt returns when a request that may be repeated tests the target. A passed test is
-// followed by the next one at once.
-func (s *suspicion) testAt() time.Time {
-	if s.passed > 0 {
-		return s.tried
-	}
-	return s.tried.Add(min(firstTest<<min(s.failed, maxDoublings), longestTest))
-}
-
-// riskAt returns when any request tests the target.
-func (s *suspicion) riskAt(p pace) time.Time {
-	if s.passed > 0 {
-		return s.tried
-	}
-	return s.tried.Add(p.after(s.failed))
+	s.failed = true
+	s.pause = min(2*s.pause, longestTest)
+	s.testAt = now.Add(s.pause)
+	s.riskAt = now.Add(riskPause)
 }
 
 // acquit counts a success of a request that began at the given time. It reports
@@ -155,7 +131,8 @@
 		return false
 	}
 	s.passed++
-	s.tried = now
+	s.testAt = now
+	s.riskAt = now
 	if s.passed < passes {
 		return false
 	}
--- a/pool/target.go
+++ b/pool/target.go
@@ -74,9 +74,9 @@
 	// suspect is set while the target takes only tests, and confirmed once a
 	// test has failed: such a target is no healthy capacity.
 	suspect, confirmed bool
-	// testAt is when a request that may be repeated may test the target; calmRiskAt
-	// and riskAt are when any may, while the service serves well and while it does not.
-	testAt, calmRiskAt, riskAt time.Time
+	// testAt is when a request that may be repeated may test the target, and
+	// riskAt when any request may.
+	testAt, riskAt time.Time
 }
 
 var trusted = &verdict{}
@@ -158,8 +158,6 @@
 	latencyWeight = 0.15
 	// failureWeight remembers about twenty requests.
 	failureWeight = 0.05
-	// unservedWeight remembers about a hundred requests.
-	unservedWeight = 0.01
 )
 
 func (a *average) add(value, weight float64) {
