Lose lines that come after the log was closed

Cause: found by reading. Close closed the channel of lines; a request that is cut at the end of the grace writes its line after that, and the process ended with a panic. Change: Close sets a flag of its own. Before: TestLineAfterTheEndIsLost panics (send on closed channel). After: green.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -380,6 +380,20 @@
 	is.Equal(strings.Count(out.String(), "\n"), 100)
 }
 
+// TestLineAfterTheEndIsLost: a request that is cut at the end of the grace may still
+// write its line.
+func TestLineAfterTheEndIsLost(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	l := NewLogWriter(&out)
+	is.NoErr(l.Close())
+	for range 2 * logLines {
+		_, err := l.Write([]byte("late\n"))
+		is.NoErr(err)
+	}
+	is.Equal(out.String(), "")
+}
+
 func TestLinesAboutRequestsAreBounded(t *testing.T) {
 	is := is.New(t)
 	var out strings.Builder
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -94,8 +94,8 @@
 type LogWriter struct {
 	lines   chan []byte
 	dropped atomic.Int64
-	// written is closed after Close, once all lines are written.
-	written chan struct{}
+	// closed is closed by Close, and written after it, once all lines are written.
+	closed, written chan struct{}
 }
 
 var _ io.Writer = (*LogWriter)(nil)
@@ -105,7 +105,7 @@
 
 // NewLogWriter returns a writer to w.
 func NewLogWriter(w io.Writer) *LogWriter {
-	l := &LogWriter{lines: make(chan []byte, logLines), written: make(chan struct{})}
+	l := &LogWriter{lines: make(chan []byte, logLines), closed: make(chan struct{}), written: make(chan struct{})}
 	go l.run(w)
 	return l
 }
@@ -124,9 +124,9 @@
 const flushTime = 100 * time.Millisecond
 
 // Close writes the lines that wait, as far as the other writer takes them in
-// flushTime. There must be no Write after it.
+// flushTime. Lines that are written later, by requests that were cut, are lost.
 func (l *LogWriter) Close() error {
-	close(l.lines)
+	close(l.closed)
 	select {
 	case <-l.written:
 		return nil
@@ -140,11 +140,24 @@
 
 func (l *LogWriter) run(w io.Writer) {
 	defer close(l.written)
-	for line := range l.lines {
-		for more := len(l.lines); more > 0; more-- {
-			line = append(line, <-l.lines...)
+	for {
+		select {
+		case line := <-l.lines:
+			l.write(w, line)
+		case <-l.closed:
+			if len(l.lines) > 0 {
+				l.write(w, <-l.lines)
+			}
+			return
 		}
-		// There is nowhere to report that the log cannot be written.
-		_, _ = w.Write(line)
 	}
 }
+
+// write writes a line and those that wait behind it.
+func (l *LogWriter) write(w io.Writer, line []byte) {
+	for more := len(l.lines); more > 0; more-- {
+		line = append(line, <-l.lines...)
+	}
+	// There is nowhere to report that the log cannot be written.
+	_, _ = w.Write(line)
+}
