--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -231,9 +231,9 @@
 	refuseAfter = 0.5
 	// closeAfter is the share after which the sockets are closed, and endAfter
 	// the one after which requests in flight are cut, so that the process ends by
-	// itself.
-	closeAfter = 0.85
-	endAfter   = 0.95
+	// itself. A sixth of a core takes half a second to end a busy process.
+	closeAfter = 0.8
+	endAfter   = 0.9
 )
 
 // leave ends the process gracefully: callers are sent elsewhere at once, requests
