Count by the steady clock

The retry window, the times at which a target was used or could not be reached, and the open requests of a link were numbers taken from the time of day, which jumps on the users' machines: a jump empties the window, so a host may spend its share of the retry budget twice, and makes every target look unused. Change: internal/clock turns times into numbers by the steady clock; layout_test.go holds that decisions take none from the time of day. Before: TestDecisionsDoNotCountByTheTimeOfDay red for pool, caller, link and service. After: green.

--- a/caller/window.go
+++ b/caller/window.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/crocushinge/crocushinge/internal/clock"
 )
 
 // windowBuckets is how many parts a window is counted in. More follow a sliding
@@ -33,18 +35,21 @@
 
 // advance clears the parts that the window has left.
 func (b *WindowBudget) advance(now time.Time) int {
-	at := now.UnixNano() / int64(b.bucket)
+	at := clock.Nanos(now) / int64(b.bucket)
 	if at-b.at >= windowBuckets || at < b.at {
 		b.requests, b.retries = [windowBuckets]int{}, [windowBuckets]int{}
 		b.at = at
 	}
 	for ; b.at < at; b.at++ {
-		next := (b.at + 1) % windowBuckets
+		next := slot(b.at + 1)
 		b.requests[next], b.retries[next] = 0, 0
 	}
-	return int(at % windowBuckets)
+	return slot(at)
 }
 
+// slot returns the part of the window at a number of parts since the process started.
+func slot(at int64) int { return int((at%windowBuckets + windowBuckets) % windowBuckets) }
+
 // Earn counts a request.
 func (b *WindowBudget) Earn(now time.Time) {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,17 @@
+package clock
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestNanosFollowTheSteadyClock(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	is.True(Nanos(now) >= 0)
+	is.True(Nanos(now) < int64(time.Hour)) // since the start, not since 1970
+	is.Equal(Nanos(now.Add(time.Second))-Nanos(now), int64(time.Second))
+	is.True(Time(Nanos(now)).Equal(now))
+}
--- a/layout_test.go
+++ b/layout_test.go
@@ -90,3 +90,26 @@
 		}
 	}
 }
+
+// TestDecisionsDoNotCountByTheTimeOfDay: the time of day jumps, and what was counted by it
+// jumps too. timeline stamps its events with it.
+func TestDecisionsDoNotCountByTheTimeOfDay(t *testing.T) {
+	for _, pkg := range decisionPackages {
+		if pkg == "./timeline" {
+			continue
+		}
+		files, err := filepath.Glob(filepath.Join(pkg, "*.go"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range files {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !strings.HasSuffix(file, "_test.go") && strings.Contains(string(text), ".Unix") {
+				t.Errorf("%s takes a number from the time of day", file)
+			}
+		}
+	}
+}
--- a/link/link.go
+++ b/link/link.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/crocushinge/crocushinge/internal/clock"
 	"github.com/crocushinge/crocushinge/target"
 )
 
@@ -118,7 +119,7 @@
 		return noSlot, false
 	}
 	for i := range l.starts {
-		if l.starts[i].CompareAndSwap(0, now.UnixNano()) {
+		if l.starts[i].CompareAndSwap(0, clock.Nanos(now)) {
 			return i, true
 		}
 	}
@@ -144,7 +145,7 @@
 func (l *Link) OpenSince(f func(start time.Time)) {
 	for i := range l.starts {
 		if ns := l.starts[i].Load(); ns > 0 {
-			f(time.Unix(0, ns))
+			f(clock.Time(ns))
 		}
 	}
 }
--- a/link/reach.go
+++ b/link/reach.go
@@ -1,6 +1,10 @@
 package link
 
-import "time"
+import (
+	"time"
+
+	"github.com/crocushinge/crocushinge/internal/clock"
+)
 
 // A link on which no connection could be opened is passed over for firstPass,
 // and twice as long after each further failure, longestPass at most.
@@ -17,7 +21,7 @@
 	case ConnectFailed:
 		if !l.PassedOver(now) {
 			pass := min(firstPass<<min(l.unreached.Add(1)-1, 10), longestPass)
-			l.passUntil.Store(now.Add(pass).UnixNano())
+			l.passUntil.Store(clock.Nanos(now.Add(pass)))
 		}
 	default:
 		l.unreached.Store(0)
@@ -29,7 +33,7 @@
 // so that a request should take another link if there is one.
 func (l *Link) PassedOver(now time.Time) bool {
 	until := l.passUntil.Load()
-	return until != 0 && now.UnixNano() < until
+	return until != 0 && clock.Nanos(now) < until
 }
 
 // Unreached reports whether the latest attempt could not open a connection.
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"github.com/crocushinge/crocushinge/internal/clock"
 )
 
 // Routing is the immutable view of a service for traffic. Only the gauges of
@@ -180,7 +182,7 @@
 		slow = max(slow, warmingCost)
 	}
 	cost := slow*(1+queue+busyCost*load/slots) + distanceCosts[t.distance]
-	if now.UnixNano()-t.usedHere.Load() > int64(warmFor) {
+	if clock.Nanos(now)-t.usedHere.Load() > int64(warmFor) {
 		cost += coldCost
 	}
 	cost += failureCost * math.Float64frombits(t.unreliability.Load())
@@ -212,7 +214,7 @@
 // unused reports whether the target is due for a request of its own zone.
 func (t *Target) unused(now time.Time, slow float64) bool {
 	return t.distance == SameZone && slow < noticeable && t.InFlight() == 0 &&
-		now.UnixNano()-t.used.Load() > int64(unusedAfter)
+		clock.Nanos(now)-t.used.Load() > int64(unusedAfter)
 }
 
 // warmingCost is how much slower a target is taken to be just after its start.
--- a/pool/target.go
+++ b/pool/target.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/internal/clock"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/target"
 )
@@ -48,7 +49,7 @@
 	// other hosts.
 	own, others atomic.Int32
 	// unreached is until when this host takes other targets first because it
-	// could not connect, in Unix nanoseconds.
+	// could not connect. This and the next two are by clock.Nanos.
 	unreached atomic.Int64
 	// verdict is what traffic reads of the suspicion.
 	verdict atomic.Pointer[verdict]
@@ -57,8 +58,7 @@
 	// slowness is the latency relative to the service's, and unreliability the
 	// share of requests that fail, both as float64 bits.
 	slowness, unreliability atomic.Uint64
-	// used is when the target last had a request of any host, in Unix
-	// nanoseconds.
+	// used is when the target last had a request of any host.
 	used atomic.Int64
 	// usedHere is when this host last sent it a request.
 	usedHere atomic.Int64
@@ -79,6 +79,9 @@
 	testAt, riskAt time.Time
 }
 
+// never is before any time, by clock.Nanos.
+const never = -1 << 62
+
 var trusted = &verdict{}
 
 // newTarget returns a target that is trusted.
@@ -92,13 +95,15 @@
 	}
 	t.verdict.Store(trusted)
 	t.slowness.Store(math.Float64bits(1))
+	t.used.Store(never)
+	t.usedHere.Store(never)
 	return t
 }
 
 // Begin counts a request that this host sends to the target.
 func (t *Target) Begin(now time.Time) {
 	t.own.Add(1)
-	t.usedHere.Store(now.UnixNano())
+	t.usedHere.Store(clock.Nanos(now))
 	t.Use(now)
 }
 
@@ -112,7 +117,7 @@
 func (t *Target) AddOthers(n int) { t.others.Add(int32(n)) }
 
 // Use notes that a host had a request at the target.
-func (t *Target) Use(now time.Time) { t.used.Store(now.UnixNano()) }
+func (t *Target) Use(now time.Time) { t.used.Store(clock.Nanos(now)) }
 
 // InFlight returns the fleet's requests in flight as far as this host knows.
 func (t *Target) InFlight() int { return int(t.own.Load() + max(0, t.others.Load())) }
@@ -134,17 +139,17 @@
 	switch o {
 	case link.Overdue:
 		if !t.Full() {
-			t.unreached.Store(now.Add(unreachedPause).UnixNano())
+			t.unreached.Store(clock.Nanos(now.Add(unreachedPause)))
 		}
 	case link.ConnectFailed:
-		t.unreached.Store(now.Add(unreachedPause).UnixNano())
+		t.unreached.Store(clock.Nanos(now.Add(unreachedPause)))
 	case link.Succeeded, link.Failed, link.Refused:
 		t.unreached.Store(0)
 	}
 }
 
 // passedOver reports whether this host takes other targets first.
-func (t *Target) passedOver(now time.Time) bool { return now.UnixNano() < t.unreached.Load() }
+func (t *Target) passedOver(now time.Time) bool { return clock.Nanos(now) < t.unreached.Load() }
 
 // average is a moving average.
 type average struct {
--- a/service/observe.go
+++ b/service/observe.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/crocushinge/crocushinge/internal/clock"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/target"
 )
@@ -29,7 +30,7 @@
 		s.countLatency(m, o)
 		s.judge(m, o.At)
 	}
-	delete(m.open, o.Started.UnixNano())
+	delete(m.open, clock.Nanos(o.Started))
 	return s.take()
 }
 
@@ -66,7 +67,7 @@
 	if m.target.State() == target.Warming {
 		return
 	}
-	nats := s.latencies.Nats(latency) - m.open[o.Started.UnixNano()]
+	nats := s.latencies.Nats(latency) - m.open[clock.Nanos(o.Started)]
 	m.target.Pool().Add(target.Slow, nats, s.thresholds[target.Slow], o.At)
 	if o.Outcome == link.Succeeded && !s.standsOut(m) {
 		s.latencies.Add(latency)
@@ -91,7 +92,7 @@
 		if !s.latencies.Unusual(age) {
 			return
 		}
-		key := start.UnixNano()
+		key := clock.Nanos(start)
 		if m.open == nil {
 			m.open = make(openRequests)
 		}
@@ -112,7 +113,7 @@
 	}
 	open := make(openRequests)
 	m.link.OpenSince(func(start time.Time) {
-		key := start.UnixNano()
+		key := clock.Nanos(start)
 		open[key] = m.open[key]
 	})
 	m.open = open
