Share the retry budget among all hosts that are remembered

Cause: found by reading for the model of the budget. A host's share of the slack was divided by the hosts that it hears. A host that is cut off from all others took the whole slack for itself, and so did each of them; a host that had just started did so until it had heard of others. Ruled out: the ratio's part, which counts the host's own requests only. Change: the share is one by all hosts that are remembered, silent ones included, and nothing until the host has learned of the others from the rows or from a peer. Before: TestSharesOfTheRetryBudgetNeverExceedIt red (18 shares of 1 in a partition of each from each). After: green.

--- a/fleet/fetch.go
+++ b/fleet/fetch.go
@@ -86,6 +86,15 @@
 	return a
 }
 
+// informedAfter is how long after its start a host learns of all others from a peer. At the
+// first start of the fleet the peer knows few before.
+func (c *Core) informedAfter() time.Duration {
+	if c.cfg.First {
+		return firstPatience
+	}
+	return 0
+}
+
 func (c *Core) fetched(now time.Time, ev Fetched) {
 	c.fetching.busy = false
 	if ev.Err != nil {
@@ -94,6 +103,9 @@
 	}
 	c.fetching.retryAt = time.Time{}
 	c.meet(now, ev.Peers)
+	if len(ev.Peers) > 0 && now.Sub(c.joining.started) > c.informedAfter() {
+		c.inform()
+	}
 	if ev.Targets != nil {
 		c.mergeTargets(now, ev.Targets, now.Add(-ev.TargetsStamp.Age), "fetched from a peer")
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -403,3 +403,46 @@
 		is.True(knowsAll(c))
 	}
 }
+
+// TestSharesOfTheRetryBudgetNeverExceedIt: each host spends its share alone, also while it
+// hears of no other.
+func TestSharesOfTheRetryBudgetNeverExceedIt(t *testing.T) {
+	is := is.New(t)
+	shares := func(c *cluster) float64 {
+		sum := 0.0
+		c.each(func(n *node) { sum += n.snapshot.BudgetShare })
+		return sum
+	}
+	const rounding = 1e-9
+	c := newCluster(21, perZone)
+	for range 120 { // the first start
+		c.run(50 * time.Millisecond)
+		is.True(shares(c) <= 1+rounding)
+	}
+	is.True(shares(c) > 0.99) // and all of it is used once the hosts know each other
+	c.partition = func(a, b string) bool { return a != b }
+	c.run(5 * time.Second)
+	is.True(shares(c) <= 1+rounding)
+	for _, name := range c.names { // all start anew, without each other and without the store
+		c.kill(name)
+	}
+	c.away = true
+	for _, name := range c.names {
+		c.restart(name)
+	}
+	c.run(5 * time.Second)
+	is.True(shares(c) <= 1+rounding)
+	c.away, c.partition = false, nil
+	c.run(15 * time.Second)
+	is.True(shares(c) <= 1+rounding)
+	is.True(shares(c) > 0.99)
+}
+
+func TestOnlyHostHasTheWholeBudget(t *testing.T) {
+	is := is.New(t)
+	n := newCluster(22, 1).hosts["10.0.0.0:7000"]
+	core := New(n.config, epoch)
+	is.Equal(core.Snapshot().BudgetShare, 0.0) // it knows nothing of others yet
+	core.Handle(epoch, PeersRead{Peers: []Peer{n.config.Self}})
+	is.Equal(core.Snapshot().BudgetShare, 1.0)
+}
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -119,6 +119,9 @@
 	readPeersAt  time.Time
 	peersRead    bool
 	readingPeers bool
+	// informed is set once the host has learned of all hosts, from the rows or from a
+	// peer that has joined before.
+	informed bool
 	// wantPeers is set after a report of an unknown host.
 	wantPeers bool
 	nextWant  time.Time
@@ -202,6 +205,7 @@
 	}
 	c.joining.peersRead = true
 	c.joining.readPeersAt = now.Add(alonePause)
+	c.inform()
 	for _, p := range ev.Peers {
 		p.Incarnation = c.cfg.Self.Incarnation
 		if p == c.cfg.Self {
@@ -211,6 +215,12 @@
 	c.meet(now, ev.Peers)
 }
 
+// inform notes that this host has learned of all hosts.
+func (c *Core) inform() {
+	c.outdated = c.outdated || !c.joining.informed
+	c.joining.informed = true
+}
+
 // meet introduces this host to hosts that it did not know.
 func (c *Core) meet(now time.Time, list []Peer) {
 	for _, p := range list {
--- a/fleet/reunion.go
+++ b/fleet/reunion.go
@@ -41,7 +41,9 @@
 		return
 	}
 	c.joining.wantPeers = true
-	r.survey = min(surveyGrowth*r.survey, longestSurvey)
+	if c.joining.informed {
+		r.survey = min(surveyGrowth*r.survey, longestSurvey)
+	}
 	r.nextSurvey = now.Add(r.survey/2 + time.Duration(c.cfg.Rand.Int64N(int64(r.survey))))
 }
 
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -19,6 +19,8 @@
 	Services      map[string]*pool.Routing
 	// Hosts is how many hosts are live, this one included.
 	Hosts int
+	// BudgetShare is this host's share, 0 to 1, of what all hosts may spend together.
+	BudgetShare float64
 	// Directory lists the hosts that callers may use, by zone.
 	Directory map[zone.ID][]Peer
 	// Zones gives the regions of the zones.
@@ -48,6 +50,8 @@
 		Services:  make(map[string]*pool.Routing, len(c.services)),
 		Directory: c.directory(),
 		Zones:     c.cfg.Zones,
+
+		BudgetShare: c.budgetShare(),
 	}
 	if c.document != nil {
 		s.Configuration = c.document.Configuration
@@ -58,6 +62,15 @@
 	return s
 }
 
+// budgetShare divides by all hosts that this one remembers. Those that it does not hear
+// spend their shares too. A host that has not learned of the others yet has no share.
+func (c *Core) budgetShare() float64 {
+	if !c.joining.informed {
+		return 0
+	}
+	return 1 / float64(len(c.peers)+1)
+}
+
 // directory lists the hosts that can serve.
 func (c *Core) directory() map[zone.ID][]Peer {
 	out := make(map[zone.ID][]Peer)
--- a/traffic/gateway.go
+++ b/traffic/gateway.go
@@ -245,7 +245,7 @@
 
 // slack is this host's share of the retries that need no request.
 func (g *Gateway) slack() float64 {
-	return g.cfg.Budget.Slack / float64(max(1, g.cfg.Snapshot().Hosts))
+	return g.cfg.Budget.Slack * g.cfg.Snapshot().BudgetShare
 }
 
 // repeatable reports whether the request may be sent again after it may have
--- a/traffic/gateway_harness_test.go
+++ b/traffic/gateway_harness_test.go
@@ -89,7 +89,7 @@
 }
 
 func (b *gatewayBench) snapshot() *fleet.Snapshot {
-	s := &fleet.Snapshot{Hosts: 1, Ready: true, Leaving: b.leaving.Load()}
+	s := &fleet.Snapshot{Hosts: 1, BudgetShare: 1, Ready: true, Leaving: b.leaving.Load()}
 	if !b.none.Load() {
 		s.Configuration = discovery.NewConfiguration(7, b.routes, map[string]discovery.Service{"orders": {}}, b.limits)
 		s.Services = map[string]*pool.Routing{"orders": b.service.Routing(0.7)}
