Close connections to targets before the targets do, and learn when they forget them

Cause: targets of the grown deployments forget connections that rest some 300 ms, without a notice; what is sent next is reset, and lost where it may not be repeated. Ways weighed: a new connection for every request that may run once (connections are priced, and dear on the archive); probing before reuse (a target serves one request at a time). Neither is needed where the time is known. Change: a connection is closed a second before the stated time. A reset within 150 ms on a connection that had rested is a stale one; its target's connections rest half of that for 10 s, and all connections once three targets had one. The transport drops a resting connection at its read deadline, so nothing polls. Before: TestConnectionsRestNoLongerThanTheTargetStates and TestForgottenConnectionsAreLearned red. After: green, also with the race detector.

--- a/traffic/conn.go
+++ b/traffic/conn.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -21,20 +24,25 @@
 
 // trackDial wraps a dialer so that its connections tell whether a request can
 // have been sent and whether its answer can be its own. It is for HTTP/1.1,
-// where one request at a time owns a connection.
-func trackDial(dial Dial) Dial {
+// where one request at a time owns a connection. They close themselves when they have
+// rested for as long as the limits allow.
+func trackDial(dial Dial, limits *restLimits) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn}, nil
+		return &trackedConn{Conn: conn, address: address, limits: limits}, nil
 	}
 }
 
 // trackedConn counts the writes and the bytes read of a connection.
 type trackedConn struct {
 	net.Conn
+	address string
+	limits  *restLimits
+	// turn is held while the connection passes from one request to the next.
+	turn sync.Mutex
 	// writes counts the calls of Write, or is sealed.
 	writes atomic.Int64
 	// use is the request that the connection carries, or carried last.
@@ -51,6 +59,29 @@
 	received atomic.Bool
 }
 
+// begin gives the connection to a request.
+func (c *trackedConn) begin(u *use) {
+	c.turn.Lock()
+	defer c.turn.Unlock()
+	c.use.Store(u)
+	// A connection that has ended says so when it is used.
+	_ = c.Conn.SetReadDeadline(time.Time{})
+}
+
+// rest lets the connection wait for the next request, unless that has it already. The
+// transport reads on a connection that rests and drops it at the deadline.
+func (c *trackedConn) rest(u *use, now time.Time) {
+	limit := c.limits.limit(c.address, now)
+	if limit == 0 {
+		return
+	}
+	c.turn.Lock()
+	defer c.turn.Unlock()
+	if c.use.Load() == u {
+		_ = c.Conn.SetReadDeadline(now.Add(limit))
+	}
+}
+
 // Write implements net.Conn.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	for {
@@ -89,6 +120,8 @@
 	conn   *trackedConn
 	use    *use
 	writes int64
+	// rested is how long the connection had rested, 0 for a new one.
+	rested time.Duration
 	// repeated is set when the transport took a second connection after
 	// something may have been sent on the first.
 	repeated bool
@@ -111,7 +144,8 @@
 			}
 			u.writes = u.conn.writes.Load()
 			u.use = &use{}
-			u.conn.use.Store(u.use)
+			u.rested = info.IdleTime
+			u.conn.begin(u.use)
 		},
 	}
 }
@@ -136,3 +170,19 @@
 func (u *connUse) answeredEarly() bool {
 	return u.use != nil && !u.use.received.Load()
 }
+
+// ended notes the end of the request after a time, with the head of its answer if there
+// is one.
+func (u *connUse) ended(took time.Duration, resp *http.Response) {
+	if u.conn == nil {
+		return
+	}
+	now := time.Now()
+	switch {
+	case resp != nil:
+		u.conn.limits.answered(u.conn.address, resp.Header)
+		u.conn.rest(u.use, now)
+	case u.rested > 0 && took < staleWithin && u.use.sent.Load() && !u.use.received.Load():
+		u.conn.limits.foundStale(u.conn.address, u.rested, now)
+	}
+}
--- a/traffic/dispatch.go
+++ b/traffic/dispatch.go
@@ -33,6 +33,7 @@
 	started  time.Time
 	outcome  link.Outcome
 	response *http.Response
+	conn     *connUse
 	// leaving is set when the answer carried the target's drain sign.
 	leaving bool
 	cancel  context.CancelFunc
@@ -51,6 +52,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{handler: h, link: l, service: req.match.Service, slot: slot, started: time.Now(), cancel: cancel}
 	conn := &connUse{}
+	a.conn = conn
 	out := outbound(httptrace.WithClientTrace(ctx, conn.trace(req.interim)), req, l.Address)
 	req.prepare(ctx, out)
 	resp, err := h.cfg.Transport.RoundTrip(out)
@@ -174,6 +176,7 @@
 	a.link.Release(a.slot)
 	now := time.Now()
 	latency := now.Sub(a.started)
+	a.conn.ended(latency, a.response)
 	a.handler.state(a.service).gate.Leave(now, latency, a.slotEnd())
 	a.link.ObserveOutcome(a.outcome, latency)
 	a.link.ObserveReach(a.outcome, now)
--- a/traffic/gateway_attempt.go
+++ b/traffic/gateway_attempt.go
@@ -29,6 +29,7 @@
 	outcome  link.Outcome
 	err      error
 	response *http.Response
+	conn     *connUse
 	// held is the start of the answer, or all of it when whole is set.
 	held  []byte
 	whole bool
@@ -43,6 +44,7 @@
 	overdue := g.watch(s, p)
 	defer overdue()
 	conn := &connUse{}
+	s.conn = conn
 	out := newOutbound(httptrace.WithClientTrace(ctx, conn.trace(p.interim)), p.in, t.Address)
 	out.Header.Set(g.cfg.Headers.ExpectedTarget, t.Key.Name)
 	setTimeLeft(out.Header, g.cfg.Headers.Deadline, p.due, s.started)
@@ -131,6 +133,7 @@
 	s.ended = true
 	s.outcome, s.err = o, err
 	now := time.Now()
+	s.conn.ended(now.Sub(s.started), s.response)
 	s.target.End()
 	s.target.ObserveReach(o, now)
 	g.counters.sent(o)
--- /dev/null
+++ b/traffic/rest.go
@@ -0,0 +1,95 @@
+package traffic
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Bounds of how long a connection to a target rests before it is closed here. A request
+// that is sent on a connection which the target has given up is lost where it may not be
+// repeated.
+const (
+	// statedMargin is how much sooner than stated a connection is closed: the target's
+	// close is on its way for some milliseconds, and its time is in whole seconds.
+	statedMargin = time.Second
+	// staleWithin is the time in which a reset shows that the connection was given up
+	// before: two regions are at most some 60 ms apart one way.
+	staleWithin = 150 * time.Millisecond
+	// staleTargets is how many targets must have given connections up lately before
+	// all connections rest less: one may have crashed. staleMemory is how long this
+	// is remembered.
+	staleTargets = 3
+	staleMemory  = 10 * time.Second
+	// staleShare is the share of the shortest rest that was too long which connections
+	// may rest then, and shortestRest the least time.
+	staleShare   = 0.5
+	shortestRest = 50 * time.Millisecond
+)
+
+// restLimits learns how long connections to targets may rest. It is safe for concurrent
+// use.
+type restLimits struct {
+	mu sync.Mutex
+	// stated are the times that targets state, by address.
+	stated map[string]time.Duration
+	// stale are the connections that were found given up, the latest by address.
+	stale map[string]staleRest
+}
+
+// staleRest is a rest that was too long.
+type staleRest struct {
+	rested time.Duration
+	at     time.Time
+}
+
+func newRestLimits() *restLimits {
+	return &restLimits{stated: make(map[string]time.Duration), stale: make(map[string]staleRest)}
+}
+
+// answered learns from an answer how long its target keeps connections.
+func (l *restLimits) answered(address string, header http.Header) {
+	for field := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		seconds, err := strconv.Atoi(value)
+		if name != "timeout" || err != nil || seconds < 1 {
+			continue // no time is stated
+		}
+		l.mu.Lock()
+		l.stated[address] = max(time.Duration(seconds)*time.Second-statedMargin, statedMargin)
+		l.mu.Unlock()
+	}
+}
+
+// foundStale notes that a connection had been given up after a rest.
+func (l *restLimits) foundStale(address string, rested time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stale[address] = staleRest{rested: rested, at: now}
+}
+
+// limit returns how long a connection may rest; 0 if nothing is known.
+func (l *restLimits) limit(address string, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := l.stated[address]
+	shortest := time.Duration(0)
+	for a, s := range l.stale {
+		if now.Sub(s.at) > staleMemory {
+			delete(l.stale, a)
+			continue
+		}
+		if shortest == 0 || s.rested < shortest {
+			shortest = s.rested
+		}
+	}
+	if _, here := l.stale[address]; here || len(l.stale) >= staleTargets {
+		learned := max(time.Duration(staleShare*float64(shortest)), shortestRest)
+		if limit == 0 || learned < limit {
+			limit = learned
+		}
+	}
+	return limit
+}
--- /dev/null
+++ b/traffic/rest_test.go
@@ -0,0 +1,118 @@
+package traffic
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// restingTarget adds a target that gives up connections that rest for some time: without
+// a notice, so that what is sent next is reset, or by a close that is reported. Each
+// connection's rests go to the channel when it ends.
+func (b *gatewayBench) restingTarget(name, keepAlive string, forgets time.Duration, ended chan<- time.Duration) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveResting(conn.(*net.TCPConn), name, keepAlive, forgets, ended)
+		}
+	}()
+	b.add(name, l.Addr().String())
+}
+
+func serveResting(conn *net.TCPConn, name, keepAlive string, forgets time.Duration, ended chan<- time.Duration) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		rested := time.Now()
+		if _, err := in.Peek(1); err != nil {
+			ended <- time.Since(rested)
+			return
+		}
+		if forgets > 0 && time.Since(rested) > forgets {
+			_ = conn.SetLinger(0)
+			return
+		}
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s", r.Header.Get("X-Id"), len(name), keepAlive, name)
+	}
+}
+
+// TestConnectionsRestNoLongerThanTheTargetStates closes a connection before the target does,
+// as a request that crosses its close is lost where it may not be repeated.
+func TestConnectionsRestNoLongerThanTheTargetStates(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayBench(t)
+	ended := make(chan time.Duration, 10)
+	b.restingTarget("t", "Keep-Alive: timeout=2\r\n", 0, ended)
+	b.start()
+	is.Equal(b.send(http.MethodPost, "/write/x", "a").status, http.StatusOK)
+	select {
+	case rested := <-ended:
+		is.True(rested < 2*time.Second-statedMargin/2)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the connection rests for as long as the target states")
+	}
+	is.Equal(b.send(http.MethodPost, "/write/x", "a").status, http.StatusOK)
+}
+
+// TestForgottenConnectionsAreLearned: targets forget connections without a notice. Some
+// requests are lost until that is known, and none after.
+func TestForgottenConnectionsAreLearned(t *testing.T) {
+	is := is.New(t)
+	const forgets, pause = 150 * time.Millisecond, 200 * time.Millisecond
+	b := newGatewayBench(t)
+	for i := range staleTargets {
+		b.restingTarget(fmt.Sprintf("t%d", i), "", forgets, make(chan time.Duration, 100))
+	}
+	b.start()
+	lost := 0
+	for i := range 20 {
+		got := b.send(http.MethodPost, "/write/x", "a")
+		if got.status != http.StatusOK {
+			lost++
+			is.True(i < 12) // all is known by then
+		}
+		time.Sleep(pause)
+	}
+	is.True(lost >= 1) // the targets do forget
+}
+
+func TestRestsAreLearnedFromSeveralTargetsAndForgotten(t *testing.T) {
+	is := is.New(t)
+	l := newRestLimits()
+	now := time.Now()
+	is.Equal(l.limit("a", now), time.Duration(0))
+	l.foundStale("a", 400*time.Millisecond, now)
+	is.Equal(l.limit("a", now), 200*time.Millisecond)
+	is.Equal(l.limit("b", now), time.Duration(0)) // one target may have crashed
+	l.foundStale("b", 300*time.Millisecond, now)
+	l.foundStale("c", 20*time.Millisecond, now)
+	is.Equal(l.limit("d", now), shortestRest)
+	l.answered("d", http.Header{"Keep-Alive": {"max=3, timeout=10"}})
+	is.Equal(l.limit("d", now), shortestRest)
+	later := now.Add(staleMemory + time.Second)
+	is.Equal(l.limit("d", later), 9*time.Second)
+	is.Equal(l.limit("a", later), time.Duration(0))
+	for _, nothing := range []string{"", "timeout", "timeout=x", "timeout=0", "timeout=-4", "max=5"} {
+		l.answered("e", http.Header{"Keep-Alive": {nothing}})
+		is.Equal(l.limit("e", later), time.Duration(0))
+	}
+}
--- a/traffic/transport.go
+++ b/traffic/transport.go
@@ -61,6 +61,7 @@
 	kinds atomic.Pointer[map[targetKind]*shards]
 	mu    sync.Mutex
 	seed  maphash.Seed
+	rests *restLimits
 }
 
 // shards are the transports to targets of one kind. All requests to one target
@@ -71,7 +72,7 @@
 
 // NewTargets returns the transport to targets.
 func NewTargets(dial Dial) *Targets {
-	t := &Targets{dial: dial, seed: maphash.MakeSeed()}
+	t := &Targets{dial: dial, seed: maphash.MakeSeed(), rests: newRestLimits()}
 	t.kinds.Store(&map[targetKind]*shards{})
 	return t
 }
@@ -98,7 +99,7 @@
 	}
 	s := new(shards)
 	for i := range s {
-		s[i] = newTargetTransport(t.dial, kind)
+		s[i] = newTargetTransport(t.dial, kind, t.rests)
 	}
 	kinds := maps.Clone(*t.kinds.Load())
 	kinds[kind] = s
@@ -115,7 +116,7 @@
 	}
 }
 
-func newTargetTransport(dial Dial, kind targetKind) *http.Transport {
+func newTargetTransport(dial Dial, kind targetKind, rests *restLimits) *http.Transport {
 	t := NewPeerTransport(dial)
 	t.MaxConnsPerHost = kind.connections
 	// All that may be open are kept while idle: a burst that opened them is
@@ -124,7 +125,7 @@
 	t.Protocols = new(http.Protocols)
 	if kind.protocol != contract.H2C {
 		// Only an HTTP/1.1 connection belongs to one request at a time.
-		t.DialContext = trackDial(dial)
+		t.DialContext = trackDial(dial, rests)
 		t.Protocols.SetHTTP1(true)
 		return t
 	}
