--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -18,8 +18,9 @@
 var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 
 const (
-	wireDelay  = 500 * time.Microsecond
-	storeDelay = 4 * time.Millisecond
+	budgetWindow = 10 * time.Second
+	wireDelay    = 500 * time.Microsecond
+	storeDelay   = 4 * time.Millisecond
 )
 
 var errAway = errors.New("the store is away")
@@ -123,8 +124,11 @@
 		Seeds:  []string{"10.0.0.0:7000", "10.1.0.0:7000", "10.2.0.0:7000"},
 		Timing: TimingFor(2*time.Second, 2*time.Second),
 		Floor:  0.7,
-		First:  first,
-		Rand:   rand.New(rand.NewPCG(c.rand.Uint64(), 2)),
+
+		BudgetWindow: budgetWindow,
+
+		First: first,
+		Rand:  rand.New(rand.NewPCG(c.rand.Uint64(), 2)),
 	}
 	n.core = New(n.config, c.now)
 	n.snapshot = n.core.Snapshot()
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -31,6 +31,8 @@
 	// Seeds are addresses for datagrams of hosts to contact first.
 	Seeds  []string
 	Timing Timing
+	// BudgetWindow is the time over which what all hosts may spend together is counted.
+	BudgetWindow time.Duration
 	// Floor is the share of a service's targets that suspicion never takes out.
 	Floor float64
 	// First is set when the whole fleet starts for the first time, so that the
@@ -82,7 +84,9 @@
 	relays          map[zone.ID]*contact
 	fetching        fetchState
 	joining         joinState
-	reunion         reunion
+	// spends is set once this host may spend its share of common budgets.
+	spends  bool
+	reunion reunion
 
 	nextTick, nextRefresh time.Time
 	lastTick              time.Time
@@ -183,6 +187,7 @@
 	c.joining.tick(c, now)
 	c.reunion.tick(c, now)
 	c.expirePeers(now)
+	c.openBudget(now)
 	c.readStore(now)
 	c.fetchNews(now)
 	c.refresh(now)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -444,5 +444,23 @@
 	core := New(n.config, epoch)
 	is.Equal(core.Snapshot().BudgetShare, 0.0) // it knows nothing of others yet
 	core.Handle(epoch, PeersRead{Peers: []Peer{n.config.Self}})
+	core.Handle(epoch, Tick{})
 	is.Equal(core.Snapshot().BudgetShare, 1.0)
 }
+
+// TestHostThatStartedAnewDoesNotSpendItsShareTwice: what it spent before counts in the same
+// window.
+func TestHostThatStartedAnewDoesNotSpendItsShareTwice(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 23)
+	name := c.names[4]
+	is.True(c.hosts[name].snapshot.BudgetShare > 0)
+	c.kill(name)
+	c.restart(name)
+	for range int(budgetWindow / time.Second) {
+		c.run(time.Second - time.Millisecond)
+		is.Equal(c.hosts[name].snapshot.BudgetShare, 0.0)
+	}
+	c.run(time.Second)
+	is.True(c.hosts[name].snapshot.BudgetShare > 0)
+}
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/crocushinge/crocushinge/discovery"
 	"github.com/crocushinge/crocushinge/pool"
@@ -62,10 +63,19 @@
 	return s
 }
 
+// openBudget lets this host spend its share of common budgets. A host that has started
+// anew may have spent it before, in the same window.
+func (c *Core) openBudget(now time.Time) {
+	if !c.spends && (c.cfg.First || now.Sub(c.joining.started) > c.cfg.BudgetWindow) {
+		c.spends = true
+		c.outdated = true
+	}
+}
+
 // budgetShare divides by all hosts that this one remembers. Those that it does not hear
 // spend their shares too. A host that has not learned of the others yet has no share.
 func (c *Core) budgetShare() float64 {
-	if !c.joining.informed {
+	if !c.joining.informed || !c.spends {
 		return 0
 	}
 	return 1 / float64(len(c.peers)+1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,7 +86,10 @@
 		Timing: fleet.TimingFor(s.DrainWithin, s.ApplyWithin),
 		Floor:  s.Floor,
 		First:  s.First,
-		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+
+		BudgetWindow: s.Budget.Window,
+
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, now)
 	g.control = newControl(core, g)
 	bodies := int64(defaultBodies)
