Drop the rows of hosts that are gone

Cause: a host writes its row at its start and nobody dropped it. Rows of replaced machines pile up in the store; each host that starts greets them all, and since a host's share of the retry budget is by the hosts that it remembers, they would take shares too. Ways weighed: the host drops its own row at SIGTERM (most stops are restarts, and killed hosts never do); a row that lapses (the store drops nothing on its own). A host that reads the rows and misses its own writes it again. Before: TestTheFirstHostDropsTheRows red. After: green.

--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -41,6 +41,8 @@
 	config   *discovery.Configuration
 	revision uint64
 	changed  map[string]time.Time
+	// removed are the hosts whose rows were dropped.
+	removed map[ID]bool
 	// away makes every call to the store fail, and cut those of some hosts.
 	away bool
 	cut  map[string]bool
@@ -95,6 +97,7 @@
 		targets: make(map[string]discovery.Target),
 		changed: make(map[string]time.Time),
 		cut:     make(map[string]bool),
+		removed: make(map[ID]bool),
 		zones:   zone.NewMap([]zone.Zone{{ID: "a", Region: "r"}, {ID: "b", Region: "r"}, {ID: "c", Region: "r"}}, nil),
 	}
 	c.configure(1)
@@ -207,13 +210,16 @@
 		c.callStore(n, func() Event {
 			var peers []Peer
 			for _, name := range c.names {
-				if h := c.hosts[name]; h != nil {
+				if h := c.hosts[name]; h != nil && !c.removed[h.config.Self.ID] {
 					peers = append(peers, h.config.Self)
 				}
 			}
 			return PeersRead{Peers: peers}
 		}, func(err error) Event { return PeersRead{Err: err} })
+	case RemovePeer:
+		c.removed[e.ID] = true
 	case Register:
+		delete(c.removed, n.config.Self.ID)
 		c.callStore(n, func() Event { return Registered{} }, func(err error) Event { return Registered{Err: err} })
 	case Fetch:
 		c.fetch(n, e)
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -125,6 +125,10 @@
 	// Register writes this host's row to the store.
 	Register struct{ Peer Peer }
 
+	// RemovePeer drops the row of a host that is gone from the store. It has no answer:
+	// a row that stays is dropped by the next host that forgets it.
+	RemovePeer struct{ ID ID }
+
 	// Fetch asks a peer for documents.
 	Fetch struct {
 		From                          string
@@ -141,5 +145,6 @@
 func (ReadConfiguration) isEffect() {}
 func (ReadPeers) isEffect()         {}
 func (Register) isEffect()          {}
+func (RemovePeer) isEffect()        {}
 func (Fetch) isEffect()             {}
 func (Record) isEffect()            {}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -464,3 +464,36 @@
 	c.run(time.Second)
 	is.True(c.hosts[name].snapshot.BudgetShare > 0)
 }
+
+// TestRowsOfHostsThatAreGoneAreDropped: and a host that was only out of reach writes its row
+// again.
+func TestRowsOfHostsThatAreGoneAreDropped(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(24, 1)
+	c.run(5 * time.Second)
+	gone, far := c.names[1], c.names[2]
+	c.kill(gone)
+	c.partition = func(a, b string) bool { return a == far || b == far }
+	c.run(forgetAfter + time.Minute)
+	first := c.hosts[c.names[0]]
+	is.Equal(len(first.core.peers), 0)
+	// Alone, neither may judge who is gone: the two apart keep each other's rows.
+	is.Equal(len(c.removed), 0)
+	c.partition = nil
+	c.run(10 * time.Second)
+	is.Equal(len(first.core.live()), 2)
+}
+
+func TestTheFirstHostDropsTheRows(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(25, 1)
+	c.run(5 * time.Second)
+	c.kill(c.names[1])
+	c.run(forgetAfter + time.Minute)
+	is.Equal(len(c.removed), 1)
+	is.True(c.removed[ID("host-"+c.names[1])])
+	c.restart(c.names[1])
+	c.run(5 * time.Second)
+	is.Equal(len(c.removed), 0)
+	is.True(knowsAll(c))
+}
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -69,11 +69,21 @@
 			c.record(now, timeline.Event{Kind: timeline.HostLost, From: string(p.ID), Reason: "silent for " + quiet.Round(time.Millisecond).String()})
 		}
 		if quiet > forgetAfter {
-			delete(c.peers, hash)
+			c.forget(p)
 		}
 	}
 }
 
+// forget drops a host that has been silent for long. The first host in order drops its row,
+// so that rows of replaced machines do not pile up.
+func (c *Core) forget(p *peerState) {
+	delete(c.peers, p.hash)
+	c.outdated = true
+	if c.rank() == 0 && c.joined() {
+		c.emit(RemovePeer{ID: p.ID})
+	}
+}
+
 // Peers returns the hosts that this one knows, itself included.
 func (c *Core) Peers() []Peer {
 	out := []Peer{c.cfg.Self}
@@ -206,12 +216,12 @@
 	c.joining.peersRead = true
 	c.joining.readPeersAt = now.Add(alonePause)
 	c.inform()
-	for _, p := range ev.Peers {
+	// An earlier incarnation may have written the row, and others may have dropped it
+	// since.
+	c.joining.registered = slices.ContainsFunc(ev.Peers, func(p Peer) bool {
 		p.Incarnation = c.cfg.Self.Incarnation
-		if p == c.cfg.Self {
-			c.joining.registered = true // by an earlier incarnation
-		}
-	}
+		return p == c.cfg.Self
+	})
 	c.meet(now, ev.Peers)
 }
 
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -36,6 +36,7 @@
 	readConfiguration(fleet.ReadConfiguration)
 	readPeers()
 	register(fleet.Register)
+	removePeer(fleet.RemovePeer)
 	fetch(fleet.Fetch)
 	record(timeline.Event)
 }
@@ -99,6 +100,8 @@
 			c.effects.readPeers()
 		case fleet.Register:
 			c.effects.register(e)
+		case fleet.RemovePeer:
+			c.effects.removePeer(e)
 		case fleet.Fetch:
 			c.effects.fetch(e)
 		case fleet.Record:
--- a/gateway/effects.go
+++ b/gateway/effects.go
@@ -125,6 +125,17 @@
 	})
 }
 
+func (g *Gateway) removePeer(e fleet.RemovePeer) {
+	g.counters.storeCalls.Add(1)
+	g.background.Go(func() {
+		ctx, cancel := context.WithTimeout(g.ctx, storeWrite)
+		defer cancel()
+		if err := g.store.RemoveHost(ctx, string(e.ID)); err != nil {
+			g.log.Warn().Err(err).Str("lost", string(e.ID)).Msg("row of a host that is gone not dropped")
+		}
+	})
+}
+
 func (g *Gateway) fetch(e fleet.Fetch) {
 	g.counters.fetches.Add(1)
 	g.start(func(ctx context.Context) fleet.Event {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -111,6 +111,16 @@
 	return nil
 }
 
+func (s *memoryStore) RemoveHost(_ context.Context, id string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return errStoreAway
+	}
+	delete(s.hosts, id)
+	return nil
+}
+
 // plainProtocol encodes a configuration as its version; its route takes "/orders/".
 type plainProtocol struct{}
 
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -24,6 +24,8 @@
 	Hosts(ctx context.Context) ([][]byte, error)
 	// PutHost writes the row of a host.
 	PutHost(ctx context.Context, id string, row []byte) error
+	// RemoveHost drops the row of a host.
+	RemoveHost(ctx context.Context, id string) error
 }
 
 // Protocol is how a deployment encodes what callers and operators say.
