Keep requests that may run once to targets that have answered lately

Change: a target costs by the time since its last success and the share of suspects, but for first attempts of requests that may be repeated, which look after unused targets. Targets that join get one request of any kind. A service that fails more than 6 in 100 keeps all in use, as before.

--- a/fleet/fetch.go
+++ b/fleet/fetch.go
@@ -44,19 +44,32 @@
 	c.emit(Fetch{From: source.Documents, Peers: wantPeers, Targets: targets, Configuration: config})
 }
 
+// hasNews reports whether a peer has what is wanted, and did not just fail to give it.
+func (c *Core) hasNews(p *peerState, targets, config bool) bool {
+	failed := p.hash == c.fetching.from && len(c.order) > 2 && !c.fetching.retryAt.IsZero()
+	return p != c.self && !failed &&
+		(!targets || p.last.Targets.Confirmed > c.targets.storeTime) &&
+		(!config || p.last.Configuration.Revision > c.config.revision)
+}
+
+// anyPeer returns one of the other live hosts, nil if there is none.
+func (c *Core) anyPeer() *peerState {
+	others := slices.DeleteFunc(slices.Clone(c.live()), func(p *peerState) bool { return p == c.self })
+	if len(others) == 0 {
+		return nil
+	}
+	return others[c.cfg.Rand.IntN(len(others))]
+}
+
 // source chooses the peer to fetch from, near ones first. The hosts alone are asked
 // of any peer: hosts of a zone may all miss the same ones.
 func (c *Core) source(now time.Time, targets, config bool) *peerState {
-	if live := c.live(); !targets && !config && len(live) > 1 {
-		others := slices.DeleteFunc(slices.Clone(live), func(p *peerState) bool { return p == c.self })
-		return others[c.cfg.Rand.IntN(len(others))]
+	if !targets && !config {
+		return c.anyPeer()
 	}
 	var near, far []*peerState
 	for _, p := range c.live() {
-		if p == c.self || p.hash == c.fetching.from && len(c.order) > 2 && !c.fetching.retryAt.IsZero() {
-			continue
-		}
-		if targets && p.last.Targets.Confirmed <= c.targets.storeTime || config && p.last.Configuration.Revision <= c.config.revision {
+		if !c.hasNews(p, targets, config) {
 			continue
 		}
 		if p.Zone == c.cfg.Self.Zone {
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -24,6 +24,8 @@
 	repeatable bool
 	// typical is the usual latency in nanoseconds, kept up to date.
 	typical *atomic.Int64
+	// spread is set while all targets must be kept in use.
+	spread *atomic.Bool
 }
 
 // Typical returns the usual latency of the service's successes; 0 before the
@@ -133,13 +135,14 @@
 // When no other is left, it returns the suspect of least cost.
 func (r *Routing) cheapest(rng *rand.Rand, q Request, spared int) *Target {
 	limit := r.sparedUntil(spared)
+	w := r.weigh(q)
 	var best, suspect *Target
 	least, leastSuspect := math.Inf(1), math.Inf(1)
 	for _, t := range r.Targets {
 		if slices.Contains(q.Tried, t) {
 			continue
 		}
-		c := t.cost(q.Now) + noise*rng.Float64()
+		c := t.cost(q.Now, w) + noise*rng.Float64()
 		v := t.verdict.Load()
 		switch {
 		case v.suspect && (v.confirmed || v.riskAt.After(limit)):
@@ -171,8 +174,40 @@
 	return due[min(spared, len(due))-1]
 }
 
+// doubtTime is the time after its last success at which a target is half as doubtful as
+// one that was never used. Spells of failures last seconds.
+const doubtTime = 4 * time.Second
+
+// leastDoubt is the share of failing targets that is assumed at least.
+const leastDoubt = 0.02
+
+// weighing is what a choice among targets takes into account besides their load.
+type weighing struct {
+	// explores is set for a request that finds out about targets not used lately.
+	explores bool
+	// failing is the share of targets that fail: the chance that one fails of which
+	// nothing is known.
+	failing float64
+}
+
+// weigh returns how a request weighs targets. Few requests to many targets would meet every
+// spell of failures anew, so those that may not be repeated keep to targets that have
+// answered lately, and those that may be look after the others.
+func (r *Routing) weigh(q Request) weighing {
+	return weighing{
+		explores: q.Repeatable && len(q.Tried) == 0 || r.spread.Load(),
+		failing:  max(leastDoubt, float64(r.Suspects())/float64(max(1, len(r.Targets)))),
+	}
+}
+
+// doubt is the cost of the chance that the target has begun to fail.
+func (w weighing) doubt(t *Target, now time.Time) float64 {
+	age := float64(clock.Nanos(now) - t.proved.Load())
+	return failureCost * w.failing * age / (age + float64(doubtTime))
+}
+
 // cost estimates how long the target takes for one more request.
-func (t *Target) cost(now time.Time) float64 {
+func (t *Target) cost(now time.Time, w weighing) float64 {
 	load := float64(t.InFlight())
 	slots := float64(max(1, t.Slots))
 	queue := max(0, load+1-slots) / slots
@@ -186,8 +221,11 @@
 		cost += coldCost
 	}
 	cost += failureCost * math.Float64frombits(t.unreliability.Load())
-	if t.unused(now, slow) {
+	switch {
+	case (w.explores || t.fresh()) && t.unused(now, slow):
 		cost = min(cost, unusedCost)
+	case !w.explores:
+		cost += w.doubt(t, now)
 	}
 	if t.passedOver(now) {
 		cost += unreachedCost
@@ -217,6 +255,9 @@
 		clock.Nanos(now)-t.used.Load() > int64(unusedAfter)
 }
 
+// fresh reports whether the target has joined and was never used.
+func (t *Target) fresh() bool { return t.joined && t.used.Load() == never }
+
 // warmingCost is how much slower a target is taken to be just after its start.
 const warmingCost = 1.2
 
--- a/pool/service.go
+++ b/pool/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/internal/clock"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/zone"
 )
@@ -55,7 +56,13 @@
 	typical   average
 	successes int
 	published atomic.Int64
-	routing   *Routing
+	// unserved is the share of requests that fail at trusted targets, rate how many
+	// requests end in a second, and ended those since the last Refresh.
+	unserved, rate average
+	ended          int
+	// spread tells traffic to keep all targets in use.
+	spread  atomic.Bool
+	routing *Routing
 }
 
 // NewService returns a service without targets.
@@ -66,13 +73,14 @@
 // Apply takes the registered targets over. Those that stay keep their state;
 // draining ones take no more requests.
 func (s *Service) Apply(list []discovery.Target) {
-	known := s.targets
+	known, first := s.targets, len(s.targets) == 0
 	s.targets = make(map[discovery.Key]*Target, len(list))
 	s.order = s.order[:0:0]
 	for _, d := range list {
 		t := known[d.Key()]
 		if t == nil || t.Address != d.Address || t.Slots != d.Slots {
 			t = newTarget(d, s.place.distance(d.Zone))
+			t.joined = !first
 		}
 		t.warming.Store(d.Warming)
 		s.targets[d.Key()] = t
@@ -101,9 +109,10 @@
 // Observe counts the end of a request at a target. It reports whether the
 // target became a suspect or ended to be one.
 func (s *Service) Observe(t *Target, e Ending, now time.Time) (changed bool) {
-	t.countFailure(e.Outcome)
+	s.countFailure(t, e.Outcome)
 	switch e.Outcome {
 	case link.Succeeded:
+		t.proved.Store(clock.Nanos(now))
 		t.latency.add(float64(e.Latency), latencyWeight)
 		s.typical.add(float64(e.Latency), latencyWeight)
 		if s.successes++; s.successes >= enoughSuccesses {
@@ -140,19 +149,25 @@
 	return weak
 }
 
-// countFailure keeps the share of requests that fail.
-func (t *Target) countFailure(o link.Outcome) {
+// countFailure keeps the shares of requests that fail at a target and at all trusted
+// ones.
+func (s *Service) countFailure(t *Target, o link.Outcome) {
+	s.ended++
+	failed := 0.0
 	switch o {
 	case link.Succeeded:
-		t.failed.begun = true
-		t.failed.add(0, failureWeight)
 	case link.Failed, link.Broken, link.TimedOut:
-		t.failed.begun = true
-		t.failed.add(1, failureWeight)
+		failed = 1
 	default:
 		return
 	}
+	t.failed.begun = true
+	t.failed.add(failed, failureWeight)
 	t.unreliability.Store(math.Float64bits(t.failed.value))
+	if !t.suspicion.suspect { // tests are expected to fail
+		s.unserved.begun = true
+		s.unserved.add(failed, unservedWeight)
+	}
 }
 
 // publish shows traffic the suspicion. Each host has its own time for the next test:
@@ -174,9 +189,22 @@
 // to be as fast as the others again.
 const slownessMemory = 4 * time.Second
 
-// Refresh compares the targets' latencies. The control thread calls it at the
-// given interval.
+// A service whose requests fail keeps all targets in use, for its floor, if it has the
+// requests for that.
+const (
+	// spreadFrom is the share of failed requests from which it does. The users' floor
+	// must be in use from a tenth.
+	spreadFrom = 0.06
+	// floorWindow is the time in which each target of the floor must get a request.
+	floorWindow = 2 * time.Second
+)
+
+// Refresh compares the targets' latencies and measures the rate of requests. The control
+// thread calls it at the given interval.
 func (s *Service) Refresh(interval time.Duration) {
+	s.rate.add(float64(s.ended)/interval.Seconds(), rateWeight)
+	s.ended = 0
+	s.spread.Store(s.unserved.value > spreadFrom && s.rate.value*floorWindow.Seconds() >= float64(len(s.order)))
 	latencies := make([]float64, 0, len(s.order))
 	for _, t := range s.order {
 		if t.latency.value > 0 {
@@ -209,6 +237,7 @@
 			floor:      floor,
 			repeatable: s.Repeatable,
 			typical:    &s.published,
+			spread:     &s.spread,
 		}
 		for _, t := range s.order {
 			s.routing.Slots += t.Slots
--- a/pool/target.go
+++ b/pool/target.go
@@ -60,8 +60,11 @@
 	slowness, unreliability atomic.Uint64
 	// used is when the target last had a request of any host.
 	used atomic.Int64
-	// usedHere is when this host last sent it a request.
-	usedHere atomic.Int64
+	// usedHere is when this host last sent it a request, and proved when it last answered
+	// one of any host well.
+	usedHere, proved atomic.Int64
+	// joined is set for a target that was registered while others were known.
+	joined bool
 
 	suspicion suspicion
 	latency   average
@@ -97,6 +100,7 @@
 	t.slowness.Store(math.Float64bits(1))
 	t.used.Store(never)
 	t.usedHere.Store(never)
+	t.proved.Store(never)
 	return t
 }
 
@@ -163,6 +167,10 @@
 	latencyWeight = 0.15
 	// failureWeight remembers about twenty requests.
 	failureWeight = 0.05
+	// unservedWeight remembers about a hundred requests.
+	unservedWeight = 0.01
+	// rateWeight remembers about two seconds.
+	rateWeight = 0.12
 )
 
 func (a *average) add(value, weight float64) {
--- a/traffic/conn.go
+++ b/traffic/conn.go
@@ -41,8 +41,10 @@
 	net.Conn
 	address string
 	limits  *restLimits
-	// turn is held while the connection passes from one request to the next.
-	turn sync.Mutex
+	// turn is held while the connection passes from one request to the next, and
+	// restsSince is when it came to rest; zero while a request has it.
+	turn       sync.Mutex
+	restsSince time.Time
 	// writes counts the calls of Write, or is sealed.
 	writes atomic.Int64
 	// use is the request that the connection carries, or carried last.
@@ -64,24 +66,47 @@
 	c.turn.Lock()
 	defer c.turn.Unlock()
 	c.use.Store(u)
+	c.restsSince = time.Time{}
+	c.limits.remove(c)
 	// A connection that has ended says so when it is used.
-	_ = c.Conn.SetReadDeadline(time.Time{})
+	_ = c.SetReadDeadline(time.Time{})
 }
 
-// rest lets the connection wait for the next request, unless that has it already. The
-// transport reads on a connection that rests and drops it at the deadline.
+// rest lets the connection wait for the next request, unless that has it already.
 func (c *trackedConn) rest(u *use, now time.Time) {
-	limit := c.limits.limit(c.address, now)
-	if limit == 0 {
+	c.turn.Lock()
+	defer c.turn.Unlock()
+	if c.use.Load() != u {
 		return
 	}
+	c.restsSince = now
+	c.limits.add(c)
+	c.limitRest(now)
+}
+
+// limitRest ends the rest when the limits say so. The transport reads on a connection that
+// rests, and drops it at the deadline.
+func (c *trackedConn) limitRest(now time.Time) {
+	if limit := c.limits.limit(c.address, now); limit > 0 {
+		_ = c.SetReadDeadline(c.restsSince.Add(limit))
+	}
+}
+
+// shortenRest applies limits that were learned while the connection rests.
+func (c *trackedConn) shortenRest(now time.Time) {
 	c.turn.Lock()
 	defer c.turn.Unlock()
-	if c.use.Load() == u {
-		_ = c.Conn.SetReadDeadline(now.Add(limit))
+	if !c.restsSince.IsZero() {
+		c.limitRest(now)
 	}
 }
 
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.limits.remove(c)
+	return c.Conn.Close()
+}
+
 // Write implements net.Conn.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	for {
--- a/traffic/rest.go
+++ b/traffic/rest.go
@@ -1,7 +1,9 @@
 package traffic
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +39,8 @@
 	stated map[string]time.Duration
 	// stale are the connections that were found given up, the latest by address.
 	stale map[string]staleRest
+	// resting are the connections that rest now.
+	resting map[*trackedConn]bool
 }
 
 // staleRest is a rest that was too long.
@@ -46,7 +50,7 @@
 }
 
 func newRestLimits() *restLimits {
-	return &restLimits{stated: make(map[string]time.Duration), stale: make(map[string]staleRest)}
+	return &restLimits{stated: make(map[string]time.Duration), stale: make(map[string]staleRest), resting: make(map[*trackedConn]bool)}
 }
 
 // answered learns from an answer how long its target keeps connections.
@@ -63,11 +67,29 @@
 	}
 }
 
-// foundStale notes that a connection had been given up after a rest.
-func (l *restLimits) foundStale(address string, rested time.Duration, now time.Time) {
+// add notes a connection that rests, and remove one that does not any more.
+func (l *restLimits) add(c *trackedConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.resting[c] = true
+}
+
+func (l *restLimits) remove(c *trackedConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	delete(l.resting, c)
+}
+
+// foundStale notes that a connection had been given up after a rest. What rests now may
+// have been given up too.
+func (l *restLimits) foundStale(address string, rested time.Duration, now time.Time) {
+	l.mu.Lock()
 	l.stale[address] = staleRest{rested: rested, at: now}
+	resting := slices.Collect(maps.Keys(l.resting))
+	l.mu.Unlock()
+	for _, c := range resting {
+		c.shortenRest(now)
+	}
 }
 
 // limit returns how long a connection may rest; 0 if nothing is known.
