Relay reports that say nothing new as beats

Ways weighed: rarer heartbeats (a lost host would stay in the directory for longer); stamps stripped from relayed reports (hosts would know fewer peers to fetch documents from). Change: a relay passes a report that repeats the host's latest whole one on as its host alone, four in a row at most; a report whose copy was confirmed later than what all know goes whole. Before: TestHostsWithNothingNewCostABeat red. After: green; 10 s of 18 quiet hosts are more than two thirds beats.

--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -50,6 +50,8 @@
 	reads int
 	// loss is the share of datagrams that get lost.
 	loss float64
+	// whole and beats count the reports that were passed on.
+	whole, beats int
 	// partition reports whether two hosts cannot reach each other.
 	partition func(a, b string) bool
 }
@@ -233,6 +235,15 @@
 }
 
 func (c *cluster) send(from, to string, d Datagram) {
+	for _, r := range d.Reports {
+		switch {
+		case d.Hop == ToRelay:
+		case r.isBeat():
+			c.beats++
+		default:
+			c.whole++
+		}
+	}
 	if c.rand.Float64() < c.loss || !c.reach(from, to) {
 		return
 	}
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -81,6 +81,7 @@
 	out reporter
 	// toZone and toWorld are the reports that this host passes on.
 	toZone, toWorld batch
+	passed          passed
 	relays          map[zone.ID]*contact
 	fetching        fetchState
 	joining         joinState
@@ -102,6 +103,7 @@
 		services: make(map[string]*pool.Service),
 		byHash:   make(map[pool.Hash]targetRef),
 		relays:   make(map[zone.ID]*contact),
+		passed:   newPassed(),
 		nextTick: now,
 		lastTick: now,
 		outdated: true,
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -497,3 +497,36 @@
 	is.Equal(len(c.removed), 0)
 	is.True(knowsAll(c))
 }
+
+// TestHostsWithNothingNewCostABeat: in the sweep at 300 hosts, relays sent 6.8 MB/s of reports
+// that said nothing new.
+func TestHostsWithNothingNewCostABeat(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 26)
+	c.whole, c.beats = 0, 0
+	c.run(10 * time.Second)
+	is.True(c.beats > 2*c.whole)
+	is.True(knowsAll(c))
+}
+
+// TestLostEndOfLoadIsMadeGood: the datagram that says that a host has no more requests is lost, and
+// beats follow.
+func TestLostEndOfLoadIsMadeGood(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 27)
+	id := "t-10.1.0.3:7000"
+	busy := c.hosts[c.names[0]]
+	beginAt(busy, id, 3)
+	c.deliver(busy, Started{})
+	c.run(300 * time.Millisecond)
+	is.True(c.all(func(n *node) bool { return target(n, id).InFlight() == 3 }))
+	c.loss = 1
+	for range 3 {
+		target(busy, id).End()
+	}
+	c.deliver(busy, Started{})
+	c.run(100 * time.Millisecond)
+	c.loss = 0
+	c.run(time.Duration(beatsInARow+2) * heartbeat)
+	is.True(c.all(func(n *node) bool { return target(n, id).InFlight() == 0 }))
+}
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -78,6 +78,8 @@
 // so that rows of replaced machines do not pile up.
 func (c *Core) forget(p *peerState) {
 	delete(c.peers, p.hash)
+	delete(c.passed.whole, p.hash)
+	delete(c.passed.beats, p.hash)
 	c.outdated = true
 	if c.rank() == 0 && c.joined() {
 		c.emit(RemovePeer{ID: p.ID})
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -68,7 +68,8 @@
 type Report struct {
 	Host        Hash
 	Incarnation uint64
-	// Sequence orders the reports of an incarnation.
+	// Sequence orders the reports of an incarnation; it is 0 in a beat, which says no
+	// more than that the host is there and nothing has changed.
 	Sequence uint32
 	// Ready is set while the host can serve, Leaving once it shuts down.
 	Ready, Leaving bool
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -20,7 +20,17 @@
 		b.due = due
 	}
 	for i, old := range b.reports {
-		if old.Host == r.Host && old.Incarnation == r.Incarnation {
+		if old.Host != r.Host {
+			continue
+		}
+		if r.isBeat() {
+			return // what is gathered says more, or the same
+		}
+		if old.isBeat() {
+			b.reports[i] = r
+			return
+		}
+		if old.Incarnation == r.Incarnation {
 			r.Endings = slices.Concat(old.Endings, r.Endings)
 			b.reports[i] = r
 			return
@@ -41,6 +51,9 @@
 
 // relayReport takes a report in to pass it on.
 func (c *Core) relayReport(now time.Time, r Report, hop Hop) {
+	if hop == ToRelay {
+		r = c.passed.shorten(r)
+	}
 	zoneDue, worldDue := now.Add(relayDelay), now.Add(worldDelay)
 	if slices.ContainsFunc(r.Endings, func(e Ending) bool { return urgent(e.Outcome) }) {
 		zoneDue, worldDue = now, now
@@ -98,21 +111,29 @@
 // packets divides reports over datagrams.
 func packets(list []Report) [][]Report {
 	var out [][]Report
-	entries := 0
+	size := 0
 	for _, r := range list {
-		n := len(r.Loads) + len(r.Endings)
+		n := r.size()
 		last := len(out) - 1
-		if last < 0 || len(out[last]) == datagramReports || entries+n > datagramEntries {
+		if last < 0 || size+n > datagramBytes {
 			out = append(out, nil)
 			last++
-			entries = 0
+			size = 0
 		}
 		out[last] = append(out[last], r)
-		entries += n
+		size += n
 	}
 	return out
 }
 
+// size returns about how many bytes a report takes in a datagram.
+func (r Report) size() int {
+	if r.isBeat() {
+		return beatBytes
+	}
+	return reportBytes + entryBytes*(len(r.Loads)+len(r.Endings))
+}
+
 // contact is the host of a zone that this host reports to.
 type contact struct {
 	host  Hash
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -20,12 +20,13 @@
 	worldDelay = 40 * time.Millisecond
 )
 
-// datagramReports and datagramEntries bound a datagram, so that it fits in one
-// packet of 1,400 bytes: a report takes about 50 bytes and an entry of load or
-// of an ending about 12.
+// Sizes in a datagram, in bytes. A datagram must fit in one packet of 1,400 bytes.
 const (
-	datagramReports = 14
-	datagramEntries = 50
+	datagramBytes = 1300
+	reportBytes   = 55
+	beatBytes     = 8
+	// entryBytes is the size of an entry of load or of an ending.
+	entryBytes = 12
 )
 
 // urgent reports whether an outcome is told at once.
@@ -125,6 +126,9 @@
 		c.joining.wantPeers = true
 		return false
 	}
+	if r.isBeat() {
+		return c.takeBeat(now, p)
+	}
 	if p.known && p.alive && (r.Incarnation < p.last.Incarnation || r.Incarnation == p.last.Incarnation && r.Sequence <= p.last.Sequence) {
 		return false
 	}
