--- a/traffic/rest_test.go
+++ b/traffic/rest_test.go
@@ -91,7 +91,7 @@
 		time.Sleep(pause)
 	}
 	is.True(lost <= staleTargets) // each target shows it once
-	is.True(lost >= 1) // the targets do forget
+	is.True(lost >= 1)            // the targets do forget
 }
 
 func TestRestsAreLearnedFromSeveralTargetsAndForgotten(t *testing.T) {
