--- a/traffic/gateway_harness_test.go
+++ b/traffic/gateway_harness_test.go
@@ -162,6 +162,12 @@
 // reads, and then goes on or closes.
 func (b *gatewayBench) rawTarget(name string, answer func(id string) string, closes bool) *atomic.Int64 {
 	var arrived atomic.Int64
+	b.connTarget(name, func(conn net.Conn) { serveGatewayRaw(conn, answer, closes, &arrived) })
+	return &arrived
+}
+
+// connTarget adds a target that serves each connection on its own.
+func (b *gatewayBench) connTarget(name string, serve func(net.Conn)) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.t.Fatal(err)
@@ -173,11 +179,10 @@
 			if err != nil {
 				return
 			}
-			go serveGatewayRaw(conn, answer, closes, &arrived)
+			go serve(conn)
 		}
 	}()
 	b.add(name, l.Addr().String())
-	return &arrived
 }
 
 func serveGatewayRaw(conn net.Conn, answer func(id string) string, closes bool, arrived *atomic.Int64) {
--- a/traffic/rest_test.go
+++ b/traffic/rest_test.go
@@ -16,21 +16,7 @@
 // a notice, so that what is sent next is reset, or by a close that is reported. Each
 // connection's rests go to the channel when it ends.
 func (b *gatewayBench) restingTarget(name, keepAlive string, forgets time.Duration, ended chan<- time.Duration) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.t.Fatal(err)
-	}
-	b.t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serveResting(conn.(*net.TCPConn), name, keepAlive, forgets, ended)
-		}
-	}()
-	b.add(name, l.Addr().String())
+	b.connTarget(name, func(conn net.Conn) { serveResting(conn.(*net.TCPConn), name, keepAlive, forgets, ended) })
 }
 
 func serveResting(conn *net.TCPConn, name, keepAlive string, forgets time.Duration, ended chan<- time.Duration) {
