--- a/traffic/conn.go
+++ b/traffic/conn.go
@@ -41,6 +41,8 @@
 	net.Conn
 	address string
 	limits  *restLimits
+	// stated is how long the target lets the connection rest, as far as it says.
+	stated atomic.Int64
 	// turn is held while the connection passes from one request to the next, and
 	// restsSince is when it came to rest; zero while a request has it.
 	turn       sync.Mutex
@@ -87,7 +89,11 @@
 // limitRest ends the rest when the limits say so. The transport reads on a connection that
 // rests, and drops it at the deadline.
 func (c *trackedConn) limitRest(now time.Time) {
-	if limit := c.limits.limit(c.address, now); limit > 0 {
+	limit := time.Duration(c.stated.Load())
+	if learned := c.limits.learned(c.address, now); learned > 0 && (limit == 0 || learned < limit) {
+		limit = learned
+	}
+	if limit > 0 {
 		_ = c.SetReadDeadline(c.restsSince.Add(limit))
 	}
 }
@@ -205,7 +211,9 @@
 	now := time.Now()
 	switch {
 	case resp != nil:
-		u.conn.limits.answered(u.conn.address, resp.Header)
+		if rest := statedRest(resp.Header); rest > 0 {
+			u.conn.stated.Store(int64(rest))
+		}
 		u.conn.rest(u.use, now)
 	case u.rested > 0 && took < staleWithin && u.use.sent.Load() && !u.use.received.Load():
 		u.conn.limits.foundStale(u.conn.address, u.rested, now)
--- a/traffic/rest.go
+++ b/traffic/rest.go
@@ -35,8 +35,6 @@
 // use.
 type restLimits struct {
 	mu sync.Mutex
-	// stated are the times that targets state, by address.
-	stated map[string]time.Duration
 	// stale are the connections that were found given up, the latest by address.
 	stale map[string]staleRest
 	// resting are the connections that rest now.
@@ -50,21 +48,19 @@
 }
 
 func newRestLimits() *restLimits {
-	return &restLimits{stated: make(map[string]time.Duration), stale: make(map[string]staleRest), resting: make(map[*trackedConn]bool)}
+	return &restLimits{stale: make(map[string]staleRest), resting: make(map[*trackedConn]bool)}
 }
 
-// answered learns from an answer how long its target keeps connections.
-func (l *restLimits) answered(address string, header http.Header) {
+// statedRest returns how long a connection may rest by what its target states in an
+// answer; 0 if that states nothing.
+func statedRest(header http.Header) time.Duration {
 	for field := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		seconds, err := strconv.Atoi(value)
-		if name != "timeout" || err != nil || seconds < 1 {
-			continue // no time is stated
+		if seconds, err := strconv.Atoi(value); name == "timeout" && err == nil && seconds > 0 {
+			return max(time.Duration(seconds)*time.Second-statedMargin, statedMargin)
 		}
-		l.mu.Lock()
-		l.stated[address] = max(time.Duration(seconds)*time.Second-statedMargin, statedMargin)
-		l.mu.Unlock()
 	}
+	return 0
 }
 
 // add notes a connection that rests, and remove one that does not any more.
@@ -92,11 +88,11 @@
 	}
 }
 
-// limit returns how long a connection may rest; 0 if nothing is known.
-func (l *restLimits) limit(address string, now time.Time) time.Duration {
+// learned returns how long a connection may rest by what was found; 0 if nothing was found
+// lately.
+func (l *restLimits) learned(address string, now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	limit := l.stated[address]
 	shortest := time.Duration(0)
 	for a, s := range l.stale {
 		if now.Sub(s.at) > staleMemory {
@@ -107,11 +103,8 @@
 			shortest = s.rested
 		}
 	}
-	if _, here := l.stale[address]; here || len(l.stale) >= staleTargets {
-		learned := max(time.Duration(staleShare*float64(shortest)), shortestRest)
-		if limit == 0 || learned < limit {
-			limit = learned
-		}
+	if _, here := l.stale[address]; !here && len(l.stale) < staleTargets {
+		return 0
 	}
-	return limit
+	return max(time.Duration(staleShare*float64(shortest)), shortestRest)
 }
--- a/traffic/rest_test.go
+++ b/traffic/rest_test.go
@@ -84,20 +84,24 @@
 	is := is.New(t)
 	l := newRestLimits()
 	now := time.Now()
-	is.Equal(l.limit("a", now), time.Duration(0))
+	is.Equal(l.learned("a", now), time.Duration(0))
 	l.foundStale("a", 400*time.Millisecond, now)
-	is.Equal(l.limit("a", now), 200*time.Millisecond)
-	is.Equal(l.limit("b", now), time.Duration(0)) // one target may have crashed
+	is.Equal(l.learned("a", now), 200*time.Millisecond)
+	is.Equal(l.learned("b", now), time.Duration(0)) // one target may have crashed
 	l.foundStale("b", 300*time.Millisecond, now)
 	l.foundStale("c", 20*time.Millisecond, now)
-	is.Equal(l.limit("d", now), shortestRest)
-	l.answered("d", http.Header{"Keep-Alive": {"max=3, timeout=10"}})
-	is.Equal(l.limit("d", now), shortestRest)
+	is.Equal(l.learned("d", now), shortestRest)
 	later := now.Add(staleMemory + time.Second)
-	is.Equal(l.limit("d", later), 9*time.Second)
-	is.Equal(l.limit("a", later), time.Duration(0))
-	for _, nothing := range []string{"", "timeout", "timeout=x", "timeout=0", "timeout=-4", "max=5"} {
-		l.answered("e", http.Header{"Keep-Alive": {nothing}})
-		is.Equal(l.limit("e", later), time.Duration(0))
+	is.Equal(l.learned("a", later), time.Duration(0))
+	is.Equal(len(l.stale), 0)
+}
+
+func TestStatedRests(t *testing.T) {
+	is := is.New(t)
+	for text, want := range map[string]time.Duration{
+		"timeout=10": 9 * time.Second, "max=3, timeout=10": 9 * time.Second, "timeout=1": time.Second,
+		"": 0, "timeout": 0, "timeout=x": 0, "timeout=0": 0, "timeout=-4": 0, "max=5": 0,
+	} {
+		is.Equal(statedRest(http.Header{"Keep-Alive": {text}}), want)
 	}
 }
