--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -12,8 +12,8 @@
 	// makes good what a lost datagram may have left wrong: a second's.
 	beatsInARow = 4
 	// stampStep is how much later a copy must have been confirmed than the latest one that
-	// was passed on, so that the report is passed on whole. All hosts' views live on
-	// these.
+	// was passed on, so that the report is passed on whole. Other hosts learn from these
+	// how old their views are.
 	stampStep = 100 * time.Millisecond
 )
 
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -86,8 +86,8 @@
 	fetching        fetchState
 	joining         joinState
 	// spends is set once this host may spend its share of common budgets.
-	spends  bool
-	reunion reunion
+	spends bool
+	repair repair
 
 	nextTick, nextRefresh time.Time
 	lastTick              time.Time
@@ -110,7 +110,7 @@
 	}
 	c.self = &peerState{Peer: cfg.Self, hash: c.hash, alive: true, known: true}
 	c.joining.begin(c, now)
-	c.reunion.begin(now)
+	c.repair.begin(now)
 	return c
 }
 
@@ -187,7 +187,7 @@
 	}
 	c.nextTick = now.Add(tickInterval)
 	c.joining.tick(c, now)
-	c.reunion.tick(c, now)
+	c.repair.tick(c, now)
 	c.expirePeers(now)
 	c.openBudget(now)
 	c.readStore(now)
--- a/pool/cost.go
+++ b/pool/cost.go
@@ -47,9 +47,9 @@
 	failing float64
 }
 
-// weigh returns how a request weighs targets. Few requests to many targets would meet every
-// spell of failures anew, so those that may not be repeated keep to targets that have
-// answered lately, and those that may be look after the others.
+// weigh returns how a request weighs targets. Requests that may not be repeated prefer targets
+// that succeeded recently; repeatable ones probe the others. Otherwise a service with few
+// requests for each target would lose one at the start of almost every spell of failures.
 func (r *Routing) weigh(q Request) weighing {
 	return weighing{
 		explores: q.Repeatable && len(q.Tried) == 0 || r.spread.Load(),
@@ -59,7 +59,7 @@
 
 // doubt is the cost of the chance that the target has begun to fail.
 func (w weighing) doubt(t *Target, now time.Time) float64 {
-	age := float64(clock.Nanos(now) - t.proved.Load())
+	age := float64(clock.Nanos(now) - t.lastSuccess.Load())
 	return failureCost * w.failing * age / (age + float64(doubtTime))
 }
 
--- a/pool/service.go
+++ b/pool/service.go
@@ -112,7 +112,7 @@
 	s.countFailure(t, e.Outcome)
 	switch e.Outcome {
 	case link.Succeeded:
-		t.proved.Store(clock.Nanos(now))
+		t.lastSuccess.Store(clock.Nanos(now))
 		t.latency.add(float64(e.Latency), latencyWeight)
 		s.typical.add(float64(e.Latency), latencyWeight)
 		if s.successes++; s.successes >= enoughSuccesses {
--- a/pool/target.go
+++ b/pool/target.go
@@ -60,9 +60,9 @@
 	slowness, unreliability atomic.Uint64
 	// used is when the target last had a request of any host.
 	used atomic.Int64
-	// usedHere is when this host last sent it a request, and proved when it last answered
+	// usedHere is when this host last sent it a request, and lastSuccess when it last answered
 	// one of any host well.
-	usedHere, proved atomic.Int64
+	usedHere, lastSuccess atomic.Int64
 	// joined is set for a target that was registered while others were known.
 	joined bool
 
@@ -100,7 +100,7 @@
 	t.slowness.Store(math.Float64bits(1))
 	t.used.Store(never)
 	t.usedHere.Store(never)
-	t.proved.Store(never)
+	t.lastSuccess.Store(never)
 	return t
 }
 
