Keep all targets in use where no request can probe them

Checkout has no repeatable requests, so since requests keep to targets that succeeded recently nothing probed the others; failures at suspects under test did not count as failed requests, so the service did not count as failing. Before: TestServiceWithoutRepeatableRequestsKeepsTargetsInUse red.

--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -417,6 +417,7 @@
 	is := is.New(t)
 	now := epoch.Add(unusedAfter + time.Millisecond)
 	s, unused := usedOnce(8, now)
+	s.Repeatable = true
 	refresh := func(requests int, failed bool) {
 		for range 20 {
 			for range requests {
@@ -437,6 +438,24 @@
 	is.True(pick(s, Request{Now: now}) != unused) // too few requests for all targets
 }
 
+// TestServiceWithoutRepeatableRequestsKeepsTargetsInUse: seen on the grown Secante site
+// (targets-move, seed 731619866455): FLOOR, 4 of 7 sound targets without a request for 2 s.
+func TestServiceWithoutRepeatableRequestsKeepsTargetsInUse(t *testing.T) {
+	is := is.New(t)
+	now := epoch.Add(unusedAfter + time.Millisecond)
+	for _, repeatable := range []bool{false, true} {
+		s, unused := usedOnce(8, now)
+		s.Repeatable = repeatable
+		for range 20 {
+			for range 10 {
+				succeed(s, s.Targets()[1], now)
+			}
+			s.Refresh(250 * time.Millisecond)
+		}
+		is.Equal(pick(s, Request{Now: now}) == unused, !repeatable)
+	}
+}
+
 // TestFewRequestsToManyTargetsMeetFewFailures: a third of the targets fails at any time, for
 // nine seconds. Seen in the sweep: with ten targets a host, half of the requests failed.
 func TestFewRequestsToManyTargetsMeetFewFailures(t *testing.T) {
--- a/pool/service.go
+++ b/pool/service.go
@@ -189,8 +189,9 @@
 // to be as fast as the others again.
 const slownessMemory = 4 * time.Second
 
-// A service whose requests fail keeps all targets in use, for its floor, if it has the
-// requests for that.
+// A service whose requests fail keeps all targets in use, for its floor, and so does one
+// without repeatable requests that could probe unused targets, if it has the requests for
+// that.
 const (
 	// spreadFrom is the share of failed requests from which it does. The users' floor
 	// must be in use from a tenth.
@@ -204,7 +205,8 @@
 func (s *Service) Refresh(interval time.Duration) {
 	s.rate.add(float64(s.ended)/interval.Seconds(), rateWeight)
 	s.ended = 0
-	s.spread.Store(s.unserved.value > spreadFrom && s.rate.value*floorWindow.Seconds() >= float64(len(s.order)))
+	enough := s.rate.value*floorWindow.Seconds() >= float64(len(s.order))
+	s.spread.Store(enough && (s.unserved.value > spreadFrom || !s.Repeatable))
 	latencies := make([]float64, 0, len(s.order))
 	for _, t := range s.order {
 		if t.latency.value > 0 {
