Do not keep connections that were closed with their answer

The transport closes a connection at the end of an answer with Connection: close, before the request counts as ended; rest then listed the closed connection among those that rest, and nothing took it off: the list grew with every such answer. Change: a closed connection does not rest. Before: TestClosedConnectionDoesNotRest red (1 connection listed). After: ./traffic green.

--- a/traffic/conn.go
+++ b/traffic/conn.go
@@ -47,6 +47,8 @@
 	// restsSince is when it came to rest; zero while a request has it.
 	turn       sync.Mutex
 	restsSince time.Time
+	// closed is set by Close: an answer may end its connection before the request ends.
+	closed bool
 	// writes counts the calls of Write, or is sealed.
 	writes atomic.Int64
 	// use is the request that the connection carries, or carried last.
@@ -78,7 +80,7 @@
 func (c *trackedConn) rest(u *use, now time.Time) {
 	c.turn.Lock()
 	defer c.turn.Unlock()
-	if c.use.Load() != u {
+	if c.closed || c.use.Load() != u {
 		return
 	}
 	c.restsSince = now
@@ -109,7 +111,10 @@
 
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
+	c.turn.Lock()
+	c.closed = true
 	c.limits.remove(c)
+	c.turn.Unlock()
 	return c.Conn.Close()
 }
 
--- a/traffic/rest_test.go
+++ b/traffic/rest_test.go
@@ -105,3 +105,18 @@
 		is.Equal(statedRest(http.Header{"Keep-Alive": {text}}), want)
 	}
 }
+
+// TestClosedConnectionDoesNotRest: the transport closes a connection with the last answer on it,
+// before the request counts as ended.
+func TestClosedConnectionDoesNotRest(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	defer far.Close()
+	limits := newRestLimits()
+	c := &trackedConn{Conn: near, limits: limits}
+	u := &use{}
+	c.begin(u)
+	is.NoErr(c.Close())
+	c.rest(u, time.Now())
+	is.Equal(len(limits.resting), 0)
+}
