pool: keep the floor in use while trial requests fail

The service had one retryable route with few requests, and its failing targets took these as trial requests. Failed trials did not count as failures of the service, so traffic was not told to keep all targets in use; a target of another zone, or one with a latency above 1.4 times the median, was never due for a request at all. One cause at two places; not views that were too old. Change: failures of trial requests count if few targets are in use, and while all must be in use, targets of other zones and slow ones are due after 1.3 s.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -216,7 +216,7 @@
 	}
 	c.nextRefresh = now.Add(refreshInterval)
 	for _, s := range c.services {
-		s.Refresh(refreshInterval)
+		s.Refresh(refreshInterval, now)
 	}
 }
 
--- a/pool/cost.go
+++ b/pool/cost.go
@@ -48,6 +48,9 @@
 	// explore is set when the request should go to a target without recent requests, to
 	// find out whether that target works.
 	explore bool
+	// keepAllInUse is set when all targets must get requests, the slow ones and those of
+	// other zones included.
+	keepAllInUse bool
 	// failingShare is the share of the targets that are suspects. It is taken as the
 	// probability that a target of unknown state is failing.
 	failingShare float64
@@ -58,8 +61,10 @@
 // Otherwise a service with few requests for each target would lose one request at
 // the start of almost every burst of failures.
 func (r *Routing) costParamsFor(q Request) costParams {
+	keepAllInUse := r.keepAllInUse.Load()
 	return costParams{
-		explore:      q.Retryable && len(q.Tried) == 0 || r.keepAllInUse.Load(),
+		explore:      q.Retryable && len(q.Tried) == 0 || keepAllInUse,
+		keepAllInUse: keepAllInUse,
 		failingShare: max(minFailingShare, float64(r.Suspects())/float64(max(1, len(r.Targets)))),
 	}
 }
@@ -88,7 +93,7 @@
 	}
 	cost += failureCost * math.Float64frombits(t.publishedFailureRate.Load())
 	switch {
-	case (p.explore || t.awaitsFirstRequest()) && t.dueForRequest(now, slow):
+	case (p.explore || t.awaitsFirstRequest()) && t.dueForRequest(now, slow, p.keepAllInUse):
 		cost = min(cost, dueCost)
 	case !p.explore:
 		cost += p.uncertaintyCost(t, now)
@@ -111,15 +116,25 @@
 	// maxRequestGap is how long a healthy target may go without a request. Frequent
 	// requests tell the fleet the target's state, and give a new target its share.
 	maxRequestGap = 800 * time.Millisecond
+	// maxFloorGap is how long any trusted target may go without a request while all
+	// must be in use. It leaves the rest of floorWindow for the next request to come.
+	maxFloorGap = 1300 * time.Millisecond
 	// dueCost makes a target that is due for a request the first choice.
 	dueCost = 0.5
 )
 
-// dueForRequest reports whether the target is in this host's zone, not slow, and has
-// been without a request for maxRequestGap.
-func (t *Target) dueForRequest(now time.Time, slow float64) bool {
-	return t.distance == SameZone && slow < slowRatio && t.InFlight() == 0 &&
-		clock.Nanos(now)-t.lastUsed.Load() > int64(maxRequestGap)
+// dueForRequest reports whether the target has been without a request for too long:
+// for maxRequestGap if it is in this host's zone and not slow, else for maxFloorGap
+// while all targets must be in use.
+func (t *Target) dueForRequest(now time.Time, slow float64, keepAllInUse bool) bool {
+	gap := maxRequestGap
+	if t.distance != SameZone || slow >= slowRatio {
+		if !keepAllInUse {
+			return false
+		}
+		gap = maxFloorGap
+	}
+	return t.InFlight() == 0 && clock.Nanos(now)-t.lastUsed.Load() > int64(gap)
 }
 
 // awaitsFirstRequest reports whether the target joined after others and was never
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -431,7 +431,7 @@
 				}
 				s.Observe(s.Targets()[1], Ending{Host: "h", Outcome: o, Latency: testLatency}, now)
 			}
-			s.Refresh(250 * time.Millisecond)
+			s.Refresh(250*time.Millisecond, now)
 		}
 	}
 	refresh(10, false)
@@ -455,7 +455,7 @@
 			for range 10 {
 				succeed(s, s.Targets()[1], now)
 			}
-			s.Refresh(250 * time.Millisecond)
+			s.Refresh(250*time.Millisecond, now)
 		}
 		is.Equal(pick(s, Request{Now: now}) == unused, !retryable)
 	}
@@ -504,12 +504,12 @@
 	for range 30 {
 		s.Observe(slow, Ending{Host: "h", Outcome: link.Succeeded, Latency: 6 * testLatency}, epoch)
 	}
-	s.Refresh(250 * time.Millisecond)
+	s.Refresh(250*time.Millisecond, epoch)
 	for range 50 {
 		is.True(pick(s, Request{Now: epoch}) != slow)
 	}
 	for range 80 {
-		s.Refresh(250 * time.Millisecond)
+		s.Refresh(250*time.Millisecond, epoch)
 	}
 	is.True(slow.cost(epoch, costParams{}) < 1.5)
 }
--- a/pool/service.go
+++ b/pool/service.go
@@ -57,11 +57,13 @@
 	typicalLatency   movingAverage
 	successes        int
 	publishedTypical atomic.Int64
-	// failureRate is the share of requests that fail at trusted targets,
-	// requestRate the number of requests that end in a second, and
-	// endedRequests the number that ended since the last Refresh.
-	failureRate, requestRate movingAverage
-	endedRequests            int
+	// requestRate is the number of requests that end in a second, failureRate that of
+	// the requests that fail at trusted targets, and trialFailureRate that of the trial
+	// requests that fail. counts holds the requests since the last Refresh.
+	requestRate, failureRate, trialFailureRate movingAverage
+	counts                                     struct{ ended, failed, failedTrials int }
+	// floor is the share of the targets that must be in use while requests fail.
+	floor float64
 	// keepAllInUse tells traffic to send requests to all targets.
 	keepAllInUse atomic.Bool
 	// routing is the last view for traffic; nil after a change of the targets.
@@ -113,7 +115,7 @@
 // Observe counts the end of a request at a target. It reports whether the target
 // became a suspect or stopped being one.
 func (s *Service) Observe(t *Target, e Ending, now time.Time) (changed bool) {
-	s.updateFailureRates(t, e.Outcome)
+	s.countOutcome(t, e.Outcome)
 	switch e.Outcome {
 	case link.Succeeded:
 		t.lastSuccess.Store(clock.Nanos(now))
@@ -154,25 +156,26 @@
 	return weakEvidence
 }
 
-// updateFailureRates updates the shares of requests that fail at the target and at
-// all trusted targets. Both averages start at 0 instead of at their first value.
-func (s *Service) updateFailureRates(t *Target, o link.Outcome) {
-	s.endedRequests++
+// countOutcome updates the counts of requests and the share of requests that fail at
+// the target. That average starts at 0 instead of at its first value.
+func (s *Service) countOutcome(t *Target, o link.Outcome) {
+	s.counts.ended++
 	failed := 0.0
 	switch o {
 	case link.Succeeded:
 	case link.Failed, link.Broken, link.TimedOut:
 		failed = 1
+		if t.suspicion.suspect {
+			s.counts.failedTrials++
+		} else {
+			s.counts.failed++
+		}
 	default:
 		return
 	}
 	t.failureRate.started = true
 	t.failureRate.add(failed, targetFailureWeight)
 	t.publishedFailureRate.Store(math.Float64bits(t.failureRate.value))
-	if !t.suspicion.suspect { // trial requests are expected to fail
-		s.failureRate.started = true
-		s.failureRate.add(failed, serviceFailureWeight)
-	}
 }
 
 // publishSuspicion publishes the suspicion for traffic. Each host adds jitter of its
@@ -195,27 +198,56 @@
 // without requests returns to the median, so that the target gets requests again.
 const slownessDecayTime = 4 * time.Second
 
-// A service sends requests to all its targets in two cases: while many of its requests
-// fail, because its floor must be in use then; and while it gets no retryable requests,
-// because only those explore unused targets. In both cases, there must be enough
-// requests for all targets.
+// A service sends requests to all its targets in three cases: while many of its requests
+// fail, because its floor must be in use then; while many fail if trial requests count too,
+// and few targets are in use; and while it gets no retryable requests, because only those
+// explore unused targets. In all cases, there must be enough requests for all targets.
 const (
-	// keepAllInUseFailureRate is the share of failed requests above which all targets get
-	// requests. The floor must be in use from a share of 0.1; the lower value leaves a
-	// margin.
-	keepAllInUseFailureRate = 0.06
+	// keepAllInUseFailureShare is the share of failed requests above which all targets
+	// get requests. The floor must be in use from a share of 0.1; the lower value leaves
+	// a margin for the delay of the averages.
+	keepAllInUseFailureShare = 0.06
 	// floorWindow is the time within which each target of the floor must get a
 	// request.
 	floorWindow = 2 * time.Second
 )
 
+// updateKeepAllInUse decides whether all targets must get requests.
+func (s *Service) updateKeepAllInUse(interval time.Duration, now time.Time) {
+	for _, r := range []struct {
+		rate  *movingAverage
+		count int
+	}{{&s.requestRate, s.counts.ended}, {&s.failureRate, s.counts.failed}, {&s.trialFailureRate, s.counts.failedTrials}} {
+		r.rate.add(float64(r.count)/interval.Seconds(), requestRateWeight)
+	}
+	s.counts.ended, s.counts.failed, s.counts.failedTrials = 0, 0, 0
+	enough := s.requestRate.value*floorWindow.Seconds() >= float64(len(s.eligible))
+	limit := keepAllInUseFailureShare * s.requestRate.value
+	failing := s.failureRate.value > limit ||
+		s.failureRate.value+s.trialFailureRate.value > limit && s.fewInUse(now)
+	s.keepAllInUse.Store(enough && (failing || !s.HasRetryable))
+}
+
+// fewInUse reports whether the share of the trusted targets that are in use is close to
+// the floor. Suspects do not count: they get trial requests.
+func (s *Service) fewInUse(now time.Time) bool {
+	trusted, used := 0, 0
+	for _, t := range s.eligible {
+		if t.suspicion.suspect {
+			continue
+		}
+		trusted++
+		if t.InFlight() > 0 || clock.Nanos(now)-t.lastUsed.Load() < int64(maxRequestGap) {
+			used++
+		}
+	}
+	return float64(used) < (1+s.floor)/2*float64(trusted)
+}
+
 // Refresh compares the targets' latencies and updates the rate of requests. The
 // control thread calls it at the given interval.
-func (s *Service) Refresh(interval time.Duration) {
-	s.requestRate.add(float64(s.endedRequests)/interval.Seconds(), requestRateWeight)
-	s.endedRequests = 0
-	enough := s.requestRate.value*floorWindow.Seconds() >= float64(len(s.eligible))
-	s.keepAllInUse.Store(enough && (s.failureRate.value > keepAllInUseFailureRate || !s.HasRetryable))
+func (s *Service) Refresh(interval time.Duration, now time.Time) {
+	s.updateKeepAllInUse(interval, now)
 	latencies := make([]float64, 0, len(s.eligible))
 	for _, t := range s.eligible {
 		if t.latency.value > 0 {
@@ -241,6 +273,7 @@
 
 // Routing returns the immutable view that traffic reads.
 func (s *Service) Routing(floor float64) *Routing {
+	s.floor = floor
 	if s.routing == nil || s.routing.floor != floor || s.routing.retryable != s.HasRetryable {
 		s.routing = &Routing{
 			Service:        s.Name,
--- a/pool/target.go
+++ b/pool/target.go
@@ -175,8 +175,6 @@
 	latencyWeight = 0.15
 	// targetFailureWeight averages over about twenty requests.
 	targetFailureWeight = 0.05
-	// serviceFailureWeight averages over about a hundred requests.
-	serviceFailureWeight = 0.01
 	// requestRateWeight averages over about two seconds.
 	requestRateWeight = 0.12
 )
