Log why a target was chosen, and how long before it was known to succeed

Lines about attempts lacked the inputs of the choice, so a lost request could not be told apart as a trial, an exploration or an ordinary choice. No change of behavior.

--- a/gateway/log.go
+++ b/gateway/log.go
@@ -70,7 +70,8 @@
 		Int("status", d.Status).Dur("took_ms", d.Elapsed).Dur("limit_ms", d.TimeLimit).Uint64("configuration", uint64(d.Configuration))
 	if d.Target != "" {
 		line = line.Str("target", d.Target).Str("outcome", d.Outcome.String()).Int("attempt", d.Attempt).
-			Dur("attempt_ms", d.AttemptDuration).Int("in_flight", d.InFlight).Bool("suspect", d.Suspect)
+			Dur("attempt_ms", d.AttemptDuration).Int("in_flight", d.InFlight).Bool("suspect", d.Suspect).
+			Str("choice", string(d.Choice)).Int64("proven_age_ms", d.ProvenAge.Milliseconds())
 	}
 	if len(d.Tried) > 0 {
 		line = line.Strs("tried", d.Tried)
--- a/pool/cost.go
+++ b/pool/cost.go
@@ -77,8 +77,9 @@
 }
 
 // cost estimates how long the target takes for one more request, and adds the costs
-// defined in this file.
-func (t *Target) cost(now time.Time, p costParams) float64 {
+// defined in this file. The reason is Due for a target that costs less because it has
+// been without a request for too long.
+func (t *Target) cost(now time.Time, p costParams) (float64, ChoiceReason) {
 	load := float64(t.InFlight())
 	slots := float64(max(1, t.Slots))
 	queue := max(0, load+1-slots) / slots
@@ -92,16 +93,17 @@
 		cost += connectCost
 	}
 	cost += failureCost * math.Float64frombits(t.publishedFailureRate.Load())
+	reason := LowestCost
 	switch {
 	case (p.explore || t.awaitsFirstRequest()) && t.dueForRequest(now, slow, p.keepAllInUse):
-		cost = min(cost, dueCost)
+		cost, reason = min(cost, dueCost), Due
 	case !p.explore:
 		cost += p.uncertaintyCost(t, now)
 	}
 	if t.skipped(now) {
 		cost += skippedCost
 	}
-	return cost
+	return cost, reason
 }
 
 const (
--- a/pool/floor_test.go
+++ b/pool/floor_test.go
@@ -72,7 +72,7 @@
 		}
 		retryable := random.Float64() < l.retryable
 		host := random.IntN(len(fleet))
-		got := fleet[host].Routing(testFloor).Pick(random, Request{Retryable: retryable, Idempotent: retryable, Now: now})
+		got := fleet[host].Routing(testFloor).Pick(random, Request{Retryable: retryable, Idempotent: retryable, Now: now}).Target
 		var i int
 		fmt.Sscanf(got.Key.Name, "t%d", &i) //nolint:errcheck // the names are this test's own
 		e := Ending{Host: fmt.Sprint(host), Outcome: link.Succeeded, Latency: time.Duration(random.ExpFloat64() * float64(testLatency))}
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -47,18 +47,42 @@
 	Now        time.Time
 }
 
+// Choice is the target chosen for a request, and why.
+type Choice struct {
+	// Target is nil if there is no untried target.
+	Target *Target
+	Reason ChoiceReason
+	// ProvenAge is the time since the target's last known success; negative if it has
+	// had none.
+	ProvenAge time.Duration
+}
+
+// ChoiceReason is why a target was chosen.
+type ChoiceReason string
+
+// The reasons for a choice.
+const (
+	// LowestCost means that the target was the trusted one of lowest cost.
+	LowestCost ChoiceReason = "lowest cost"
+	// Due means that the target had been without a request for too long.
+	Due ChoiceReason = "due for a request"
+	// Trial means that the request is a trial request of a suspect.
+	Trial ChoiceReason = "trial request"
+	// OnlySuspects means that no trusted target was left.
+	OnlySuspects ChoiceReason = "only suspects left"
+)
+
 // Pick chooses the target for a request and counts the request as in flight.
-// It returns nil when there is no untried target.
-func (r *Routing) Pick(rng *rand.Rand, q Request) *Target {
-	if t := r.pickTrial(q); t != nil {
-		t.Begin(q.Now)
-		return t
+func (r *Routing) Pick(rng *rand.Rand, q Request) Choice {
+	choice := Choice{Target: r.pickTrial(q), Reason: Trial}
+	if choice.Target == nil {
+		choice = r.cheapest(rng, q, r.suspectsInUse())
 	}
-	best := r.cheapest(rng, q, r.suspectsInUse())
-	if best != nil {
-		best.Begin(q.Now)
+	if t := choice.Target; t != nil {
+		choice.ProvenAge = t.provenAge(q.Now)
+		t.Begin(q.Now)
 	}
-	return best
+	return choice
 }
 
 // pickTrial returns a suspect that is due for a trial request, if this request can be
@@ -113,27 +137,28 @@
 // cheapest returns the untried target of lowest cost. Of the unconfirmed suspects, the
 // suspectsInUse ones with the earliest trials count as trusted. When no trusted target
 // is left, it returns the suspect of lowest cost.
-func (r *Routing) cheapest(rng *rand.Rand, q Request, suspectsInUse int) *Target {
+func (r *Routing) cheapest(rng *rand.Rand, q Request, suspectsInUse int) Choice {
 	cutoff := r.trialCutoff(suspectsInUse)
 	p := r.costParamsFor(q)
-	var best, bestSuspect *Target
+	var best, bestSuspect Choice
 	lowest, lowestSuspect := math.Inf(1), math.Inf(1)
 	for _, t := range r.Targets {
 		if slices.Contains(q.Tried, t) {
 			continue
 		}
-		c := t.cost(q.Now, p) + costJitter*rng.Float64()
+		c, reason := t.cost(q.Now, p)
+		c += costJitter * rng.Float64()
 		v := t.suspicionView.Load()
 		switch {
 		case v.suspect && (v.confirmed || v.riskyTrialAt.After(cutoff)):
 			if c < lowestSuspect {
-				bestSuspect, lowestSuspect = t, c
+				bestSuspect, lowestSuspect = Choice{Target: t, Reason: OnlySuspects}, c
 			}
 		case c < lowest:
-			best, lowest = t, c
+			best, lowest = Choice{Target: t, Reason: reason}, c
 		}
 	}
-	if best == nil {
+	if best.Target == nil {
 		return bestSuspect
 	}
 	return best
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -56,7 +56,7 @@
 // pick chooses a target for a request and ends the request at once. It always uses
 // the same random numbers.
 func pick(s *Service, q Request) *Target {
-	t := s.Routing(testFloor).Pick(rng(), q)
+	t := s.Routing(testFloor).Pick(rng(), q).Target
 	if t != nil {
 		t.End()
 	}
@@ -71,7 +71,7 @@
 	is.True(bad.IsSuspect())
 	random := rng()
 	for range 200 {
-		got := s.Routing(testFloor).Pick(random, Request{Now: epoch})
+		got := s.Routing(testFloor).Pick(random, Request{Now: epoch}).Target
 		is.True(got != bad)
 		got.End()
 	}
@@ -129,7 +129,7 @@
 	used := make(map[*Target]time.Time)
 	random := rng()
 	for now := epoch; now.Before(epoch.Add(3 * floorWindow)); now = now.Add(5 * time.Millisecond) {
-		got := s.Routing(testFloor).Pick(random, Request{Now: now})
+		got := s.Routing(testFloor).Pick(random, Request{Now: now}).Target
 		got.End()
 		used[got] = now
 		if got.IsSuspect() {
@@ -257,7 +257,7 @@
 	used := make(map[*Target]bool)
 	random := rng()
 	for range 400 {
-		got := s.Routing(testFloor).Pick(random, Request{Now: epoch})
+		got := s.Routing(testFloor).Pick(random, Request{Now: epoch}).Target
 		used[got] = true
 	}
 	is.True(float64(len(used)) >= testFloor*10)
@@ -272,7 +272,7 @@
 	}
 	random := rng()
 	for range 200 {
-		got := s.Routing(testFloor).Pick(random, Request{Now: epoch})
+		got := s.Routing(testFloor).Pick(random, Request{Now: epoch}).Target
 		is.True(!got.IsSuspect())
 	}
 }
@@ -286,7 +286,7 @@
 	}
 	used := make(map[*Target]bool)
 	for range 100 {
-		used[s.Routing(testFloor).Pick(rng(), Request{Now: epoch})] = true
+		used[s.Routing(testFloor).Pick(rng(), Request{Now: epoch}).Target] = true
 	}
 	is.Equal(len(used), 4) // the load is spread over them
 }
@@ -310,7 +310,7 @@
 	var order []string
 	random := rng()
 	for range 24 {
-		order = append(order, s.Routing(testFloor).Pick(random, Request{Now: epoch}).Key.Name)
+		order = append(order, s.Routing(testFloor).Pick(random, Request{Now: epoch}).Target.Key.Name)
 	}
 	is.Equal(order[:3], []string{"near", "near", "near"})
 	first := func(name string) int {
@@ -361,7 +361,7 @@
 	}
 	s.Apply(list)
 	for range 50 {
-		is.Equal(s.Routing(testFloor).Pick(rng(), Request{Now: epoch}).Key.Name, "t01")
+		is.Equal(s.Routing(testFloor).Pick(rng(), Request{Now: epoch}).Target.Key.Name, "t01")
 	}
 	is.Equal(len(s.All()), 2) // its requests in flight still count
 }
@@ -480,7 +480,7 @@
 		index[t] = i
 	}
 	for now := epoch; now.Before(epoch.Add(60 * time.Second)); now = now.Add(time.Second / perSecond) {
-		got := s.Routing(testFloor).Pick(random, Request{Now: now})
+		got := s.Routing(testFloor).Pick(random, Request{Now: now}).Target
 		got.End()
 		if now.Sub(epoch) > 20*time.Second { // by now some targets are known to work
 			sent++
@@ -511,7 +511,8 @@
 	for range 80 {
 		s.Refresh(250*time.Millisecond, epoch)
 	}
-	is.True(slow.cost(epoch, costParams{}) < 1.5)
+	cost, _ := slow.cost(epoch, costParams{})
+	is.True(cost < 1.5)
 }
 
 // TestFirstSuccessesDoNotSetTypicalLatency covers a restarted fleet: the first
--- a/pool/target.go
+++ b/pool/target.go
@@ -134,6 +134,16 @@
 // as this host knows.
 func (t *Target) InFlight() int { return int(t.own.Load() + max(0, t.others.Load())) }
 
+// provenAge returns the time since the last known success of a request of any host; it is
+// negative if there was none.
+func (t *Target) provenAge(now time.Time) time.Duration {
+	last := t.lastSuccess.Load()
+	if last == never {
+		return -1
+	}
+	return time.Duration(clock.Nanos(now) - last)
+}
+
 // IsFull reports whether the target has more requests in flight than slots.
 func (t *Target) IsFull() bool { return t.InFlight() > t.Slots }
 
--- a/traffic/gateway_attempt.go
+++ b/traffic/gateway_attempt.go
@@ -25,7 +25,9 @@
 
 // gatewayAttempt is one attempt of a request at one target.
 type gatewayAttempt struct {
-	target    *pool.Target
+	target *pool.Target
+	// choice says why the target was chosen.
+	choice    pool.Choice
 	startedAt time.Time
 	outcome   link.Outcome
 	err       error
@@ -41,8 +43,9 @@
 
 // sendAttempt sends a request to a target and buffers the start of the response
 // body. The attempt is finished if it has an error or a complete response.
-func (g *Gateway) sendAttempt(ctx context.Context, req *gatewayRequest, t *pool.Target) *gatewayAttempt {
-	a := &gatewayAttempt{target: t, startedAt: time.Now()}
+func (g *Gateway) sendAttempt(ctx context.Context, req *gatewayRequest, choice pool.Choice) *gatewayAttempt {
+	t := choice.Target
+	a := &gatewayAttempt{target: t, choice: choice, startedAt: time.Now()}
 	g.cfg.AttemptStarted()
 	stopWatch := g.watchOverdue(a, req)
 	defer stopWatch()
--- a/traffic/gateway_dispatch.go
+++ b/traffic/gateway_dispatch.go
@@ -104,15 +104,15 @@
 	if routing == nil {
 		return false
 	}
-	t := routing.Pick(random, g.pickRequest(req, d.tried))
-	if t == nil {
+	choice := routing.Pick(random, g.pickRequest(req, d.tried))
+	if choice.Target == nil {
 		return false
 	}
-	d.tried = append(d.tried, t)
-	req.triedNames = append(req.triedNames, t.Key.Name)
+	d.tried = append(d.tried, choice.Target)
+	req.triedNames = append(req.triedNames, choice.Target.Key.Name)
 	d.sent++
 	d.inFlight++
-	go func() { d.results <- g.sendAttempt(d.ctx, req, t) }()
+	go func() { d.results <- g.sendAttempt(d.ctx, req, choice) }()
 	return true
 }
 
--- a/traffic/gateway_record.go
+++ b/traffic/gateway_record.go
@@ -7,6 +7,7 @@
 
 	"github.com/crocushinge/crocushinge/discovery"
 	"github.com/crocushinge/crocushinge/link"
+	"github.com/crocushinge/crocushinge/pool"
 )
 
 // GatewayCounters count the requests and attempts of a gateway since the host
@@ -46,6 +47,10 @@
 	// as this host knows. Suspect is set if this host suspects the target.
 	InFlight int
 	Suspect  bool
+	// Choice is why the target was chosen, and ProvenAge how long before the choice it was
+	// last known to succeed; negative if never.
+	Choice    pool.ChoiceReason
+	ProvenAge time.Duration
 	// Elapsed is the time since the request was received. TimeLimit is the time from the
 	// receipt of the request to its deadline; 0 if the deadline was not yet known.
 	Elapsed, TimeLimit time.Duration
@@ -84,6 +89,7 @@
 	d.Target, d.Outcome, d.Attempt = a.target.Key.Name, a.outcome, number
 	d.AttemptDuration = time.Since(a.startedAt)
 	d.InFlight, d.Suspect = a.target.InFlight(), a.target.IsSuspect()
+	d.Choice, d.ProvenAge = a.choice.Reason, a.choice.ProvenAge
 	if a.err != nil {
 		d.Reason = a.err.Error()
 	}
