pool: trials after a passed one are retryable requests

Targets that fail nine in ten pass one trial in ten, and then any request was the next trial at once. Change: the next trial may be any request only after the risky delay, as after a failure.

--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -572,3 +572,19 @@
 		is.True(got != suspect && got != first)
 	}
 }
+
+// TestNextTrialAfterAPassedOneIsRetryable covers targets that fail nine requests in ten: one
+// trial in ten passes. If any request could be the next trial, most of those would be lost.
+func TestNextTrialAfterAPassedOneIsRetryable(t *testing.T) {
+	is := is.New(t)
+	s := newService(8)
+	s.HasRetryable = true
+	bad := s.Targets()[2]
+	fail(s, bad, time.Millisecond, epoch)
+	now := epoch.Add(time.Second)
+	succeed(s, bad, now) // the first trial passes
+	is.True(bad.IsSuspect())
+	is.True(pick(s, Request{Now: now.Add(riskyTrialDelay - time.Millisecond)}) != bad)
+	is.Equal(pick(s, Request{Now: now, Retryable: true}), bad)
+	is.Equal(pick(s, Request{Now: now.Add(riskyTrialDelay)}), bad) // no retryable request came
+}
--- a/pool/suspicion.go
+++ b/pool/suspicion.go
@@ -133,8 +133,10 @@
 		return false
 	}
 	s.trialsPassed++
+	// A target that fails most requests passes single trials. The next trial is a request
+	// that loses nothing, unless none comes.
 	s.trialAt = now
-	s.riskyTrialAt = now
+	s.riskyTrialAt = now.Add(riskyTrialDelay)
 	if s.trialsPassed < trialsToPass {
 		return false
 	}
