pool: choose a random one of the suspects that are due for a trial

Cause: all hosts went through the suspects in the same order, so that hosts with a retryable request within the same few milliseconds sent it to the same suspect. Suspects at the end of the order waited for a request that may be lost.

--- a/pool/pick.go
+++ b/pool/pick.go
@@ -74,7 +74,7 @@
 
 // Pick chooses the target for a request and counts the request as in flight.
 func (r *Routing) Pick(rng *rand.Rand, q Request) Choice {
-	choice := Choice{Target: r.pickTrial(q), Reason: Trial}
+	choice := Choice{Target: r.pickTrial(rng, q), Reason: Trial}
 	if choice.Target == nil {
 		choice = r.cheapest(rng, q, r.suspectsInUse())
 	}
@@ -87,11 +87,14 @@
 
 // pickTrial returns a suspect that is due for a trial request, if this request can be
 // the trial. A retry is never a trial: after a failure, a request goes where it is
-// most likely to succeed.
-func (r *Routing) pickTrial(q Request) *Target {
+// most likely to succeed. Of several suspects that are due, it returns a random one, so
+// that hosts with requests at the same moment send them to different suspects.
+func (r *Routing) pickTrial(rng *rand.Rand, q Request) *Target {
 	if len(q.Tried) > 0 {
 		return nil
 	}
+	var chosen *Target
+	candidates := 0
 	for _, t := range r.Targets {
 		v := t.suspicionView.Load()
 		if !v.suspect || t.InFlight() > 0 || t.skipped(q.Now) {
@@ -106,11 +109,15 @@
 		case q.Idempotent:
 			due = due.Add(-idempotentLead)
 		}
-		if !q.Now.Before(due) {
-			return t
+		if q.Now.Before(due) {
+			continue
+		}
+		candidates++
+		if rng.IntN(candidates) == 0 {
+			chosen = t
 		}
 	}
-	return nil
+	return chosen
 }
 
 // idempotentLead is how long before riskyTrialAt an idempotent request that cannot be
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -588,3 +588,24 @@
 	is.Equal(pick(s, Request{Now: now, Retryable: true}), bad)
 	is.Equal(pick(s, Request{Now: now.Add(riskyTrialDelay)}), bad) // no retryable request came
 }
+
+// TestHostsTryDifferentSuspects covers hosts of a large fleet that have a retryable request at
+// the same moment. If all began with the same suspect, most trial requests would be sent to
+// few suspects, and the others would wait for a request that may be lost.
+func TestHostsTryDifferentSuspects(t *testing.T) {
+	is := is.New(t)
+	const hosts, suspects = 40, 100
+	tried := make(map[string]bool)
+	random := rng()
+	for range hosts {
+		s := newService(2 * suspects)
+		s.HasRetryable = true
+		for _, bad := range s.Targets()[:suspects] {
+			fail(s, bad, time.Millisecond, epoch)
+		}
+		got := s.Routing(testFloor).Pick(random, Request{Now: epoch.Add(time.Second), Retryable: true})
+		is.Equal(got.Reason, Trial)
+		tried[got.Target.Key.Name] = true
+	}
+	is.True(len(tried) > hosts/2)
+}
