traffic: bytes without end that are no answer fail a request at once

Cause: a hook for interim responses lifts the limit that net/http sets on them, so that 100 or 103 without end held a request until its deadline (504 after 2 s; on the product's interface 103 went on to the caller until its own limit of 10 MB). A chunked response to an idempotent request that broke off before its first byte ended the caller's connection although nothing had gone out. The product's program let net/http write lines of its own about bytes after a response. Change: 16 interim responses at most; the first piece of a streamed body is read before its header is written; the standard logger writes structured lines.

--- a/cmd/crocushinged/main.go
+++ b/cmd/crocushinged/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -55,6 +56,9 @@
 	}
 	configureGC()
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	// net/http logs protocol errors of targets and callers to the standard logger.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.Level(zerolog.WarnLevel))
 	d, err := daemon.New(settings, daemon.Platform(platformServices), log)
 	if err != nil {
 		return err
--- a/traffic/conn.go
+++ b/traffic/conn.go
@@ -171,13 +171,27 @@
 	// mayBeResent is set when the transport obtained a second connection after
 	// something may have been sent on the first.
 	mayBeResent bool
+	// interimResponses counts the responses with status 1xx.
+	interimResponses int
 }
 
+// maxInterimResponses limits the responses with status 1xx to one request. Without a limit, a
+// target that sends nothing else would hold the request until its deadline.
+const maxInterimResponses = 16
+
+// errTooManyInterimResponses means that a target sent more than maxInterimResponses.
+var errTooManyInterimResponses = errors.New("too many interim responses (1xx)")
+
 // clientTrace returns hooks that record the connections of a request and pass its
 // interim responses to the given function.
 func (t *connTrace) clientTrace(writeInterim func(int, textproto.MIMEHeader) error) *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		Got1xxResponse: writeInterim,
+		Got1xxResponse: func(status int, fields textproto.MIMEHeader) error {
+			if t.interimResponses++; t.interimResponses > maxInterimResponses {
+				return errTooManyInterimResponses
+			}
+			return writeInterim(status, fields)
+		},
 		GetConn:        func(string) { t.requested = true },
 		GotConn: func(info httptrace.GotConnInfo) {
 			if t.acquired && !t.nothingSent() {
--- a/traffic/idempotent.go
+++ b/traffic/idempotent.go
@@ -78,18 +78,20 @@
 // retryable reports whether the body is buffered, so that it can be sent again.
 func (req *request) retryable() bool { return req.body != nil }
 
-// sendBuffered sends the request to one target and buffers the response if
-// shouldBuffer. The attempt is finished if it has an error or a complete response.
+// sendBuffered sends the request to one target. It buffers the response if shouldBuffer,
+// and else the first piece of its body, so that a response that breaks off before it is
+// an error that the caller can be told. The attempt is finished if it has an error or a complete response.
 func (h *Handler) sendBuffered(ctx context.Context, req *request, tried map[*link.Link]bool) (*attempt, *bufferedResponse, error) {
 	a, err := h.sendAttempt(ctx, req, tried)
 	if err != nil {
 		return a, nil, err
 	}
 	resp := &bufferedResponse{attempt: a}
-	if !a.shouldBuffer() {
-		return a, resp, nil
+	if a.shouldBuffer() {
+		resp.buffered, resp.complete, err = a.buffer()
+	} else {
+		resp.buffered, resp.complete, err = readFirst(a.response.Body)
 	}
-	resp.buffered, resp.complete, err = a.buffer()
 	if err != nil {
 		a.fail()
 		return a, nil, err
--- a/traffic/response.go
+++ b/traffic/response.go
@@ -62,6 +62,24 @@
 	return buffered, len(buffered) < maxBufferedBytes, nil
 }
 
+// readFirst reads the first piece of a response body. complete is set if that is the whole
+// body.
+func readFirst(r io.Reader) (first []byte, complete bool, err error) {
+	first = make([]byte, copyBufferBytes)
+	n := 0
+	for n == 0 && err == nil {
+		n, err = r.Read(first)
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		return first[:n], true, nil
+	case err != nil && n == 0:
+		return nil, false, errors.Wrap(err, "the answer was cut short")
+	default:
+		return first[:n], false, nil // the next read returns the error again
+	}
+}
+
 // readWithLength reads a whole body with the given Content-Length. The body may be
 // empty nevertheless, as in the response to HEAD.
 func readWithLength(r io.Reader, length int64) ([]byte, error) {
