fleet: a paused host renews its view before it serves

Cause: after a pause of some seconds (stopped process, suspended machine, starved control thread) traffic went on by the view from before the pause: a target that had left meanwhile, or an older configuration. Datagrams that waited in the socket are as old as the pause. Change: traffic refuses (503, not run, Retry-After 200 ms) while the control thread has not run for 1 s or renews its documents from a peer after a pause, for 1 s at most; also between two attempts. Pauses are measured by a clock that includes suspension. Tests: TestPausedHostRenewsItsViewBeforeItServes, TestSuspendedMachineRenewsItsView, TestPausedHostServesByItsViewWithoutStoreAndPeers (virtual clock), TestGatewayRefusesWhileItsViewIsOutdated, TestGatewayDoesNotRetryByAnOutdatedView (connections); each fails without the guard it names.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -92,6 +92,7 @@
 	// retryBudgetOpen is set once this host may spend its RetryBudgetShare.
 	retryBudgetOpen bool
 	repair          membershipRepair
+	renewal         renewal
 
 	nextTick, nextRefresh time.Time
 	lastTick              time.Time
@@ -139,7 +140,7 @@
 	}
 	switch ev := ev.(type) {
 	case Tick:
-		c.handleTick(now)
+		c.handleTick(now, ev.Suspended)
 	case Observed:
 		c.handleObservations(now, ev.Observations)
 	case RequestsStarted:
@@ -175,14 +176,10 @@
 	c.emit(Record{Event: e})
 }
 
-// pauseThreshold is the gap between two ticks above which the process is taken to have been
-// suspended.
-const pauseThreshold = time.Second
-
 // handleTick does the periodic work that is due.
-func (c *Core) handleTick(now time.Time) {
-	if now.Sub(c.lastTick) > pauseThreshold {
-		c.resumeAfterPause(now)
+func (c *Core) handleTick(now time.Time, suspended time.Duration) {
+	if pause := now.Sub(c.lastTick) + suspended; pause > pauseThreshold {
+		c.resumeAfterPause(now, pause)
 	}
 	c.lastTick = now
 	c.sendReport(now)
@@ -196,20 +193,11 @@
 	c.expirePeers(now)
 	c.openRetryBudget(now)
 	c.readStore(now)
+	c.renewDocuments(now)
 	c.fetchWanted(now)
 	c.refreshServices(now)
 }
 
-// resumeAfterPause restarts the timeout for silence of all live hosts after the process was
-// suspended, because the process received no reports while it did not run.
-func (c *Core) resumeAfterPause(now time.Time) {
-	for _, p := range c.peers {
-		if p.alive {
-			p.reportReceived = now
-		}
-	}
-}
-
 func (c *Core) refreshServices(now time.Time) {
 	if now.Before(c.nextRefresh) {
 		return
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -15,7 +15,11 @@
 type (
 	// Tick triggers periodic work. The control thread sends one at the time that NextTick
 	// returns.
-	Tick struct{}
+	Tick struct {
+		// Suspended is how long the machine was suspended since the last tick. The steady
+		// clock does not count that time.
+		Suspended time.Duration
+	}
 
 	// Observed carries the ends of this host's requests.
 	Observed struct{ Observations []Observation }
--- a/fleet/fetch.go
+++ b/fleet/fetch.go
@@ -113,6 +113,7 @@
 
 func (c *Core) handleFetched(now time.Time, ev Fetched) {
 	c.fetching.inFlight = false
+	defer c.finishRenewal(ev.Err)
 	if ev.Err != nil {
 		c.fetching.retryAt = now.Add(fetchRetryDelay)
 		return
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -536,3 +536,62 @@
 	c.run(time.Duration(maxHeartbeatsInARow+2) * maxReportInterval)
 	is.True(c.allUp(func(n *node) bool { return findTarget(n, id).InFlight() == 0 }))
 }
+
+// TestPausedHostRenewsItsViewBeforeItServes pauses a host while a target leaves and a new
+// configuration comes into force. The datagrams of that time are lost, as are most of those that
+// wait in a full socket buffer. The host must not serve by its old view when it goes on.
+func TestPausedHostRenewsItsViewBeforeItServes(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(3, 4)
+	c.run(10 * time.Second)
+	paused := c.hosts["10.1.0.2:7000"]
+	leaving := c.targets["t-10.2.0.1:7000"]
+	paused.down = true // neither runs nor receives, but keeps its state
+	c.run(2 * time.Second)
+	leaving.Leaving = true
+	c.putTarget(leaving)
+	c.configure(9)
+	c.run(4 * time.Second)
+	paused.down = false
+	paused.wake = time.Time{}
+	is.Equal(paused.snapshot.Configuration.Version, discovery.Version(1)) // its old view
+	c.deliver(paused, Tick{})
+	is.True(paused.snapshot.Renewing)
+	c.run(300 * time.Millisecond)
+	is.True(!paused.snapshot.Renewing)
+	is.Equal(paused.snapshot.Configuration.Version, discovery.Version(9))
+	for _, target := range paused.snapshot.Services["orders"].Targets {
+		is.True(target.Key.Name != leaving.ID)
+	}
+}
+
+// TestSuspendedMachineRenewsItsView covers a pause that the steady clock does not count.
+func TestSuspendedMachineRenewsItsView(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(5, 2)
+	c.run(10 * time.Second)
+	suspended := c.hosts["10.0.0.1:7000"]
+	c.deliver(suspended, Tick{Suspended: 3 * time.Second})
+	is.True(suspended.snapshot.Renewing)
+	c.run(300 * time.Millisecond)
+	is.True(!suspended.snapshot.Renewing)
+}
+
+// TestPausedHostServesByItsViewWithoutStoreAndPeers checks that a host that can reach nobody after a
+// pause serves again after the renewal timeout.
+func TestPausedHostServesByItsViewWithoutStoreAndPeers(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(4, 2)
+	c.run(10 * time.Second)
+	paused := c.hosts["10.0.0.1:7000"]
+	paused.down = true
+	c.run(3 * time.Second)
+	paused.down, paused.wake = false, time.Time{}
+	c.storeDown = true
+	c.partition = func(a, b string) bool { return a == paused.address || b == paused.address }
+	c.deliver(paused, Tick{})
+	is.True(paused.snapshot.Renewing)
+	c.run(renewalTimeout + 2*tickInterval)
+	is.True(!paused.snapshot.Renewing)
+	is.True(paused.snapshot.Ready)
+}
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -15,6 +15,8 @@
 	Self Peer
 	// Ready is set while this host can serve, and Leaving once it shuts down.
 	Ready, Leaving bool
+	// Renewing is set after a pause of this process, until its documents are up to date again.
+	Renewing bool
 	// Configuration is nil until the host knows one.
 	Configuration *discovery.Configuration
 	Services      map[string]*pool.Routing
@@ -47,6 +49,7 @@
 		Self:      c.cfg.Self,
 		Ready:     c.ready(),
 		Leaving:   c.leaving,
+		Renewing:  c.renewing(),
 		LiveHosts: len(c.liveHosts()),
 		Services:  make(map[string]*pool.Routing, len(c.services)),
 		Directory: c.directory(),
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crocushinge/crocushinge/fleet"
+	"github.com/crocushinge/crocushinge/internal/clock"
 	"github.com/crocushinge/crocushinge/internal/mailbox"
 	"github.com/crocushinge/crocushinge/timeline"
 )
@@ -28,6 +29,25 @@
 	// received from it.
 	startSignal chan struct{}
 	effects     effector
+	// lastTick is when the control thread last ran its periodic work, by clock.SinceBoot: the
+	// steady clock stops while the machine is suspended.
+	lastTick atomic.Int64
+}
+
+// stallThreshold is the age of the last tick above which the control thread counts as stalled.
+// The bounds for leaving targets and new configurations are a few seconds.
+const stallThreshold = time.Second
+
+// stalled reports whether the control thread has not run for stallThreshold.
+func (c *control) stalled() bool {
+	return clock.SinceBoot()-time.Duration(c.lastTick.Load()) > stallThreshold
+}
+
+// tick runs the periodic work. steady is the time since the last tick by the steady clock.
+func (c *control) tick(steady time.Duration) {
+	elapsed := clock.SinceBoot() - time.Duration(c.lastTick.Load())
+	c.handle(fleet.Tick{Suspended: max(0, elapsed-steady)})
+	c.lastTick.Store(int64(clock.SinceBoot()))
 }
 
 // effector carries out the effects of the core. Its methods do not block. A result that
@@ -53,6 +73,7 @@
 		effects:     effects,
 	}
 	c.snapshot.Store(core.Snapshot())
+	c.lastTick.Store(int64(clock.SinceBoot()))
 	return c
 }
 
@@ -69,12 +90,15 @@
 func (c *control) run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
-			c.handle(fleet.Tick{})
+			now := time.Now()
+			c.tick(now.Sub(last))
+			last = now
 		case ev := <-c.Events:
 			c.handle(ev)
 		case f := <-c.Calls:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,6 +104,7 @@
 		Observe:        g.control.Observe,
 		AttemptStarted: g.control.notifyStarted,
 		Closing:        g.closing.Load,
+		ControlStalled: g.control.stalled,
 		Transport:      traffic.NewTargetTransport(dial),
 		Bodies:         caller.NewMemory(bodyMemory),
 		Headers:        s.Headers,
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -9,10 +9,12 @@
 
 // The kinds of events.
 const (
-	HostStarted          Kind = "host-started"
-	HostJoined           Kind = "host-joined"
-	HostLost             Kind = "host-lost"
-	HostLeaving          Kind = "host-leaving"
+	HostStarted Kind = "host-started"
+	HostJoined  Kind = "host-joined"
+	HostLost    Kind = "host-lost"
+	HostLeaving Kind = "host-leaving"
+	// HostResumed records that this host's process was suspended for a while.
+	HostResumed          Kind = "host-resumed"
 	ConfigurationInForce Kind = "configuration-in-force"
 	// TargetsInForce records that a host began to use a new list of registered
 	// targets.
--- a/traffic/conn.go
+++ b/traffic/conn.go
@@ -192,7 +192,7 @@
 			}
 			return writeInterim(status, fields)
 		},
-		GetConn:        func(string) { t.requested = true },
+		GetConn: func(string) { t.requested = true },
 		GotConn: func(info httptrace.GotConnInfo) {
 			if t.acquired && !t.nothingSent() {
 				t.mayBeResent = true
--- a/traffic/gateway.go
+++ b/traffic/gateway.go
@@ -53,6 +53,9 @@
 	// Closing reports whether this host's shutdown has reached the point from which
 	// new requests are refused.
 	Closing func() bool
+	// ControlStalled reports whether the control thread has not run for a while, because the
+	// process was paused or is starved. The snapshot may then allow what no longer holds.
+	ControlStalled func() bool
 	// Transport sends requests to targets.
 	Transport http.RoundTripper
 	// Bodies limits the memory for request bodies.
@@ -139,6 +142,9 @@
 	if g.cfg.Closing() {
 		return req, refuseFor(defaultRetryAfter, "this host shuts down")
 	}
+	if g.outdated(snap) {
+		return req, refuseFor(defaultRetryAfter, "this host was paused and renews its view")
+	}
 	if snap.Configuration == nil {
 		return req, refuseFor(defaultRetryAfter, "this host has no configuration yet")
 	}
@@ -167,6 +173,10 @@
 	return req, nil
 }
 
+// outdated reports whether the snapshot may allow what no longer holds, because this process
+// was paused and has not renewed its view yet.
+func (g *Gateway) outdated(snap *fleet.Snapshot) bool { return snap.Renewing || g.cfg.ControlStalled() }
+
 // longestDeadline returns the longest time that callers of a route have allowed
 // for a request, including the given one. A caller that allows much less time has
 // spent the difference on earlier attempts.
--- a/traffic/gateway_dispatch.go
+++ b/traffic/gateway_dispatch.go
@@ -56,7 +56,7 @@
 		return
 	}
 	if !d.startAttempt() {
-		g.writeRefusal(w, req, refuseFor(defaultRetryAfter, "no target of the service is known"))
+		g.writeRefusal(w, req, refuseFor(defaultRetryAfter, "no target of the service is known, or this host renews its view"))
 		return
 	}
 	hedge := d.newHedgeTimer(snap)
@@ -97,11 +97,13 @@
 }
 
 // startAttempt sends the request to the best target that it was not sent to yet. It
-// returns false if there is none.
+// returns false if there is none, or if this host's view has become outdated since the
+// request was admitted.
 func (d *dispatcher) startAttempt() bool {
 	g, req := d.gateway, d.request
-	routing := g.cfg.Snapshot().Services[req.service]
-	if routing == nil {
+	snap := g.cfg.Snapshot()
+	routing := snap.Services[req.service]
+	if routing == nil || g.outdated(snap) {
 		return false
 	}
 	choice := routing.Pick(random, g.pickRequest(req, d.tried))
--- a/traffic/gateway_harness_test.go
+++ b/traffic/gateway_harness_test.go
@@ -34,6 +34,8 @@
 	budget  RetryBudgetConfig
 	closing atomic.Bool
 	leaving atomic.Bool
+	// stalled and renewing are what the gateway is told of a pause of its process.
+	stalled, renewing atomic.Bool
 	// noConfiguration makes snapshots lack a configuration.
 	noConfiguration atomic.Bool
 
@@ -73,6 +75,7 @@
 		Observe:        g.observe,
 		AttemptStarted: func() {},
 		Closing:        g.closing.Load,
+		ControlStalled: g.stalled.Load,
 		Transport:      NewTargetTransport(DialTCP),
 		Bodies:         caller.NewMemory(1 << 20),
 		Headers:        testHeaders,
@@ -91,7 +94,7 @@
 }
 
 func (g *testGateway) snapshot() *fleet.Snapshot {
-	s := &fleet.Snapshot{LiveHosts: 1, RetryBudgetShare: 1, Ready: true, Leaving: g.leaving.Load()}
+	s := &fleet.Snapshot{LiveHosts: 1, RetryBudgetShare: 1, Ready: true, Leaving: g.leaving.Load(), Renewing: g.renewing.Load()}
 	if !g.noConfiguration.Load() {
 		s.Configuration = discovery.NewConfiguration(7, g.routes, map[string]discovery.ServiceSettings{"orders": {}}, g.limits)
 		s.Services = map[string]*pool.Routing{"orders": g.service.Routing(0.7)}
--- a/traffic/gateway_test.go
+++ b/traffic/gateway_test.go
@@ -521,3 +521,38 @@
 	is.Equal(last.TimeLimit, 150*time.Millisecond)
 	is.True(last.Target != "")
 }
+
+// TestGatewayRefusesWhileItsViewIsOutdated covers a process that was paused: until its control
+// thread runs again and has renewed the view, nothing is sent by the old one.
+func TestGatewayRefusesWhileItsViewIsOutdated(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t)
+	target := g.addTarget("t1", nil)
+	g.start()
+	for _, state := range []*atomic.Bool{&g.stalled, &g.renewing} {
+		state.Store(true)
+		got := g.send(http.MethodPost, "/write/x", "")
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.True(got.header.Get("Retry-After") != "")
+		state.Store(false)
+	}
+	is.Equal(target.requestCount.Load(), int64(0))
+	is.Equal(g.send(http.MethodPost, "/write/x", "").status, http.StatusOK)
+}
+
+// TestGatewayDoesNotRetryByAnOutdatedView pauses the process between two attempts of a request.
+func TestGatewayDoesNotRetryByAnOutdatedView(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t)
+	var requests atomic.Int64
+	for _, name := range []string{"t1", "t2"} {
+		g.addTarget(name, func(w http.ResponseWriter, _ *http.Request) {
+			requests.Add(1)
+			g.stalled.Store(true)
+			w.WriteHeader(http.StatusInternalServerError)
+		})
+	}
+	g.start()
+	is.Equal(g.send(http.MethodGet, "/read/x", "").status, http.StatusInternalServerError)
+	is.Equal(requests.Load(), int64(1))
+}
