fleet: hosts beyond the first ones wait for documents before they read the store

Change: the steps count from the moment the rank is known, and hosts beyond the first six wait up to 3 s more, as for a takeover. Test: TestStartOfALargeFleetReadsTheStoreOnce (30 and 240 hosts, virtual clock) failed before.

--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -47,8 +47,8 @@
 	// storeDown makes every call to the store fail, and storeCutOff those of single hosts.
 	storeDown   bool
 	storeCutOff map[string]bool
-	// storeCalls counts calls to the store.
-	storeCalls int
+	// storeCalls counts calls to the store; registrations are those that write rows of hosts.
+	storeCalls, registrations int
 	// loss is the share of datagrams that are lost.
 	loss float64
 	// fullReports and heartbeats count the forwarded reports.
@@ -223,6 +223,7 @@
 		c.removed[e.ID] = true
 	case Register:
 		delete(c.removed, n.config.Self.ID)
+		c.registrations++
 		c.callStore(n, func() Event { return Registered{} }, func(err error) Event { return Registered{Err: err} })
 	case Fetch:
 		c.fetch(n, e)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -595,3 +595,17 @@
 	is.True(!paused.snapshot.Renewing)
 	is.True(paused.snapshot.Ready)
 }
+
+// TestStartOfALargeFleetReadsTheStoreOnce starts a fleet and counts its calls to the store. Each
+// host used to read both documents before it could have received them from another one.
+func TestStartOfALargeFleetReadsTheStoreOnce(t *testing.T) {
+	is := is.New(t)
+	calls := make(map[int]int)
+	for _, perZone := range []int{10, 80} {
+		c := newCluster(7, perZone)
+		c.run(6 * time.Second)
+		is.True(c.allUp(func(n *node) bool { return n.snapshot.Ready }))
+		calls[perZone] = c.storeCalls - c.registrations
+	}
+	is.True(calls[80] <= calls[10]+2*maxTakeoverSteps) // the reads do not grow with the hosts
+}
--- a/fleet/joining.go
+++ b/fleet/joining.go
@@ -35,6 +35,8 @@
 	// joinDeadline is when the host stops waiting for the rank order of the hosts, and reads the
 	// store and registers without it.
 	joinDeadline time.Time
+	// rankKnownAt is when the host first knew its rank, and so when to read the store.
+	rankKnownAt  time.Time
 	nextHello    time.Time
 	registerAt   time.Time
 	registered   bool
--- a/fleet/store_reads.go
+++ b/fleet/store_reads.go
@@ -61,7 +61,7 @@
 		return true
 	}
 	if state.confirmedAt.IsZero() {
-		return !now.Before(c.joining.started.Add(time.Duration(min(rank, maxTakeoverSteps)) * firstReadStep))
+		return c.firstReadDue(state, now, rank)
 	}
 	limit := wait + takeoverGrace + time.Duration(min(rank-1, maxTakeoverSteps))*takeoverStep
 	if state.age(now) < limit {
@@ -74,6 +74,23 @@
 	return true
 }
 
+// firstReadDue reports whether a host that has no copy of a document yet must read it. The first
+// hosts in rank order read one after the other. The others wait a random time more, in which they
+// receive what the first ones have read.
+func (c *Core) firstReadDue(state *copyState, now time.Time, rank int) bool {
+	if c.joining.rankKnownAt.IsZero() {
+		c.joining.rankKnownAt = now
+	}
+	if now.Before(c.joining.rankKnownAt.Add(time.Duration(min(rank, maxTakeoverSteps)) * firstReadStep)) {
+		return false
+	}
+	if rank > maxTakeoverSteps && state.retryAt.IsZero() {
+		state.retryAt = now.Add(time.Duration(c.cfg.Rand.Int64N(int64(takeoverJitter))))
+		return false
+	}
+	return true
+}
+
 // finishRead records the end of a read and reports whether it succeeded.
 func (c *Core) finishRead(now time.Time, state *copyState, err error) bool {
 	state.reading = false
