fleet: record a suspicion at the host that saw the failure

Cause: every host of the large site wrote a line for every change of every target's state, 100,489 lines in the first 3 s of traffic, most of the log and of the processor time that lines cost.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -235,7 +235,13 @@
 	}
 }
 
+// recordSuspicion records a change of a target's state, if this host saw the response that led to
+// it. All hosts come to the same belief, and in a large fleet one record for each of them would be
+// most of the log.
 func (c *Core) recordSuspicion(now time.Time, ref targetRef, e Ending, suspect bool) {
+	if e.Host != string(c.cfg.Self.ID) {
+		return
+	}
 	from, to := "trusted", "suspect"
 	if !suspect {
 		from, to = to, from
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -609,3 +609,28 @@
 	}
 	is.True(calls[80] <= calls[10]+2*maxTakeoverSteps) // the reads do not grow with the hosts
 }
+
+// TestSuspicionIsRecordedByTheHostThatSawIt checks that a failure adds one record to the logs of
+// the fleet, not one for each host.
+func TestSuspicionIsRecordedByTheHostThatSawIt(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(8, 4)
+	c.run(5 * time.Second)
+	seer := c.hosts["10.1.0.2:7000"]
+	target := seer.snapshot.Services["orders"].Targets[0]
+	c.deliver(seer, Observed{Observations: []Observation{{Target: target, Outcome: link.Failed, Latency: time.Millisecond}}})
+	c.run(200 * time.Millisecond)
+	records := 0
+	c.forEachUp(func(n *node) {
+		for _, e := range n.events {
+			if e.Kind == timeline.TargetStateChanged {
+				records++
+				is.Equal(n, seer)
+			}
+		}
+		for _, x := range n.snapshot.Services["orders"].Targets {
+			is.True(x.Key != target.Key || x.IsSuspect()) // all believe it
+		}
+	})
+	is.Equal(records, 1)
+}
--- a/pool/target.go
+++ b/pool/target.go
@@ -139,7 +139,7 @@
 func (t *Target) provenAge(now time.Time) time.Duration {
 	last := t.lastSuccess.Load()
 	if last == never {
-		return -1
+		return -time.Millisecond
 	}
 	return time.Duration(clock.Nanos(now) - last)
 }
