fleet: fetch what has changed in the targets; the relay of a zone writes the rows of its hosts

Causes, both seen at the start of the large site (293 hosts, 719 targets): every change of one target made every host fetch the whole list (9,113 whole lists in 13 s), and every host wrote its own row to the store (293 of the 961 calls by second 3 of traffic). Changes: a fetch names the revision that the host has, and the peer answers with entries and removals, checked against the digest of the version they lead to; the whole list only when that fails or the peer has forgotten the steps (512 removals). At the first start of a fleet the relay of a zone writes all rows of its zone in one transaction and tells the hosts; one that isn't told within 5 to 7 s writes its own. One commit, since both change the messages between hosts.

--- /dev/null
+++ b/discovery/changes.go
@@ -0,0 +1,105 @@
+package discovery
+
+import (
+	"github.com/pkg/errors"
+)
+
+// Changes lead from one version of the registered targets to a later one.
+type Changes struct {
+	// Since is the revision of the version that the changes apply to.
+	Since uint64
+	// Updated are the targets that are new or have changed, and Removed the ids of those
+	// that are gone. An id can be in both: a target that left and came back.
+	Updated []Target
+	Removed []string
+	// Revision, At and Digest are those of the version that the changes lead to.
+	Revision uint64
+	At       int64
+	Digest   uint32
+}
+
+// ErrChangesMismatch means that changes did not lead to the version that they stand for. The
+// whole list must be read instead.
+var ErrChangesMismatch = errors.New("the changes of the targets do not lead to the announced version")
+
+// Apply returns the targets with the changes applied. It fails if the result is not the
+// version that the changes stand for, for instance because a part of them is missing.
+func (t *Targets) Apply(c *Changes) (*Targets, error) {
+	byID := make(map[string]Target, len(t.List)+len(c.Updated))
+	for _, target := range t.List {
+		byID[target.ID] = target
+	}
+	for _, id := range c.Removed {
+		delete(byID, id)
+	}
+	for _, target := range c.Updated {
+		byID[target.ID] = target
+	}
+	list := make([]Target, 0, len(byID))
+	for _, target := range byID {
+		list = append(list, target)
+	}
+	out := NewTargets(c.Revision, c.At, list)
+	if out.Digest != c.Digest {
+		return nil, ErrChangesMismatch
+	}
+	return out, nil
+}
+
+// maxRemovals is how many removed targets are remembered. A host that lacks more of them
+// reads the whole list.
+const maxRemovals = 512
+
+// removals remembers the targets that were removed lately.
+type removals struct {
+	list []removal
+	// completeFrom is the revision from which no removal is missing.
+	completeFrom uint64
+}
+
+// removal is a target that a read at the given revision no longer had.
+type removal struct {
+	id       string
+	revision uint64
+}
+
+// record remembers the targets of the old version that the new one lacks.
+func (r *removals) record(old, current *Targets) {
+	if old == nil {
+		r.completeFrom = current.Revision
+		return
+	}
+	kept := make(map[string]bool, len(current.List))
+	for _, t := range current.List {
+		kept[t.ID] = true
+	}
+	for _, t := range old.List {
+		if !kept[t.ID] {
+			r.list = append(r.list, removal{id: t.ID, revision: current.Revision})
+		}
+	}
+	if excess := len(r.list) - maxRemovals; excess > 0 {
+		r.completeFrom = r.list[excess-1].revision
+		r.list = append(r.list[:0:0], r.list[excess:]...)
+	}
+}
+
+// ChangesSince returns the changes from an earlier version to the known one. It returns
+// false if that version is too old or not older than the known one.
+func (r *Registry) ChangesSince(revision uint64) (*Changes, bool) {
+	if r.known == nil || revision < r.removals.completeFrom || revision > r.known.Revision {
+		return nil, false
+	}
+	c := &Changes{Since: revision, Revision: r.known.Revision, At: r.known.At, Digest: r.known.Digest}
+	for _, t := range r.known.List {
+		if t.Revision > revision {
+			c.Updated = append(c.Updated, t)
+		}
+	}
+	for _, gone := range r.removals.list {
+		if gone.revision > revision {
+			c.Removed = append(c.Removed, gone.id)
+		}
+	}
+	return c, true
+}
--- a/discovery/target.go
+++ b/discovery/target.go
@@ -115,6 +115,8 @@
 	confirmed int64
 	// graceUntil is when targets whose rows expired in an outage are dropped.
 	graceUntil int64
+	// removals are the targets that were removed lately, for ChangesSince.
+	removals removals
 }
 
 // Known returns the known targets, or nil before the first read.
@@ -138,6 +140,7 @@
 	}
 	r.Confirm(read.At)
 	if r.known == nil {
+		r.removals.record(nil, read)
 		r.known = read
 		return true
 	}
@@ -150,7 +153,9 @@
 	for _, t := range byID {
 		list = append(list, t)
 	}
-	r.known = NewTargets(read.Revision, read.At, list)
+	merged := NewTargets(read.Revision, read.At, list)
+	r.removals.record(r.known, merged)
+	r.known = merged
 	return true
 }
 
--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -42,13 +42,16 @@
 	config   *discovery.Configuration
 	revision uint64
 	changed  map[string]time.Time
-	// removed holds the hosts whose rows were removed.
-	removed map[ID]bool
+	// removed holds the hosts whose rows were removed, and rows those whose rows were
+	// written.
+	removed, rows map[ID]bool
 	// storeDown makes every call to the store fail, and storeCutOff those of single hosts.
 	storeDown   bool
 	storeCutOff map[string]bool
 	// storeCalls counts calls to the store; registrations are those that write rows of hosts.
 	storeCalls, registrations int
+	// fetches counts the fetches from peers, and fetchedTargets the targets in the responses.
+	fetches, fetchedTargets int
 	// loss is the share of datagrams that are lost.
 	loss float64
 	// fullReports and heartbeats count the forwarded reports.
@@ -101,6 +104,7 @@
 		changed:     make(map[string]time.Time),
 		storeCutOff: make(map[string]bool),
 		removed:     make(map[ID]bool),
+		rows:        make(map[ID]bool),
 		zones:       zone.NewMap([]zone.Zone{{ID: "a", Region: "r"}, {ID: "b", Region: "r"}, {ID: "c", Region: "r"}}, nil),
 	}
 	c.configure(1)
@@ -222,9 +226,14 @@
 	case RemovePeer:
 		c.removed[e.ID] = true
 	case Register:
-		delete(c.removed, n.config.Self.ID)
 		c.registrations++
-		c.callStore(n, func() Event { return Registered{} }, func(err error) Event { return Registered{Err: err} })
+		c.callStore(n, func() Event {
+			for _, p := range e.Peers {
+				delete(c.removed, p.ID)
+				c.rows[p.ID] = true
+			}
+			return Registered{Peers: e.Peers}
+		}, func(err error) Event { return Registered{Peers: e.Peers, Err: err} })
 	case Fetch:
 		c.fetch(n, e)
 	case Record:
@@ -263,7 +272,17 @@
 			c.schedule(100*time.Millisecond, func() { c.deliver(n, Fetched{Err: errUnavailable}) })
 			return
 		}
-		documents := peer.core.Documents(c.now)
+		c.fetches++
+		documents := peer.core.Documents(c.now, e.TargetsSince)
+		if !e.Targets {
+			documents.Targets, documents.TargetChanges = nil, nil
+		}
+		if documents.Targets != nil {
+			c.fetchedTargets += len(documents.Targets.List)
+		}
+		if documents.TargetChanges != nil {
+			c.fetchedTargets += len(documents.TargetChanges.Updated)
+		}
 		c.schedule(networkDelay, func() { c.deliver(n, documents) })
 	})
 }
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -52,13 +52,19 @@
 	}
 
 	// Registered is the result of Register.
-	Registered struct{ Err error }
+	Registered struct {
+		Peers []Peer
+		Err   error
+	}
 
 	// Fetched is the result of Fetch.
 	Fetched struct {
-		Peers    []Peer
-		Targets  *discovery.Targets
-		Document *Document
+		Peers []Peer
+		// Targets is the whole list, and TargetChanges what has changed since the
+		// revision that was asked for. At most one of them is set.
+		Targets       *discovery.Targets
+		TargetChanges *discovery.Changes
+		Document      *Document
 		// TargetsStamp and DocumentStamp are the stamps of the peer's copies.
 		TargetsStamp, DocumentStamp Stamp
 		Err                         error
@@ -125,8 +131,8 @@
 	// ReadPeers reads the rows of the registered hosts from the store.
 	ReadPeers struct{}
 
-	// Register writes this host's row to the store.
-	Register struct{ Peer Peer }
+	// Register writes the rows of hosts to the store.
+	Register struct{ Peers []Peer }
 
 	// RemovePeer removes from the store the row of a host that is gone. It has no result: if the
 	// removal fails, the next host that forgets the lost one tries it again.
@@ -136,6 +142,9 @@
 	Fetch struct {
 		From                          string
 		Peers, Targets, Configuration bool
+		// TargetsSince asks for the changes of the targets since this revision; 0 asks
+		// for the whole list.
+		TargetsSince uint64
 	}
 
 	// Record adds an event to the timeline.
--- a/fleet/fetch.go
+++ b/fleet/fetch.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/crocushinge/crocushinge/discovery"
 )
 
 // fetchState is the state of fetches from peers. At most one fetch is in flight.
@@ -10,6 +12,11 @@
 	inFlight bool
 	source   Hash
 	retryAt  time.Time
+	// nextTargets is when the targets may be fetched again.
+	nextTargets time.Time
+	// wholeTargets is set when changes of the targets did not fit, so that the whole list
+	// is to be fetched.
+	wholeTargets bool
 }
 
 // Timing of fetches from peers.
@@ -19,6 +26,9 @@
 	sameZoneTimeout = 60 * time.Millisecond
 	// fetchRetryDelay is the delay after a failed fetch.
 	fetchRetryDelay = 100 * time.Millisecond
+	// targetsFetchInterval is the shortest interval between fetches of the targets. While a
+	// service is replaced, its targets change many times a second.
+	targetsFetchInterval = 100 * time.Millisecond
 )
 
 // fetchWanted requests the wanted documents from a peer that has them.
@@ -27,7 +37,8 @@
 	if c.fetching.inFlight || now.Before(c.fetching.retryAt) {
 		return
 	}
-	targets, config := !c.targetsCopy.wantedSince.IsZero(), !c.configCopy.wantedSince.IsZero()
+	targets := !c.targetsCopy.wantedSince.IsZero() && !now.Before(c.fetching.nextTargets)
+	config := !c.configCopy.wantedSince.IsZero()
 	if !targets && !config && !wantPeers {
 		return
 	}
@@ -39,9 +50,22 @@
 		c.joining.wantPeers = false
 		c.joining.nextPeerFetch = now.Add(peerFetchInterval)
 	}
+	c.fetch(now, source, Fetch{Peers: wantPeers, Targets: targets, Configuration: config})
+}
+
+// fetch requests documents from a peer. Of the targets it asks for what has changed, if this host
+// has a version of them.
+func (c *Core) fetch(now time.Time, source *peerState, f Fetch) {
 	c.fetching.inFlight = true
 	c.fetching.source = source.hash
-	c.emit(Fetch{From: source.RPCAddress, Peers: wantPeers, Targets: targets, Configuration: config})
+	f.From = source.RPCAddress
+	if f.Targets {
+		c.fetching.nextTargets = now.Add(targetsFetchInterval)
+		if known := c.registry.Known(); known != nil && !c.fetching.wholeTargets {
+			f.TargetsSince = known.Revision
+		}
+	}
+	c.emit(f)
 }
 
 // canProvide reports whether a peer has the wanted documents and is not the peer from which a fetch
@@ -113,8 +137,8 @@
 
 func (c *Core) handleFetched(now time.Time, ev Fetched) {
 	c.fetching.inFlight = false
-	defer c.finishRenewal(ev.Err)
 	if ev.Err != nil {
+		c.finishRenewal(ev.Err)
 		c.fetching.retryAt = now.Add(fetchRetryDelay)
 		return
 	}
@@ -123,8 +147,10 @@
 	if len(ev.Peers) > 0 && now.Sub(c.joining.started) > c.membershipKnownAfter() {
 		c.markMembershipKnown()
 	}
-	if ev.Targets != nil {
-		c.mergeTargets(now, ev.Targets, now.Add(-ev.TargetsStamp.Age), "fetched from a peer")
+	targets, err := c.fetchedTargets(ev)
+	c.fetching.wholeTargets = err != nil
+	if targets != nil {
+		c.mergeTargets(now, targets, now.Add(-ev.TargetsStamp.Age), "fetched from a peer")
 	}
 	if ev.Document != nil {
 		c.putInForce(now, ev.Document)
@@ -134,16 +160,43 @@
 	}
 	// If the peer did not have the newer version after all, a later report leads to another
 	// fetch.
-	c.targetsCopy.wantedSince, c.configCopy.wantedSince = time.Time{}, time.Time{}
+	c.configCopy.wantedSince = time.Time{}
+	if err == nil {
+		c.targetsCopy.wantedSince = time.Time{}
+	}
+	c.finishRenewal(err)
 }
 
-// Documents returns the documents of this host with their stamps, for a peer that fetches them.
-func (c *Core) Documents(now time.Time) Fetched {
-	return Fetched{
+// fetchedTargets returns the targets that were fetched; nil if there are none. It fails if changes
+// do not lead from this host's version to the peer's.
+func (c *Core) fetchedTargets(ev Fetched) (*discovery.Targets, error) {
+	if ev.TargetChanges == nil {
+		return ev.Targets, nil
+	}
+	known := c.registry.Known()
+	if known == nil || known.Revision < ev.TargetChanges.Since {
+		return nil, discovery.ErrChangesMismatch
+	}
+	return known.Apply(ev.TargetChanges)
+}
+
+// Documents returns the documents of this host with their stamps, for a peer that fetches them and
+// has the targets of a revision (0 for none).
+func (c *Core) Documents(now time.Time, targetsSince uint64) Fetched {
+	out := Fetched{
 		Peers:         c.Peers(),
 		Targets:       c.registry.Known(),
 		TargetsStamp:  c.targetsCopy.stamp(now),
 		Document:      c.document,
 		DocumentStamp: c.configCopy.stamp(now),
 	}
+	if targetsSince == 0 {
+		return out
+	}
+	if changes, ok := c.registry.ChangesSince(targetsSince); ok {
+		// The stamp may be later than the list: the store has confirmed it since.
+		changes.Revision, changes.At = out.TargetsStamp.Revision, out.TargetsStamp.Confirmed
+		out.Targets, out.TargetChanges = nil, changes
+	}
+	return out
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -634,3 +634,63 @@
 	})
 	is.Equal(records, 1)
 }
+
+// TestChangedTargetsAreFetchedAlone changes targets one by one. The other hosts must learn of each
+// within the bound, without fetching the whole list each time.
+func TestChangedTargetsAreFetchedAlone(t *testing.T) {
+	is := is.New(t)
+	const perZone, changes = 20, 30 // as many targets as hosts
+	c := newCluster(9, perZone)
+	c.run(8 * time.Second)
+	c.fetchedTargets = 0
+	for i := range changes {
+		target := c.targets[fmt.Sprintf("t-10.%d.0.%d:7000", i%3, i/3)]
+		target.Leaving = true
+		c.putTarget(target)
+		c.run(400 * time.Millisecond)
+	}
+	c.run(time.Second)
+	is.True(c.allUp(func(n *node) bool { return len(n.snapshot.Services["orders"].Targets) == 3*perZone-changes }))
+	is.True(c.fetchedTargets <= 2*changes*3*perZone) // a whole list each time would be 60 times that
+}
+
+// TestLostChangesAreReplacedByTheWholeList lets a peer respond with changes that lack a part.
+func TestLostChangesAreReplacedByTheWholeList(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(10, 2)
+	c.run(8 * time.Second)
+	n := c.hosts["10.1.0.1:7000"]
+	known := n.core.registry.Known()
+	n.core.fetching.inFlight = true
+	c.deliver(n, Fetched{
+		TargetChanges: &discovery.Changes{Since: known.Revision, Revision: known.Revision + 5, At: known.At + 5, Digest: 1},
+		TargetsStamp:  Stamp{Revision: known.Revision + 5, Digest: 1, Confirmed: known.At + 5},
+	})
+	is.Equal(n.core.registry.Known(), known) // refused
+	is.True(n.core.fetching.wholeTargets)
+	n.core.wantNewer(c.now, &n.core.targetsCopy)
+	target := c.targets["t-10.0.0.0:7000"]
+	target.Leaving = true
+	c.putTarget(target)
+	c.run(time.Second)
+	is.True(!n.core.fetching.wholeTargets)
+	is.Equal(len(n.snapshot.Services["orders"].Targets), 5)
+}
+
+// TestRelaysRegisterTheHostsOfTheirZones checks that the writes of rows at the first start of a
+// fleet do not grow with the hosts, and that hosts write their own rows when no relay does.
+func TestRelaysRegisterTheHostsOfTheirZones(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(11, 40)
+	c.run(registerFallback + registerSpread + time.Second)
+	is.Equal(len(c.rows), 120)
+	is.True(c.registrations <= 2*3)
+
+	c = newCluster(12, 4)
+	c.run(zoneRegisterDelay - 100*time.Millisecond)
+	c.storeDown = true // while the relays write
+	c.run(2 * time.Second)
+	c.storeDown = false
+	c.run(registerFallback + registerSpread + 2*rowRetryDelay)
+	is.Equal(len(c.rows), 12)
+}
--- a/fleet/joining.go
+++ b/fleet/joining.go
@@ -16,9 +16,15 @@
 	// joinTimeout is how long a host that starts later waits for the rows of the others before
 	// it reads the store itself.
 	joinTimeout = 100 * time.Millisecond
-	// registerSpread is the time over which the hosts of a fleet spread the writes of their rows
-	// at its first start.
-	registerSpread = 2 * time.Second
+	// zoneRegisterDelay is when, after the first start of a fleet, the relay of a zone writes the
+	// rows of all its hosts.
+	zoneRegisterDelay = 2500 * time.Millisecond
+	// registerFallback is when a host writes its own row if no relay has done so at the first
+	// start of the fleet. registerSpread is the time over which hosts spread these writes.
+	registerFallback = 5 * time.Second
+	registerSpread   = 2 * time.Second
+	// maxRowsPerWrite is how many rows the store takes in one write.
+	maxRowsPerWrite = 100
 	// peerFetchInterval is the shortest interval between fetches of the list of hosts.
 	peerFetchInterval = time.Second
 	// rowRetryDelay is the delay after a failed write of this host's row or a failed read of the
@@ -36,14 +42,17 @@
 	// store and registers without it.
 	joinDeadline time.Time
 	// rankKnownAt is when the host first knew its rank, and so when to read the store.
-	rankKnownAt  time.Time
-	nextHello    time.Time
-	registerAt   time.Time
-	registered   bool
-	registering  bool
-	readPeersAt  time.Time
-	peersRead    bool
-	readingPeers bool
+	rankKnownAt time.Time
+	nextHello   time.Time
+	registerAt  time.Time
+	// zoneRegisterAt is when this host writes the rows of its zone if it is the relay; zero if
+	// it does not.
+	zoneRegisterAt time.Time
+	registered     bool
+	registering    bool
+	readPeersAt    time.Time
+	peersRead      bool
+	readingPeers   bool
 	// membershipKnown is set once the host has learned of all hosts, from the rows or from a
 	// peer that joined before.
 	membershipKnown bool
@@ -59,7 +68,8 @@
 	j.registerAt, j.readPeersAt = now, now
 	if c.cfg.Bootstrap {
 		j.joinDeadline = now.Add(bootstrapTimeout)
-		j.registerAt = now.Add(time.Duration(c.cfg.Rand.Int64N(int64(registerSpread))))
+		j.registerAt = now.Add(registerFallback + time.Duration(c.cfg.Rand.Int64N(int64(registerSpread))))
+		j.zoneRegisterAt = now.Add(zoneRegisterDelay)
 		j.readPeersAt = now.Add(bootstrapTimeout)
 	}
 }
@@ -67,9 +77,10 @@
 func (j *joinState) tick(c *Core, now time.Time) {
 	j.sendHellos(c, now)
 	j.scheduleReread(c, now)
+	j.registerZone(c, now)
 	if !j.registered && !j.registering && !now.Before(j.registerAt) && (j.peersRead || now.After(j.joinDeadline)) {
 		j.registering = true
-		c.emit(Register{Peer: c.cfg.Self})
+		c.emit(Register{Peers: []Peer{c.cfg.Self}})
 	}
 	if !j.peersRead && !j.readingPeers && !now.Before(j.readPeersAt) {
 		if c.cfg.Bootstrap && c.hasLivePeer() {
@@ -81,6 +92,28 @@
 	}
 }
 
+// registerZone writes the rows of all hosts of the zone at the first start of the fleet, if this
+// host is the relay of its zone. The number of writes then does not grow with the hosts.
+func (j *joinState) registerZone(c *Core, now time.Time) {
+	if j.zoneRegisterAt.IsZero() || now.Before(j.zoneRegisterAt) {
+		return
+	}
+	j.zoneRegisterAt = time.Time{}
+	if c.relayOf(c.cfg.Self.Zone, now) != c.self {
+		return
+	}
+	rows := []Peer{c.cfg.Self}
+	for _, p := range c.liveHosts() {
+		if p != c.self && p.Zone == c.cfg.Self.Zone && p.reported {
+			rows = append(rows, p.Peer)
+		}
+	}
+	j.registering = true
+	for chunk := range slices.Chunk(rows, maxRowsPerWrite) {
+		c.emit(Register{Peers: chunk})
+	}
+}
+
 // scheduleReread lets the rows be read again while this host is isolated.
 func (j *joinState) scheduleReread(c *Core, now time.Time) {
 	if j.peersRead && !now.Before(j.readPeersAt) && !c.hasLivePeer() && len(c.peers) > 0 {
@@ -118,8 +151,21 @@
 
 func (c *Core) handleRegistered(now time.Time, ev Registered) {
 	c.joining.registering = false
-	c.joining.registered = ev.Err == nil
 	c.joining.registerAt = now.Add(rowRetryDelay)
+	if ev.Err != nil {
+		return
+	}
+	var others []string
+	for _, p := range ev.Peers {
+		if p == c.cfg.Self {
+			c.joining.registered = true
+		} else {
+			others = append(others, p.DatagramAddress)
+		}
+	}
+	if len(others) > 0 {
+		c.emit(Send{To: others, Datagram: Datagram{From: c.hash, Hop: ToHost, Registered: true}})
+	}
 }
 
 // handlePeersRead adds the hosts whose rows were read.
--- a/fleet/pause.go
+++ b/fleet/pause.go
@@ -61,9 +61,7 @@
 		return
 	}
 	c.renewal.requested = true
-	c.fetching.inFlight = true
-	c.fetching.source = source.hash
-	c.emit(Fetch{From: source.RPCAddress, Targets: true, Configuration: true})
+	c.fetch(now, source, Fetch{Targets: true, Configuration: true})
 }
 
 // finishRenewal is called with the result of a fetch.
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -101,6 +101,8 @@
 	Hello *Peer
 	// WantsHello is set when the sender asks for a Hello in response.
 	WantsHello bool
+	// Registered says that the sender has written the receiver's row to the store.
+	Registered bool
 	Reports    []Report
 }
 
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -105,6 +105,9 @@
 			}})
 		}
 	}
+	if d.Registered {
+		c.joining.registered = true
+	}
 	if p := c.peers[d.From]; p != nil {
 		p.datagramReceived = now
 	}
--- a/gateway/effects.go
+++ b/gateway/effects.go
@@ -117,13 +117,17 @@
 func (g *Gateway) register(e fleet.Register) {
 	g.counters.storeCalls.Add(1)
 	g.runEffect(func(ctx context.Context) fleet.Event {
-		row, err := share.EncodePeer(e.Peer)
-		if err != nil {
-			return fleet.Registered{Err: err}
+		rows := make(map[string][]byte, len(e.Peers))
+		for _, p := range e.Peers {
+			row, err := share.EncodePeer(p)
+			if err != nil {
+				return fleet.Registered{Peers: e.Peers, Err: err}
+			}
+			rows[string(p.ID)] = row
 		}
 		ctx, cancel := context.WithTimeout(ctx, storeWriteTimeout)
 		defer cancel()
-		return fleet.Registered{Err: g.store.PutHost(ctx, string(e.Peer.ID), row)}
+		return fleet.Registered{Peers: e.Peers, Err: g.store.PutHosts(ctx, rows)}
 	})
 }
 
@@ -145,7 +149,7 @@
 		defer cancel()
 		client := sharev1connect.NewShareServiceClient(g.peers, "http://"+e.From)
 		resp, err := client.Fetch(ctx, connect.NewRequest(&sharev1.FetchRequest{
-			Hosts: e.Peers, Targets: e.Targets, Configuration: e.Configuration,
+			Hosts: e.Peers, Targets: e.Targets, TargetsSince: e.TargetsSince, Configuration: e.Configuration,
 		}))
 		if err != nil {
 			return fleet.Fetched{Err: errors.Wrapf(err, "fetch from %s", e.From)}
@@ -160,7 +164,7 @@
 	for _, peer := range resp.GetHosts() {
 		fetched.Peers = append(fetched.Peers, share.PeerFromProto(peer))
 	}
-	fetched.Targets, fetched.TargetsStamp = share.TargetsFromProto(resp.GetTargets())
+	fetched.Targets, fetched.TargetChanges, fetched.TargetsStamp = share.TargetsFromProto(resp.GetTargets())
 	if c := resp.GetConfiguration(); c != nil {
 		configuration, err := g.protocol.ParseConfiguration(c.GetDocument())
 		if err != nil {
@@ -178,7 +182,7 @@
 // Fetch implements sharev1connect.ShareServiceHandler.
 func (s *documentServer) Fetch(ctx context.Context, req *connect.Request[sharev1.FetchRequest]) (*connect.Response[sharev1.FetchResponse], error) {
 	var documents fleet.Fetched
-	if err := s.control.Call(ctx, func(core *fleet.Core) { documents = core.Documents(time.Now()) }); err != nil {
+	if err := s.control.Call(ctx, func(core *fleet.Core) { documents = core.Documents(time.Now(), req.Msg.GetTargetsSince()) }); err != nil {
 		return nil, err
 	}
 	resp := &sharev1.FetchResponse{}
@@ -188,7 +192,7 @@
 		}
 	}
 	if req.Msg.GetTargets() {
-		resp.Targets = share.TargetsToProto(documents.Targets, documents.TargetsStamp)
+		resp.Targets = share.TargetsToProto(documents.Targets, documents.TargetChanges, documents.TargetsStamp)
 	}
 	if d := documents.Document; req.Msg.GetConfiguration() && d != nil {
 		resp.Configuration = &sharev1.Configuration{
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -102,13 +103,13 @@
 	return out, nil
 }
 
-func (s *memoryStore) PutHost(_ context.Context, id string, row []byte) error {
+func (s *memoryStore) PutHosts(_ context.Context, rows map[string][]byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unavailable {
 		return errStoreUnavailable
 	}
-	s.hosts[id] = row
+	maps.Copy(s.hosts, rows)
 	return nil
 }
 
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -21,8 +21,8 @@
 	Configuration(ctx context.Context, wait time.Duration) (document *fleet.Document, at int64, err error)
 	// Hosts returns the rows of the fleet's hosts.
 	Hosts(ctx context.Context) ([][]byte, error)
-	// PutHost writes the row of a host.
-	PutHost(ctx context.Context, id string, row []byte) error
+	// PutHosts writes the rows of up to 100 hosts, by id, all or none.
+	PutHosts(ctx context.Context, rows map[string][]byte) error
 	// RemoveHost removes the row of a host.
 	RemoveHost(ctx context.Context, id string) error
 }
--- a/wire/share/share.go
+++ b/wire/share/share.go
@@ -27,7 +27,7 @@
 
 // EncodeDatagram encodes a datagram for other hosts.
 func EncodeDatagram(d fleet.Datagram) ([]byte, error) {
-	out := &sharev1.Datagram{From: uint32(d.From), Hop: uint32(d.Hop), Answer: d.WantsHello}
+	out := &sharev1.Datagram{From: uint32(d.From), Hop: uint32(d.Hop), Answer: d.WantsHello, Registered: d.Registered}
 	if d.Hello != nil {
 		out.Hello = PeerToProto(*d.Hello)
 	}
@@ -44,7 +44,7 @@
 	if err := proto.Unmarshal(data, &in); err != nil {
 		return fleet.Datagram{}, errors.Wrap(err, "decode datagram")
 	}
-	d := fleet.Datagram{From: fleet.Hash(in.GetFrom()), Hop: fleet.Hop(in.GetHop()), WantsHello: in.GetAnswer()}
+	d := fleet.Datagram{From: fleet.Hash(in.GetFrom()), Hop: fleet.Hop(in.GetHop()), WantsHello: in.GetAnswer(), Registered: in.GetRegistered()}
 	if in.GetHello() != nil {
 		peer := PeerFromProto(in.GetHello())
 		d.Hello = &peer
@@ -163,15 +163,26 @@
 	return p, nil
 }
 
-// TargetsToProto encodes the list of registered targets with its stamp. It
-// returns nil for a missing list.
-func TargetsToProto(t *discovery.Targets, stamp fleet.Stamp) *sharev1.Targets {
-	if t == nil {
+// TargetsToProto encodes the list of registered targets, or the changes in it, with the
+// stamp of the version. It returns nil when both are missing.
+func TargetsToProto(t *discovery.Targets, changes *discovery.Changes, stamp fleet.Stamp) *sharev1.Targets {
+	out := &sharev1.Targets{Stamp: StampToProto(stamp)}
+	switch {
+	case changes != nil:
+		out.Since, out.Removed = changes.Since, changes.Removed
+		out.Targets = targetListToProto(changes.Updated)
+	case t != nil:
+		out.Targets = targetListToProto(t.List)
+	default:
 		return nil
 	}
-	out := &sharev1.Targets{Stamp: StampToProto(stamp)}
-	for _, entry := range t.List {
-		out.Targets = append(out.Targets, &sharev1.Target{
+	return out
+}
+
+func targetListToProto(list []discovery.Target) []*sharev1.Target {
+	out := make([]*sharev1.Target, 0, len(list))
+	for _, entry := range list {
+		out = append(out, &sharev1.Target{
 			Id:       entry.ID,
 			Born:     entry.Born,
 			Service:  entry.Service,
@@ -186,11 +197,11 @@
 	return out
 }
 
-// TargetsFromProto decodes the list of registered targets with its stamp. It
-// returns nil for a missing list.
-func TargetsFromProto(in *sharev1.Targets) (*discovery.Targets, fleet.Stamp) {
+// TargetsFromProto decodes the list of registered targets, or the changes in it, with the
+// stamp of the version. It returns neither for a missing message.
+func TargetsFromProto(in *sharev1.Targets) (*discovery.Targets, *discovery.Changes, fleet.Stamp) {
 	if in == nil {
-		return nil, fleet.Stamp{}
+		return nil, nil, fleet.Stamp{}
 	}
 	stamp := StampFromProto(in.GetStamp())
 	list := make([]discovery.Target, 0, len(in.GetTargets()))
@@ -207,5 +218,11 @@
 			Revision: entry.GetRevision(),
 		})
 	}
-	return discovery.NewTargets(stamp.Revision, stamp.Confirmed, list), stamp
+	if in.GetSince() == 0 {
+		return discovery.NewTargets(stamp.Revision, stamp.Confirmed, list), nil, stamp
+	}
+	return nil, &discovery.Changes{
+		Since: in.GetSince(), Updated: list, Removed: in.GetRemoved(),
+		Revision: stamp.Revision, At: stamp.Confirmed, Digest: stamp.Digest,
+	}, stamp
 }
