pool: targets that register before the first requests do not count as new

Change: a target counts as new if it registers while others are in use already. Test: TestFirstRequestsDoNotSpreadOverAllTargets failed before.

--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -609,3 +609,30 @@
 	}
 	is.True(len(tried) > hosts/2)
 }
+
+// TestFirstRequestsDoNotSpreadOverAllTargets covers the start of a service whose targets
+// register one after the other. Before the first requests, no target counts as new: each of
+// those requests would go to another target, and one in three would be lost at failing ones.
+func TestFirstRequestsDoNotSpreadOverAllTargets(t *testing.T) {
+	is := is.New(t)
+	s := NewService("orders", location())
+	var list []discovery.Target
+	for i := range 100 {
+		list = append(list, discovery.Target{
+			ID: fmt.Sprintf("t%02d", i), Service: "orders", Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: "a", Slots: 4,
+		})
+		s.Apply(list)
+	}
+	s.HasRetryable = true
+	random := rng()
+	used := make(map[*Target]bool)
+	now := epoch
+	for range 100 {
+		got := s.Routing(testFloor).Pick(random, Request{Now: now}).Target
+		used[got] = true
+		now = now.Add(testLatency)
+		got.End()
+		succeed(s, got, now)
+	}
+	is.True(len(used) < 20)
+}
--- a/pool/service.go
+++ b/pool/service.go
@@ -78,14 +78,14 @@
 // Apply replaces the targets by the registered ones. Targets that stay registered
 // keep their state; leaving ones get no more requests.
 func (s *Service) Apply(registered []discovery.Target) {
-	known, first := s.targets, len(s.targets) == 0
+	known, inUse := s.targets, s.successes > 0
 	s.targets = make(map[discovery.Key]*Target, len(registered))
 	s.eligible = s.eligible[:0:0]
 	for _, d := range registered {
 		t := known[d.Key()]
 		if t == nil || t.Address != d.Address || t.Slots != d.Slots {
 			t = newTarget(d, s.location.distance(d.Zone))
-			t.joinedLater = !first
+			t.joinedLater = inUse
 		}
 		t.warming.Store(d.Warming)
 		s.targets[d.Key()] = t
--- a/pool/target.go
+++ b/pool/target.go
@@ -66,7 +66,7 @@
 	// a request of any host last succeeded.
 	lastUsedHere, lastSuccess atomic.Int64
 	// joinedLater is set for a target that was registered while others were
-	// already known.
+	// already in use.
 	joinedLater bool
 
 	suspicion suspicion
