fleet: a restarted host does not take over the view of a peer that was cut off

Cause: a host that started while the store was away fetched the documents from the first peer whose report it heard. If that peer had been cut off, the host was ready with a target that had left and an older configuration until another peer's report came. Change: a starting host collects stamps for 80 ms before its first fetch, and a peer whose copy is over 1 s older than the newest known one is not asked.

--- a/fleet/fetch.go
+++ b/fleet/fetch.go
@@ -26,6 +26,13 @@
 	sameZoneTimeout = 60 * time.Millisecond
 	// fetchRetryDelay is the delay after a failed fetch.
 	fetchRetryDelay = 100 * time.Millisecond
+	// firstFetchDelay is how long a host that has just started collects the stamps of several
+	// peers before it fetches the documents. The first peer to respond may have been cut off, and
+	// its documents may name targets that have left.
+	firstFetchDelay = 80 * time.Millisecond
+	// staleAfter is how much older than the newest known copy a peer's copy may be for a fetch.
+	// Peers in touch with the fleet learn of a read of the store within a fraction of that.
+	staleAfter = time.Second
 	// targetsFetchInterval is the shortest interval between fetches of the targets. While a
 	// service is replaced, its targets change many times a second.
 	targetsFetchInterval = 100 * time.Millisecond
@@ -42,6 +49,9 @@
 	if !targets && !config && !wantPeers {
 		return
 	}
+	if (targets || config) && !c.ready() && now.Before(c.joining.started.Add(firstFetchDelay)) {
+		return
+	}
 	source := c.fetchSource(now, targets, config)
 	if source == nil {
 		return
@@ -95,8 +105,9 @@
 		return c.randomPeer()
 	}
 	var sameZone, otherZones []*peerState
+	newest := c.newestStamps()
 	for _, p := range c.liveHosts() {
-		if !c.canProvide(p, targets, config) {
+		if !c.canProvide(p, targets, config) || targets && newest.targetsStale(p) || config && newest.configStale(p) {
 			continue
 		}
 		if p.Zone == c.cfg.Self.Zone {
@@ -118,6 +129,29 @@
 	return otherZones[c.cfg.Rand.IntN(len(otherZones))]
 }
 
+// newestStamps holds the latest times at which the store confirmed the copies of any live host, by
+// the store's clock in milliseconds.
+type newestStamps struct{ targets, configuration int64 }
+
+func (c *Core) newestStamps() newestStamps {
+	var n newestStamps
+	for _, p := range c.liveHosts() {
+		n.targets = max(n.targets, p.lastReport.Targets.Confirmed)
+		n.configuration = max(n.configuration, p.lastReport.Configuration.Confirmed)
+	}
+	return n
+}
+
+// targetsStale reports whether a host's copy of the targets is older than staleAfter.
+func (n newestStamps) targetsStale(p *peerState) bool {
+	return n.targets-p.lastReport.Targets.Confirmed > staleAfter.Milliseconds()
+}
+
+// configStale reports whether a host's copy of the configuration is older than staleAfter.
+func (n newestStamps) configStale(p *peerState) bool {
+	return n.configuration-p.lastReport.Configuration.Confirmed > staleAfter.Milliseconds()
+}
+
 // earlier returns the earlier of two times, ignoring one that is zero.
 func earlier(a, b time.Time) time.Time {
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -694,3 +694,40 @@
 	c.run(registerFallback + registerSpread + 2*rowRetryDelay)
 	is.Equal(len(c.rows), 12)
 }
+
+// TestRestartedHostDoesNotTakeOverAnOldView restarts a host while the store is away. One of its
+// seeds has been cut off for some seconds, and still has a target that has left and an older
+// configuration. The other seeds know better.
+func TestRestartedHostDoesNotTakeOverAnOldView(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(10) {
+		c := newCluster(20+seed, 3)
+		c.run(8 * time.Second)
+		const cutOff, restarted = "10.0.0.0:7000", "10.1.0.1:7000"
+		c.partition = func(a, b string) bool { return a == cutOff || b == cutOff }
+		c.storeCutOff[cutOff] = true
+		leaving := c.targets["t-10.2.0.1:7000"]
+		leaving.Leaving = true
+		c.putTarget(leaving)
+		c.configure(5)
+		c.run(3 * time.Second)
+		c.kill(restarted)
+		c.storeDown = true
+		c.run(500 * time.Millisecond)
+		c.partition = func(a, b string) bool {
+			return (a == cutOff || b == cutOff) && a != restarted && b != restarted
+		}
+		n := c.restart(restarted)
+		for range 200 {
+			c.run(10 * time.Millisecond)
+			if !n.snapshot.Ready {
+				continue
+			}
+			is.Equal(n.snapshot.Configuration.Version, discovery.Version(5))
+			for _, target := range n.snapshot.Services["orders"].Targets {
+				is.True(target.Key.Name != leaving.ID)
+			}
+		}
+		is.True(n.snapshot.Ready)
+	}
+}
