gateway: end the servers of a stopping host at the same time

Cause: the servers were shut down one after the other; while requests of callers were in flight, the others waited, and when the time was over they were closed without waiting.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -255,12 +255,16 @@
 	wait.For(ctx, time.Until(began.Add(time.Duration(closeAfterShare*float64(grace)))))
 	shutdownCtx, cancel := context.WithDeadline(ctx, began.Add(time.Duration(cutAfterShare*float64(grace))))
 	defer cancel()
+	var servers sync.WaitGroup
 	for _, s := range g.servers {
-		if err := s.http.Shutdown(shutdownCtx); err != nil {
-			g.log.Warn().Err(err).Str("server", s.name).Msg("shutdown timed out; in-flight requests were aborted")
-			_ = s.http.Close() // the error of Shutdown is logged above
-		}
+		servers.Go(func() {
+			if err := s.http.Shutdown(shutdownCtx); err != nil {
+				g.log.Warn().Err(err).Str("server", s.name).Msg("shutdown timed out; in-flight requests were aborted")
+				_ = s.http.Close() // the error of Shutdown is logged above
+			}
+		})
 	}
+	servers.Wait()
 }
 
 // maxDatagramBytes is the size of the receive buffer; it holds any UDP datagram.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -175,14 +175,26 @@
 	return out
 }
 
+// freeDatagramAddress returns a loopback address whose UDP port is free at present. A port that
+// is free for TCP may be in use for UDP.
+func freeDatagramAddress(t *testing.T) string {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	return conn.LocalAddr().String()
+}
+
 const testGracePeriod = 1500 * time.Millisecond
 
 func startProcess(t *testing.T, store Store, name string, seeds ...string) *process {
 	t.Helper()
-	a := freeAddresses(t, 6)
+	a := freeAddresses(t, 5)
 	s := Settings{
 		Host: name, Zone: "a", Zones: []zone.Zone{{ID: "a", Region: "r"}},
-		CallerAddress: a[0], ReadyAddress: a[1], DirectoryAddress: a[2], RPCAddress: a[3], DatagramAddress: a[4], MetricsAddress: a[5], MetricsPath: "/metrics",
+		CallerAddress: a[0], ReadyAddress: a[1], DirectoryAddress: a[2], RPCAddress: a[3], DatagramAddress: freeDatagramAddress(t), MetricsAddress: a[4], MetricsPath: "/metrics",
 		Seeds: seeds, Capacity: 32, DrainWithin: 2 * time.Second, ApplyWithin: 2 * time.Second, GracePeriod: testGracePeriod,
 		DirectoryLimit: 64, DirectoryTTL: time.Second, Floor: 0.7,
 		RetryBudget: traffic.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, MinRetries: 20},
