fleet: relays batch for longer the larger the fleet, and only urgent reports are sent at once

Cause: a relay sent a batch to every host of its zone every 6 ms, and one more with all that was pending for every failed request. Change: delays grow with the number of hosts above 50; urgent reports have a batch of their own (3 ms more for each further 50 hosts); heartbeats wait 50 ms.

--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -54,6 +54,8 @@
 	fetches, fetchedTargets int
 	// loss is the share of datagrams that are lost.
 	loss float64
+	// received counts the datagrams that arrive at each host.
+	received map[string]int
 	// fullReports and heartbeats count the forwarded reports.
 	fullReports, heartbeats int
 	// partition reports whether two hosts cannot reach each other.
@@ -105,6 +107,7 @@
 		storeCutOff: make(map[string]bool),
 		removed:     make(map[ID]bool),
 		rows:        make(map[ID]bool),
+		received:    make(map[string]int),
 		zones:       zone.NewMap([]zone.Zone{{ID: "a", Region: "r"}, {ID: "b", Region: "r"}, {ID: "c", Region: "r"}}, nil),
 	}
 	c.configure(1)
@@ -260,6 +263,7 @@
 	}
 	c.schedule(networkDelay, func() {
 		if n := c.hosts[to]; n != nil {
+			c.received[to]++
 			c.deliver(n, DatagramReceived{Datagram: d})
 		}
 	})
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -82,9 +82,9 @@
 	byHash      map[pool.Hash]targetRef
 
 	pending pendingReport
-	// zoneBatch and otherZonesBatch hold the reports that this host relays to its own zone and
+	// zoneQueue and otherZonesQueue hold the reports that this host relays to its own zone and
 	// to the other zones.
-	zoneBatch, otherZonesBatch batch
+	zoneQueue, otherZonesQueue relayQueue
 	forwarded                  forwardedReports
 	relays                     map[zone.ID]*relayChoice
 	fetching                   fetchState
@@ -122,7 +122,9 @@
 // NextTick returns when the next Tick is due.
 func (c *Core) NextTick() time.Time {
 	next := c.nextTick
-	for _, at := range []time.Time{c.pending.due, c.zoneBatch.due, c.otherZonesBatch.due} {
+	for _, at := range []time.Time{
+		c.pending.due, c.zoneQueue.urgent.due, c.zoneQueue.others.due, c.otherZonesQueue.urgent.due, c.otherZonesQueue.others.due,
+	} {
 		if !at.IsZero() && at.Before(next) {
 			next = at
 		}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -731,3 +731,62 @@
 		is.True(n.snapshot.Ready)
 	}
 }
+
+// serve lets the hosts end perHost requests a second each, for the given time. One request in ten
+// fails.
+func (c *cluster) serve(perHost int, length time.Duration) {
+	const step = 5 * time.Millisecond
+	due := 0.0
+	for elapsed := time.Duration(0); elapsed < length; elapsed += step {
+		for due += float64(perHost*len(c.addresses)) * step.Seconds(); due >= 1; due-- {
+			n := c.hosts[c.addresses[c.rand.IntN(len(c.addresses))]]
+			targets := n.snapshot.Services["orders"].Targets
+			o := Observation{Target: targets[c.rand.IntN(len(targets))], Latency: 100 * time.Millisecond}
+			if c.rand.IntN(10) == 0 {
+				o.Outcome = link.Failed
+			}
+			c.deliver(n, Observed{Observations: []Observation{o}})
+		}
+		c.run(step)
+	}
+}
+
+// TestDatagramsOfAHostDoNotGrowWithTheFleet compares how many datagrams a host receives that is no
+// relay. With fixed delays of the relays, a host of the larger fleet received several times as many.
+func TestDatagramsOfAHostDoNotGrowWithTheFleet(t *testing.T) {
+	is := is.New(t)
+	perSecond := make(map[int]float64)
+	for _, perZone := range []int{16, 96} {
+		c := newCluster(13, perZone)
+		c.run(9 * time.Second)
+		host := c.addresses[perZone-1]
+		is.True(c.hosts[host].core.relayOf("a", c.now) != c.hosts[host].core.self)
+		const length = 3 * time.Second
+		c.received = make(map[string]int)
+		c.serve(4, length)
+		perSecond[perZone] = float64(c.received[host]) / length.Seconds()
+	}
+	t.Logf("datagrams a second: %v", perSecond)
+	is.True(perSecond[96] < 2*perSecond[16])
+}
+
+// TestFailureIsKnownToALargeFleetWithinMilliseconds checks that an urgent report does not wait for
+// the batches of a large fleet.
+func TestFailureIsKnownToALargeFleetWithinMilliseconds(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(14, 80)
+	c.run(9 * time.Second)
+	c.serve(2, time.Second)
+	seer := c.hosts["10.1.0.70:7000"]
+	target := seer.snapshot.Services["orders"].Targets[0]
+	c.deliver(seer, Observed{Observations: []Observation{{Target: target, Outcome: link.Failed, Latency: time.Millisecond}}})
+	c.run(50 * time.Millisecond)
+	is.True(c.allUp(func(n *node) bool {
+		for _, x := range n.snapshot.Services["orders"].Targets {
+			if x.Key == target.Key {
+				return x.IsSuspect()
+			}
+		}
+		return false
+	}))
+}
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -7,7 +7,7 @@
 	"github.com/crocushinge/crocushinge/zone"
 )
 
-// batch collects reports that this host relays.
+// batch collects reports that are sent together.
 type batch struct {
 	reports []Report
 	due     time.Time
@@ -39,6 +39,25 @@
 	b.reports = append(b.reports, r)
 }
 
+func (b *batch) has(host Hash) bool {
+	return slices.ContainsFunc(b.reports, func(r Report) bool { return r.Host == host })
+}
+
+// remove removes and returns the reports of a host.
+func (b *batch) remove(host Hash) []Report {
+	var removed []Report
+	b.reports = slices.DeleteFunc(b.reports, func(r Report) bool {
+		if r.Host == host {
+			removed = append(removed, r)
+		}
+		return r.Host == host
+	})
+	if len(b.reports) == 0 {
+		b.due = time.Time{}
+	}
+	return removed
+}
+
 // takeDue empties the batch and returns its reports if they are due.
 func (b *batch) takeDue(now time.Time) []Report {
 	if b.due.IsZero() || now.Before(b.due) {
@@ -49,28 +68,69 @@
 	return reports
 }
 
+// relayQueue holds the reports that a relay forwards to the same hosts. Urgent reports are sent
+// sooner than the others. All pending reports of a host are in the same batch, since receivers
+// ignore a report that arrives after a later one of its host.
+type relayQueue struct{ urgent, others batch }
+
+// add adds a report that is due at the given time.
+func (q *relayQueue) add(r Report, due time.Time) {
+	if q.urgent.has(r.Host) {
+		q.urgent.add(r, q.urgent.due)
+		return
+	}
+	q.others.add(r, due)
+}
+
+// addUrgent adds an urgent report.
+func (q *relayQueue) addUrgent(r Report, due time.Time) {
+	for _, earlier := range q.others.remove(r.Host) {
+		q.urgent.add(earlier, due)
+	}
+	q.urgent.add(r, due)
+}
+
+// takeDue returns and removes the reports that are due.
+func (q *relayQueue) takeDue(now time.Time) []Report {
+	return slices.Concat(q.urgent.takeDue(now), q.others.takeDue(now))
+}
+
 // relayReport queues a report for forwarding.
 func (c *Core) relayReport(now time.Time, r Report, hop Hop) {
 	if hop == ToRelay {
 		r = c.forwarded.abbreviate(r)
 	}
-	zoneDue, otherZonesDue := now.Add(relayDelay), now.Add(otherZonesDelay)
 	if slices.ContainsFunc(r.Endings, func(e Ending) bool { return urgent(e.Outcome) }) {
-		zoneDue, otherZonesDue = now, now
+		due := now.Add(c.scaleDelay(urgentDelay) - urgentDelay)
+		c.zoneQueue.addUrgent(r, due)
+		if hop == ToRelay {
+			c.otherZonesQueue.addUrgent(r, due)
+		}
+		c.flushRelay(now)
+		return
+	}
+	zoneDelay, otherZonesDelay := c.scaleDelay(relayDelay), c.scaleDelay(otherZonesDelay)
+	if r.isHeartbeat() {
+		zoneDelay, otherZonesDelay = max(zoneDelay, heartbeatDelay), max(otherZonesDelay, heartbeatDelay)
 	}
-	c.zoneBatch.add(r, zoneDue)
+	c.zoneQueue.add(r, now.Add(zoneDelay))
 	if hop == ToRelay {
-		c.otherZonesBatch.add(r, otherZonesDue)
+		c.otherZonesQueue.add(r, now.Add(otherZonesDelay))
 	}
 	c.flushRelay(now)
 }
 
+// scaleDelay returns the delay of a batch in a fleet of the present size.
+func (c *Core) scaleDelay(delay time.Duration) time.Duration {
+	return delay * time.Duration(max(delayScaleHosts, len(c.liveHosts()))) / delayScaleHosts
+}
+
 // flushRelay forwards the queued reports that are due.
 func (c *Core) flushRelay(now time.Time) {
-	if reports := c.zoneBatch.takeDue(now); len(reports) > 0 {
+	if reports := c.zoneQueue.takeDue(now); len(reports) > 0 {
 		c.sendPackets(splitReports(reports), ToHost, c.zonePeers())
 	}
-	if reports := c.otherZonesBatch.takeDue(now); len(reports) > 0 {
+	if reports := c.otherZonesQueue.takeDue(now); len(reports) > 0 {
 		c.sendPackets(splitReports(reports), ToZone, c.otherZoneRelays(now))
 	}
 }
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -15,8 +15,20 @@
 	reportDelay = 4 * time.Millisecond
 	// relayDelay batches the reports of several hosts for their zone, and otherZonesDelay for
 	// the other zones. Bytes between zones are expensive, and few requests leave their zone.
+	// Both hold for fleets of up to delayScaleHosts hosts and grow with larger ones.
 	relayDelay      = 6 * time.Millisecond
 	otherZonesDelay = 40 * time.Millisecond
+	// urgentDelay is how much the delay of urgent reports grows with each delayScaleHosts
+	// hosts; in a fleet of up to that size they are sent at once. The more hosts there are, the
+	// more requests fail in a second, and the fewer of them concern the same target.
+	urgentDelay = 3 * time.Millisecond
+	// heartbeatDelay batches reports that say only that their hosts are alive. It is well below
+	// relaySuspectAfter.
+	heartbeatDelay = 50 * time.Millisecond
+	// delayScaleHosts is the number of hosts from which the delays grow. Every batch of a relay
+	// goes to every host of its zone, so that with fixed delays each host would receive the more
+	// datagrams, the more hosts there are.
+	delayScaleHosts = 50
 )
 
 // Sizes in a datagram, in bytes. A datagram must fit in one packet of 1,400 bytes.
