fleet: a host introduces itself to 16 hosts of a list, not to all

Cause: every host of a starting fleet wrote to every other one (96,153 datagrams and 82,656 records in the first 0.5 s of 288 hosts in the virtual cluster). Change: 16 introductions and one record for a list; the others learn of the host from lists.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -790,3 +790,21 @@
 		return false
 	}))
 }
+
+// TestStartOfALargeFleetSendsFewDatagrams counts the datagrams of the first half second. Each host
+// used to introduce itself to every other one, which grew with the square of the hosts.
+func TestStartOfALargeFleetSendsFewDatagrams(t *testing.T) {
+	is := is.New(t)
+	const perZone, hosts = 96, 3 * 96
+	c := newCluster(15, perZone)
+	c.run(500 * time.Millisecond)
+	received, records := 0, 0
+	for _, n := range c.received {
+		received += n
+	}
+	c.forEachUp(func(n *node) { records += len(n.events) })
+	is.True(received < 100*hosts)
+	is.True(records < 20*hosts)
+	c.run(time.Second)
+	is.True(c.allUp(func(n *node) bool { return n.snapshot.LiveHosts == hosts }))
+}
--- a/fleet/joining.go
+++ b/fleet/joining.go
@@ -1,8 +1,11 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
 	"time"
+
+	"github.com/crocushinge/crocushinge/timeline"
 )
 
 // Timing of joining the fleet.
@@ -193,15 +196,31 @@
 	c.joining.membershipKnown = true
 }
 
-// addPeers adds hosts that are new or have restarted, and introduces this host to them.
+// maxHellos is to how many of the hosts of a list this host introduces itself. The others learn of
+// it from the lists that they fetch: if every host of a starting fleet wrote to every other one,
+// the datagrams would grow with the square of the hosts.
+const maxHellos = 16
+
+// addPeers adds hosts that are new or have restarted, and introduces this host to some of them.
 func (c *Core) addPeers(now time.Time, peers []Peer) {
+	var added []Peer
 	for _, p := range peers {
 		hash := NewHash(p.ID)
 		old := c.peers[hash]
 		if hash == c.hash || old != nil && old.Incarnation >= p.Incarnation {
 			continue
 		}
-		c.addPeer(now, p)
+		added = append(added, p)
+	}
+	for _, p := range added {
+		c.addPeer(now, p, len(added) <= maxHellos)
+	}
+	if len(added) > maxHellos {
+		c.record(now, timeline.Event{Kind: timeline.HostJoined, To: fmt.Sprintf("%d hosts", len(added)), Reason: "from a list of hosts"})
+		c.cfg.Rand.Shuffle(len(added), func(i, k int) { added[i], added[k] = added[k], added[i] })
+		added = added[:maxHellos]
+	}
+	for _, p := range added {
 		c.sendHello(p.DatagramAddress, false)
 	}
 }
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -29,8 +29,9 @@
 // rank returns this host's position among the live hosts, from 0.
 func (c *Core) rank() int { return slices.Index(c.liveHosts(), c.self) }
 
-// addPeer adds a host, or replaces an earlier incarnation of it.
-func (c *Core) addPeer(now time.Time, peer Peer) {
+// addPeer adds a host, or replaces an earlier incarnation of it. recorded says whether a host that
+// counts as alive now is recorded by itself.
+func (c *Core) addPeer(now time.Time, peer Peer, recorded bool) {
 	hash := NewHash(peer.ID)
 	if hash == c.hash {
 		return
@@ -44,6 +45,7 @@
 	}
 	// A new host counts as alive until hostTimeout has passed without a report.
 	c.peers[hash] = &peerState{Peer: peer, hash: hash, reportReceived: now}
+	c.peers[hash].alive = !recorded
 	c.markAlive(now, c.peers[hash])
 }
 
--- a/fleet/repair.go
+++ b/fleet/repair.go
@@ -69,7 +69,7 @@
 // receiveHello handles a Hello, which comes from the host itself. A lost host counts as alive
 // again.
 func (c *Core) receiveHello(now time.Time, peer Peer) {
-	c.addPeer(now, peer)
+	c.addPeer(now, peer, true)
 	p := c.peers[NewHash(peer.ID)]
 	if p == nil || p.Incarnation != peer.Incarnation {
 		return
