fleet: the reader of the store pushes changed targets to all hosts

Change: a reader sends what has changed (up to 10 targets) as a datagram over the relays; hosts fetch only if that does not arrive within 150 ms or does not fit their version (digest).

--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -50,8 +50,9 @@
 	storeCutOff map[string]bool
 	// storeCalls counts calls to the store; registrations are those that write rows of hosts.
 	storeCalls, registrations int
-	// fetches counts the fetches from peers, and fetchedTargets the targets in the responses.
-	fetches, fetchedTargets int
+	// fetches counts the fetches from peers, targetFetches those of the targets, and
+	// fetchedTargets the targets in the responses.
+	fetches, targetFetches, fetchedTargets int
 	// loss is the share of datagrams that are lost.
 	loss float64
 	// received counts the datagrams that arrive at each host.
@@ -280,6 +281,8 @@
 		documents := peer.core.Documents(c.now, e.TargetsSince)
 		if !e.Targets {
 			documents.Targets, documents.TargetChanges = nil, nil
+		} else {
+			c.targetFetches++
 		}
 		if documents.Targets != nil {
 			c.fetchedTargets += len(documents.Targets.List)
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -93,6 +93,7 @@
 	retryBudgetOpen bool
 	repair          membershipRepair
 	renewal         renewal
+	push            targetsPush
 
 	nextTick, nextRefresh time.Time
 	lastTick              time.Time
@@ -195,6 +196,7 @@
 	c.expirePeers(now)
 	c.openRetryBudget(now)
 	c.readStore(now)
+	c.pushChanges(now)
 	c.renewDocuments(now)
 	c.fetchWanted(now)
 	c.refreshServices(now)
--- a/fleet/documents.go
+++ b/fleet/documents.go
@@ -13,7 +13,12 @@
 		return
 	}
 	reason := fmt.Sprintf("read from the store, last confirmed %s ago", c.targetsCopy.age(now).Round(time.Millisecond))
+	before := c.registry.Known()
 	c.mergeTargets(now, ev.Targets, now, reason)
+	if before != nil && before.Digest != c.targetsCopy.digest {
+		c.push.begin(before.Revision)
+		c.pushChanges(now)
+	}
 }
 
 // mergeTargets merges targets that the store confirmed at the given time. The reason goes into
@@ -27,6 +32,7 @@
 	c.targetsCopy.revision = max(c.targetsCopy.revision, known.Revision)
 	c.targetsCopy.digest = known.Digest
 	c.targetsCopy.wantedSince = time.Time{}
+	c.fetching.wholeTargets = false
 	c.targetsCopy.confirm(confirmed, known.At)
 	if unchanged {
 		return
--- a/fleet/fetch.go
+++ b/fleet/fetch.go
@@ -44,7 +44,7 @@
 	if c.fetching.inFlight || now.Before(c.fetching.retryAt) {
 		return
 	}
-	targets := !c.targetsCopy.wantedSince.IsZero() && !now.Before(c.fetching.nextTargets)
+	targets := c.targetsWanted(now)
 	config := !c.configCopy.wantedSince.IsZero()
 	if !targets && !config && !wantPeers {
 		return
@@ -63,6 +63,16 @@
 	c.fetch(now, source, Fetch{Peers: wantPeers, Targets: targets, Configuration: config})
 }
 
+// targetsWanted reports whether the targets are to be fetched now. Changes that the reader of the
+// store pushes arrive a little after the first report of the newer version.
+func (c *Core) targetsWanted(now time.Time) bool {
+	since := c.targetsCopy.wantedSince
+	if since.IsZero() || now.Before(c.fetching.nextTargets) {
+		return false
+	}
+	return c.registry.Known() == nil || c.fetching.wholeTargets || now.Sub(since) >= pushTimeout
+}
+
 // fetch requests documents from a peer. Of the targets it asks for what has changed, if this host
 // has a version of them.
 func (c *Core) fetch(now time.Time, source *peerState, f Fetch) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -808,3 +808,30 @@
 	c.run(time.Second)
 	is.True(c.allUp(func(n *node) bool { return n.snapshot.LiveHosts == hosts }))
 }
+
+// TestChangesOfTargetsArePushed changes targets one by one in a larger fleet. Every host must know
+// of each within a fraction of the bound, and few hosts may have to fetch it, also if datagrams are
+// lost.
+func TestChangesOfTargetsArePushed(t *testing.T) {
+	is := is.New(t)
+	const perZone, hosts, changes = 40, 120, 30
+	for _, test := range []struct {
+		loss    float64
+		within  time.Duration
+		fetches int
+	}{{0, 100 * time.Millisecond, hosts / 10}, {0.02, time.Second, changes * hosts / 5}} {
+		c := newCluster(16, perZone)
+		c.run(9 * time.Second)
+		c.loss = test.loss
+		c.targetFetches = 0
+		for i := range changes {
+			target := c.targets[fmt.Sprintf("t-10.%d.0.%d:7000", i%3, i/3)]
+			target.Leaving = true
+			c.putTarget(target)
+			c.run(test.within)
+			is.True(c.allUp(func(n *node) bool { return len(n.snapshot.Services["orders"].Targets) == hosts-i-1 }))
+		}
+		t.Logf("fetches of the targets: %d", c.targetFetches)
+		is.True(c.targetFetches <= test.fetches)
+	}
+}
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/crocushinge/crocushinge/discovery"
 	"github.com/crocushinge/crocushinge/pool"
 	"github.com/crocushinge/crocushinge/zone"
 )
@@ -103,7 +104,11 @@
 	WantsHello bool
 	// Registered says that the sender has written the receiver's row to the store.
 	Registered bool
-	Reports    []Report
+	// Changes are what the store's reader has just found changed in the targets. They are
+	// forwarded like reports. ChangesStamp is the stamp of the version that they lead to.
+	Changes      *discovery.Changes
+	ChangesStamp Stamp
+	Reports      []Report
 }
 
 // peerState is what this host knows of another one. The control thread owns it.
--- /dev/null
+++ b/fleet/push.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"time"
+)
+
+const (
+	// pushTimeout is how long a host that knows of newer targets waits for the changes to be
+	// pushed before it fetches them.
+	pushTimeout = 150 * time.Millisecond
+	// pushInterval is the shortest interval between two pushes. While a service is replaced, its
+	// targets change many times a second.
+	pushInterval = 50 * time.Millisecond
+	// maxPushedTargets is how many changed targets fit in a datagram. If more have changed, the
+	// other hosts fetch them.
+	maxPushedTargets = 10
+)
+
+// targetsPush is the state of a reader of the store that tells the other hosts what has changed in
+// the targets. In a large fleet, a fetch by each host for each change would cost far more.
+type targetsPush struct {
+	// since is the revision from which changes are still to be pushed; 0 if there are none.
+	since uint64
+	next  time.Time
+}
+
+// begin notes that the targets have changed since a revision.
+func (p *targetsPush) begin(since uint64) {
+	if p.since == 0 {
+		p.since = since
+	}
+}
+
+// pushChanges sends the changes that are due.
+func (c *Core) pushChanges(now time.Time) {
+	if c.push.since == 0 || now.Before(c.push.next) {
+		return
+	}
+	changes, ok := c.registry.ChangesSince(c.push.since)
+	c.push = targetsPush{next: now.Add(pushInterval)}
+	if !ok || len(changes.Updated)+len(changes.Removed) > maxPushedTargets {
+		return
+	}
+	stamp := c.targetsCopy.stamp(now)
+	changes.Revision, changes.At = stamp.Revision, stamp.Confirmed
+	c.forwardChanges(now, Datagram{From: c.hash, Hop: ToRelay, Changes: changes, ChangesStamp: stamp})
+}
+
+// receiveChanges applies pushed changes. If this host lacks the version that they apply to, or
+// they do not lead to the announced one, the next report makes it fetch the targets.
+func (c *Core) receiveChanges(now time.Time, d Datagram) {
+	known := c.registry.Known()
+	if known == nil || d.Changes.Revision <= known.Revision {
+		return // forwarded before
+	}
+	if known.Revision >= d.Changes.Since {
+		if targets, err := known.Apply(d.Changes); err == nil {
+			c.mergeTargets(now, targets, now.Add(-d.ChangesStamp.Age), "pushed by a peer")
+		}
+	}
+	if d.Hop != ToHost {
+		d.Reports, d.Hello = nil, nil
+		d.WantsHello, d.Registered = false, false
+		c.forwardChanges(now, d)
+	}
+}
+
+// forwardChanges sends changes on their way: from a reader through the relay of its zone to the
+// hosts of the zone and to the relays of the other zones, and from these to their hosts.
+func (c *Core) forwardChanges(now time.Time, d Datagram) {
+	hop := d.Hop
+	d.From = c.hash
+	if hop == ToRelay && c.relayOf(c.cfg.Self.Zone, now) != c.self {
+		c.emit(Send{To: c.relayAddresses(c.cfg.Self.Zone, now), Datagram: d})
+		return
+	}
+	if hop == ToRelay {
+		d.Hop = ToZone
+		if to := c.otherZoneRelays(now); len(to) > 0 {
+			c.emit(Send{To: to, Datagram: d})
+		}
+	}
+	d.Hop = ToHost
+	if to := c.zonePeers(); len(to) > 0 {
+		c.emit(Send{To: to, Datagram: d})
+	}
+}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -117,6 +117,9 @@
 			}})
 		}
 	}
+	if d.Changes != nil {
+		c.receiveChanges(now, d)
+	}
 	if d.Registered {
 		c.joining.registered = true
 	}
--- a/wire/share/share.go
+++ b/wire/share/share.go
@@ -34,6 +34,9 @@
 	for _, r := range d.Reports {
 		out.Reports = append(out.Reports, reportToProto(r))
 	}
+	if d.Changes != nil {
+		out.Changes = TargetsToProto(nil, d.Changes, d.ChangesStamp)
+	}
 	data, err := proto.Marshal(out)
 	return data, errors.Wrap(err, "encode datagram")
 }
@@ -49,6 +52,9 @@
 		peer := PeerFromProto(in.GetHello())
 		d.Hello = &peer
 	}
+	if in.GetChanges().GetSince() > 0 {
+		_, d.Changes, d.ChangesStamp = TargetsFromProto(in.GetChanges())
+	}
 	for _, r := range in.GetReports() {
 		d.Reports = append(d.Reports, reportFromProto(r))
 	}
--- a/wire/share/share_test.go
+++ b/wire/share/share_test.go
@@ -35,7 +35,9 @@
 func TestDatagramsAreDecodedAsEncoded(t *testing.T) {
 	is := is.New(t)
 	hello := fleet.Peer{ID: "h", Incarnation: 3, Zone: "a", Address: "10.0.0.1:1", DatagramAddress: "10.0.0.1:2", RPCAddress: "10.0.0.1:3", Capacity: 16}
-	for _, d := range []fleet.Datagram{datagram(), {From: 1, Hop: fleet.ToHost, Hello: &hello, WantsHello: true}, {From: 1, Registered: true}} {
+	changes := &discovery.Changes{Since: 5, Updated: []discovery.Target{{ID: "t", Revision: 8}}, Removed: []string{"u"}, Revision: 9, At: 77, Digest: 4}
+	pushed := fleet.Datagram{From: 1, Hop: fleet.ToZone, Changes: changes, ChangesStamp: fleet.Stamp{Revision: 9, Digest: 4, Confirmed: 77}}
+	for _, d := range []fleet.Datagram{datagram(), pushed, {From: 1, Hop: fleet.ToHost, Hello: &hello, WantsHello: true}, {From: 1, Registered: true}} {
 		data, err := EncodeDatagram(d)
 		is.NoErr(err)
 		is.True(len(data) < 1400) // one packet
