fleet: any host that receives pushed changes forwards them, as with reports

Found by reading: a host that was taken for the relay and was none sent the changes on to its own relay, one hop more than reports take. No datagram differs where hosts agree on the relay. Test: TestChangesThatNobodyCanApplyAreForwardedOnce (green before, too).

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -835,3 +835,28 @@
 		is.True(c.targetFetches <= test.fetches)
 	}
 }
+
+// TestChangesThatNobodyCanApplyAreForwardedOnce pushes changes that apply to no host's version to
+// each host, as if it were the relay. They must not be forwarded again and again.
+func TestChangesThatNobodyCanApplyAreForwardedOnce(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(17, 4)
+	c.run(8 * time.Second)
+	c.received = make(map[string]int)
+	pushed := 0
+	for _, n := range c.hosts {
+		known := n.core.registry.Known()
+		c.deliver(n, DatagramReceived{Datagram: Datagram{
+			From: 1, Hop: ToRelay, Changes: &discovery.Changes{Since: known.Revision + 1, Revision: known.Revision + 2},
+		}})
+		pushed++
+	}
+	c.run(100 * time.Millisecond)
+	received := 0
+	for _, n := range c.received {
+		received += n
+	}
+	// Each push reaches 3 hosts of the zone, the relays of 2 other zones and 3 hosts of each.
+	const perPush, heartbeats = 11, 200
+	is.True(received <= pushed*perPush+heartbeats)
+}
--- a/fleet/push.go
+++ b/fleet/push.go
@@ -43,38 +43,37 @@
 	}
 	stamp := c.targetsCopy.stamp(now)
 	changes.Revision, changes.At = stamp.Revision, stamp.Confirmed
-	c.forwardChanges(now, Datagram{From: c.hash, Hop: ToRelay, Changes: changes, ChangesStamp: stamp})
+	d := Datagram{From: c.hash, Hop: ToRelay, Changes: changes, ChangesStamp: stamp}
+	if c.relayOf(c.cfg.Self.Zone, now) == c.self {
+		c.forwardChanges(now, d)
+		return
+	}
+	c.emit(Send{To: c.relayAddresses(c.cfg.Self.Zone, now), Datagram: d})
 }
 
-// receiveChanges applies pushed changes. If this host lacks the version that they apply to, or
-// they do not lead to the announced one, the next report makes it fetch the targets.
+// receiveChanges applies pushed changes and forwards them. If this host lacks the version that
+// they apply to, or they do not lead to the announced one, it fetches the targets later.
 func (c *Core) receiveChanges(now time.Time, d Datagram) {
 	known := c.registry.Known()
 	if known == nil || d.Changes.Revision <= known.Revision {
-		return // forwarded before
+		return // applied and forwarded before
 	}
 	if known.Revision >= d.Changes.Since {
 		if targets, err := known.Apply(d.Changes); err == nil {
 			c.mergeTargets(now, targets, now.Add(-d.ChangesStamp.Age), "pushed by a peer")
 		}
 	}
-	if d.Hop != ToHost {
-		d.Reports, d.Hello = nil, nil
-		d.WantsHello, d.Registered = false, false
-		c.forwardChanges(now, d)
-	}
+	c.forwardChanges(now, Datagram{From: c.hash, Hop: d.Hop, Changes: d.Changes, ChangesStamp: d.ChangesStamp})
 }
 
-// forwardChanges sends changes on their way: from a reader through the relay of its zone to the
-// hosts of the zone and to the relays of the other zones, and from these to their hosts.
+// forwardChanges sends changes on, as a relay does with reports: those that came with ToRelay to
+// the relays of the other zones and to the hosts of this zone, those with ToZone to these hosts only.
+// Any host that receives changes forwards them, so that the choice of a relay needs no agreement.
 func (c *Core) forwardChanges(now time.Time, d Datagram) {
-	hop := d.Hop
-	d.From = c.hash
-	if hop == ToRelay && c.relayOf(c.cfg.Self.Zone, now) != c.self {
-		c.emit(Send{To: c.relayAddresses(c.cfg.Self.Zone, now), Datagram: d})
+	if d.Hop == ToHost {
 		return
 	}
-	if hop == ToRelay {
+	if d.Hop == ToRelay {
 		d.Hop = ToZone
 		if to := c.otherZoneRelays(now); len(to) > 0 {
 			c.emit(Send{To: to, Datagram: d})
