traffic: a misdirected attempt (421) is none of the route's attempts

Change: such an attempt takes a retry from the budget, but is not counted against the route's attempts. Test: TestGatewayDoesNotCount421AsAttempt failed before.

--- a/traffic/gateway_attempt.go
+++ b/traffic/gateway_attempt.go
@@ -173,10 +173,9 @@
 	return a.outcome == link.ConnectFailed || a.outcome == link.Refused
 }
 
-// reachedTarget reports whether the request may have reached a target. An attempt with
-// outcome ConnectFailed reached one only if there is a response (status 421).
-func (a *gatewayAttempt) reachedTarget() bool {
-	return a.outcome != link.ConnectFailed || a.response != nil
+// misdirected reports whether another target responded at the address (status 421).
+func (a *gatewayAttempt) misdirected() bool {
+	return a.outcome == link.ConnectFailed && a.response != nil
 }
 
 // succeeded reports whether there is a response without a server error.
--- a/traffic/gateway_dispatch.go
+++ b/traffic/gateway_dispatch.go
@@ -31,9 +31,10 @@
 	// results receives each attempt once its response has begun or it has failed.
 	results chan *gatewayAttempt
 	// inFlight is the number of attempts whose result is still to be received, sent
-	// the number of targets that may have received the request, and connectFailures
-	// the number of targets that certainly did not receive it.
-	inFlight, sent, connectFailures int
+	// the number of targets that may have received the request, connectFailures the
+	// number of targets that certainly did not receive it, and misdirected the number
+	// of attempts at whose address another target responded.
+	inFlight, sent, connectFailures, misdirected int
 	tried                           []*pool.Target
 	// mayHaveRun is set when a target received the request and did not respond that
 	// it was not run.
@@ -129,7 +130,11 @@
 	if a.err == nil && !d.request.retryable() {
 		return a
 	}
-	if !a.reachedTarget() {
+	switch {
+	case a.misdirected():
+		d.sent--
+		d.misdirected++
+	case a.outcome == link.ConnectFailed:
 		d.sent--
 		d.connectFailures++
 	}
@@ -151,16 +156,17 @@
 // attemptsLeft reports whether the limits on attempts and connect failures allow
 // another attempt.
 func (d *dispatcher) attemptsLeft() bool {
-	return d.sent < d.request.route.Attempts && d.connectFailures < maxConnectFailures
+	return d.sent < d.request.route.Attempts && d.connectFailures+d.misdirected < maxConnectFailures
 }
 
 // shouldRetry reports whether to send the request again when no attempt is in flight.
-// The retry is taken from the budget, unless no target has received the request yet.
+// The retry is taken from the budget, unless no target has received the request yet. A
+// misdirected attempt takes a retry, too, but is none of the route's attempts.
 func (d *dispatcher) shouldRetry() bool {
 	if d.ctx.Err() != nil || !d.attemptsLeft() || d.mayHaveRun && !d.request.retryable() {
 		return false
 	}
-	return d.sent == 0 || d.withdrawRetry()
+	return d.sent+d.misdirected == 0 || d.withdrawRetry()
 }
 
 // hedgeFreeShare is the share of a service's slots that must be free for a hedged
--- a/traffic/gateway_test.go
+++ b/traffic/gateway_test.go
@@ -116,6 +116,32 @@
 	}
 }
 
+// TestGatewayDoesNotCount421AsAttempt covers addresses that went to targets of another service. In
+// the incident inc-b158, requests were refused after two of them, though other targets were free. Each
+// further try takes a retry from the budget, as it arrives at a target.
+func TestGatewayDoesNotCount421AsAttempt(t *testing.T) {
+	is := is.New(t)
+	for _, retries := range []float64{50, 0} {
+		g := newTestGateway(t)
+		g.budget.MinRetries, g.budget.Ratio = retries, 0
+		for i := range 3 {
+			g.addTarget(fmt.Sprint("moved", i), func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) })
+		}
+		g.addTarget("right", nil)
+		g.start()
+		refused := 0
+		for range 20 {
+			if g.send(http.MethodPost, "/write/x", "").status == http.StatusServiceUnavailable {
+				refused++
+			}
+			for _, target := range g.service.Targets() {
+				target.ObserveReachability(link.Succeeded, time.Now()) // the next request may choose any target
+			}
+		}
+		is.Equal(refused == 0, retries > 0)
+	}
+}
+
 func TestGatewayLimitsAttemptsPerRoute(t *testing.T) {
 	is := is.New(t)
 	g := newTestGateway(t)
