--- a/fleet/pause.go
+++ b/fleet/pause.go
@@ -22,7 +22,7 @@
 type renewal struct {
 	// deadline is when the host stops waiting; zero if it does not wait.
 	deadline time.Time
-	// requested is set once the documents were requested from a peer, or a read of each began.
+	// requested is set once the documents were requested from a peer.
 	requested bool
 }
 
--- a/pool/service.go
+++ b/pool/service.go
@@ -273,8 +273,8 @@
 
 // Routing returns the immutable view that traffic reads.
 func (s *Service) Routing(floor float64) *Routing {
-	s.floor = floor
 	if s.routing == nil || s.routing.floor != floor || s.routing.retryable != s.HasRetryable {
+		s.floor = floor
 		s.routing = &Routing{
 			Service:        s.Name,
 			Targets:        slices.Clone(s.eligible),
