--- a/traffic/gateway_dispatch.go
+++ b/traffic/gateway_dispatch.go
@@ -35,7 +35,7 @@
 	// number of targets that certainly did not receive it, and misdirected the number
 	// of attempts at whose address another target responded.
 	inFlight, sent, connectFailures, misdirected int
-	tried                           []*pool.Target
+	tried                                        []*pool.Target
 	// mayHaveRun is set when a target received the request and did not respond that
 	// it was not run.
 	mayHaveRun bool
