--- a/discovery/changes.go
+++ b/discovery/changes.go
@@ -1,6 +1,9 @@
 package discovery
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/pkg/errors"
 )
 
@@ -25,21 +28,14 @@
 // Apply returns the targets with the changes applied. It fails if the result is not the
 // version that the changes stand for, for instance because a part of them is missing.
 func (t *Targets) Apply(c *Changes) (*Targets, error) {
-	byID := make(map[string]Target, len(t.List)+len(c.Updated))
-	for _, target := range t.List {
-		byID[target.ID] = target
-	}
+	byID := t.byID()
 	for _, id := range c.Removed {
 		delete(byID, id)
 	}
 	for _, target := range c.Updated {
 		byID[target.ID] = target
 	}
-	list := make([]Target, 0, len(byID))
-	for _, target := range byID {
-		list = append(list, target)
-	}
-	out := NewTargets(c.Revision, c.At, list)
+	out := NewTargets(c.Revision, c.At, slices.Collect(maps.Values(byID)))
 	if out.Digest != c.Digest {
 		return nil, ErrChangesMismatch
 	}
@@ -69,12 +65,9 @@
 		r.completeFrom = current.Revision
 		return
 	}
-	kept := make(map[string]bool, len(current.List))
-	for _, t := range current.List {
-		kept[t.ID] = true
-	}
+	kept := current.byID()
 	for _, t := range old.List {
-		if !kept[t.ID] {
+		if _, ok := kept[t.ID]; !ok {
 			r.list = append(r.list, removal{id: t.ID, revision: current.Revision})
 		}
 	}
--- a/discovery/target.go
+++ b/discovery/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -61,6 +62,15 @@
 	return &Targets{Revision: revision, At: at, List: list, Digest: digest(list)}
 }
 
+// byID returns the targets by their ids, in a new map.
+func (t *Targets) byID() map[string]Target {
+	out := make(map[string]Target, len(t.List))
+	for _, target := range t.List {
+		out[target.ID] = target
+	}
+	return out
+}
+
 // LeavingCount returns how many targets have announced that they are leaving.
 func (t *Targets) LeavingCount() int {
 	n := 0
@@ -144,16 +154,9 @@
 		r.known = read
 		return true
 	}
-	byID := make(map[string]Target, len(read.List))
-	for _, t := range read.List {
-		byID[t.ID] = t
-	}
+	byID := read.byID()
 	r.retainKnown(byID, read.At < r.graceUntil)
-	list := make([]Target, 0, len(byID))
-	for _, t := range byID {
-		list = append(list, t)
-	}
-	merged := NewTargets(read.Revision, read.At, list)
+	merged := NewTargets(read.Revision, read.At, slices.Collect(maps.Values(byID)))
 	r.removals.record(r.known, merged)
 	r.known = merged
 	return true
--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -53,6 +53,8 @@
 	// fetches counts the fetches from peers, targetFetches those of the targets, and
 	// fetchedTargets the targets in the responses.
 	fetches, targetFetches, fetchedTargets int
+	// losePushes makes all datagrams with changes of the targets get lost.
+	losePushes bool
 	// loss is the share of datagrams that are lost.
 	loss float64
 	// received counts the datagrams that arrive at each host.
@@ -259,6 +261,9 @@
 			c.fullReports++
 		}
 	}
+	if c.losePushes && d.Changes != nil {
+		return
+	}
 	if c.rand.Float64() < c.loss || !c.reachable(from, to) {
 		return
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -635,13 +635,14 @@
 	is.Equal(records, 1)
 }
 
-// TestChangedTargetsAreFetchedAlone changes targets one by one. The other hosts must learn of each
-// within the bound, without fetching the whole list each time.
+// TestChangedTargetsAreFetchedAlone changes targets one by one, and all pushes of the changes are
+// lost. The other hosts must learn of each within the bound, without fetching the whole list each time.
 func TestChangedTargetsAreFetchedAlone(t *testing.T) {
 	is := is.New(t)
 	const perZone, changes = 20, 30 // as many targets as hosts
 	c := newCluster(9, perZone)
 	c.run(8 * time.Second)
+	c.losePushes = true
 	c.fetchedTargets = 0
 	for i := range changes {
 		target := c.targets[fmt.Sprintf("t-10.%d.0.%d:7000", i%3, i/3)]
