fleet: record how a configuration came, and each failed fetch

A late configuration could not be told from late news of it, a late read of the store or a fetch that failed: configuration-in-force had no reason, and the error of a failed fetch was dropped without a line. Both are recorded now. TestTimelineTellsHowAConfigurationCame failed before (no such event, no reason).

--- a/fleet/documents.go
+++ b/fleet/documents.go
@@ -51,13 +51,15 @@
 		return
 	}
 	if ev.Document != nil {
-		c.putInForce(now, ev.Document)
+		reason := fmt.Sprintf("read from the store, last confirmed %s ago", c.configCopy.age(now).Round(time.Millisecond))
+		c.putInForce(now, ev.Document, reason)
 	}
 	c.configCopy.confirm(now, ev.At)
 }
 
-// putInForce applies a configuration unless the same or a later version is in force.
-func (c *Core) putInForce(now time.Time, d *Document) {
+// putInForce applies a configuration unless the same or a later version is in force. The reason
+// goes into the timeline.
+func (c *Core) putInForce(now time.Time, d *Document, reason string) {
 	version := d.Configuration.Version
 	if c.document != nil && version <= c.document.Configuration.Version {
 		return
@@ -65,7 +67,7 @@
 	c.document = d
 	c.configCopy.revision = uint64(version)
 	c.configCopy.wantedSince = time.Time{}
-	c.record(now, timeline.Event{Kind: timeline.ConfigurationInForce, Revision: uint64(version)})
+	c.record(now, timeline.Event{Kind: timeline.ConfigurationInForce, Revision: uint64(version), Reason: reason})
 	c.applyTargets()
 	c.pending.schedule(now)
 }
--- a/fleet/fetch.go
+++ b/fleet/fetch.go
@@ -1,10 +1,12 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/timeline"
 )
 
 // fetchState is the state of fetches from peers. At most one fetch is in flight.
@@ -182,6 +184,7 @@
 func (c *Core) handleFetched(now time.Time, ev Fetched) {
 	c.fetching.inFlight = false
 	if ev.Err != nil {
+		c.record(now, timeline.Event{Kind: timeline.FetchFailed, Reason: ev.Err.Error()})
 		c.finishRenewal(ev.Err)
 		c.fetching.retryAt = now.Add(fetchRetryDelay)
 		return
@@ -197,7 +200,7 @@
 		c.mergeTargets(now, targets, now.Add(-ev.TargetsStamp.Age), "fetched from a peer")
 	}
 	if ev.Document != nil {
-		c.putInForce(now, ev.Document)
+		c.putInForce(now, ev.Document, c.fetchReason(now))
 		if uint64(ev.Document.Configuration.Version) == c.configCopy.revision {
 			c.configCopy.confirm(now.Add(-ev.DocumentStamp.Age), ev.DocumentStamp.Confirmed)
 		}
@@ -211,6 +214,15 @@
 	c.finishRenewal(err)
 }
 
+// fetchReason says how long ago this host learned of the newer version of the configuration that
+// it has just fetched.
+func (c *Core) fetchReason(now time.Time) string {
+	if c.configCopy.wantedSince.IsZero() {
+		return "fetched from a peer"
+	}
+	return fmt.Sprintf("fetched from a peer, known of for %s", now.Sub(c.configCopy.wantedSince).Round(time.Millisecond))
+}
+
 // fetchedTargets returns the targets that were fetched; nil if there are none. It fails if changes
 // do not lead from this host's version to the peer's.
 func (c *Core) fetchedTargets(ev Fetched) (*discovery.Targets, error) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -861,3 +862,39 @@
 	const perPush, heartbeats = 11, 200
 	is.True(received <= pushed*perPush+heartbeats)
 }
+
+// eventsOf returns the events of a kind that a host has recorded.
+func eventsOf(n *node, kind timeline.Kind) []timeline.Event {
+	var out []timeline.Event
+	for _, e := range n.events {
+		if e.Kind == kind {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// TestTimelineTellsHowAConfigurationCame checks that the records of a late configuration
+// distinguish a late read of the store, late news of it and fetches that failed.
+func TestTimelineTellsHowAConfigurationCame(t *testing.T) {
+	is := is.New(t)
+	c := newSettledCluster(t, 31)
+	c.configure(2)
+	c.run(drainBound)
+	read, fetched := 0, 0
+	for _, n := range c.hosts {
+		inForce := eventsOf(n, timeline.ConfigurationInForce)
+		switch reason := inForce[len(inForce)-1].Reason; {
+		case strings.HasPrefix(reason, "read from the store, last confirmed "):
+			read++
+		case strings.HasPrefix(reason, "fetched from a peer, known of for "):
+			fetched++
+		}
+	}
+	is.Equal(read, 1)
+	is.Equal(fetched, hostCount-1)
+	lost := c.hosts[c.addresses[2]]
+	c.deliver(lost, Fetched{Err: errUnavailable})
+	failed := eventsOf(lost, timeline.FetchFailed)
+	is.Equal(failed[len(failed)-1].Reason, errUnavailable.Error())
+}
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -16,6 +16,8 @@
 	// HostResumed records that this host's process was suspended for a while.
 	HostResumed          Kind = "host-resumed"
 	ConfigurationInForce Kind = "configuration-in-force"
+	// FetchFailed records that a peer did not deliver documents that this host asked it for.
+	FetchFailed Kind = "fetch-failed"
 	// TargetsInForce records that a host began to use a new list of registered
 	// targets.
 	TargetsInForce Kind = "targets-in-force"
