gateway: nothing is sent to a target that says in a response that it leaves

What callers would see: requests go on to a target that has said Server-Leaving in its answers until the store's reader hears of its row (DRAIN), and for good where the row says otherwise. Cause: only the registration counted. A response's notice is applied by traffic when its head is read, before a caller has it; the control thread takes the target out of use, keeps that beyond the target's registration, and tells the other hosts at once and those that fetch documents. pool.Routing.Pick asks the target's throttle whatever the reason of a choice: trial, floor, hedge, only suspects.

Red before (header not read): TestGatewaySendsNothingToATargetThatSaysItLeaves, TestGatewayHearsOfLeavingBeforeTheBodyEnds. Red without the throttle's check: TestNoticeHoldsFor{OrdinaryRequests,TrialRequests,TheFloor}; without the memory in the core: TestTargetThatSaysItLeavesGetsNothingFromAnyHost (2 requests to a target whose row had come back).

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -80,6 +80,11 @@
 	document    *Document
 	services    map[string]*pool.Service
 	byHash      map[pool.Hash]targetRef
+	// saidLeaving holds when each target announced in a response that it is leaving. It
+	// outlasts the target's registration and its service.
+	saidLeaving map[discovery.Key]time.Time
+	// earlyNotices are the notices of targets that this host does not know yet.
+	earlyNotices map[pool.Hash]TargetNotice
 
 	pending pendingReport
 	// zoneQueue and otherZonesQueue hold the reports that this host relays to its own zone and
@@ -103,12 +108,15 @@
 // New returns a core that knows only its settings.
 func New(cfg Config, now time.Time) *Core {
 	c := &Core{
-		cfg:           cfg,
-		hash:          NewHash(cfg.Self.ID),
-		peers:         make(map[Hash]*peerState),
-		services:      make(map[string]*pool.Service),
-		byHash:        make(map[pool.Hash]targetRef),
-		relays:        make(map[zone.ID]*relayChoice),
+		cfg:         cfg,
+		hash:        NewHash(cfg.Self.ID),
+		peers:       make(map[Hash]*peerState),
+		services:    make(map[string]*pool.Service),
+		byHash:      make(map[pool.Hash]targetRef),
+		saidLeaving: make(map[discovery.Key]time.Time),
+		relays:      make(map[zone.ID]*relayChoice),
+
+		earlyNotices:  make(map[pool.Hash]TargetNotice),
 		forwarded:     newForwardedReports(),
 		nextTick:      now,
 		lastTick:      now,
@@ -146,6 +154,8 @@
 		c.handleTick(now, ev.Suspended)
 	case Observed:
 		c.handleObservations(now, ev.Observations)
+	case NoticeReceived:
+		c.handleNotice(now, ev.Target)
 	case RequestsStarted:
 		c.pending.schedule(now.Add(reportDelay))
 	case DatagramReceived:
@@ -207,6 +217,7 @@
 		return
 	}
 	c.nextRefresh = now.Add(refreshInterval)
+	c.forgetNotices(now)
 	for _, s := range c.services {
 		s.Refresh(refreshInterval, now)
 	}
--- a/fleet/documents.go
+++ b/fleet/documents.go
@@ -42,7 +42,7 @@
 		Revision: known.Revision,
 		Reason:   fmt.Sprintf("%s: %d targets, %d draining", reason, len(known.List), known.LeavingCount()),
 	})
-	c.applyTargets()
+	c.applyTargets(now)
 	c.pending.schedule(now)
 }
 
@@ -68,6 +68,6 @@
 	c.configCopy.revision = uint64(version)
 	c.configCopy.wantedSince = time.Time{}
 	c.record(now, timeline.Event{Kind: timeline.ConfigurationInForce, Revision: uint64(version), Reason: reason})
-	c.applyTargets()
+	c.applyTargets(now)
 	c.pending.schedule(now)
 }
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -24,6 +24,10 @@
 	// Observed carries the ends of this host's requests.
 	Observed struct{ Observations []Observation }
 
+	// NoticeReceived says that a response has changed what is known of its target from its
+	// own words, or has confirmed it after a while.
+	NoticeReceived struct{ Target *pool.Target }
+
 	// RequestsStarted says that requests of this host have begun.
 	RequestsStarted struct{}
 
@@ -67,7 +71,9 @@
 		Document      *Document
 		// TargetsStamp and DocumentStamp are the stamps of the peer's copies.
 		TargetsStamp, DocumentStamp Stamp
-		Err                         error
+		// Notices are what the targets have said in their responses.
+		Notices []TargetNotice
+		Err     error
 	}
 
 	// SettingsChanged applies changed settings.
@@ -83,6 +89,7 @@
 
 func (Tick) isEvent()              {}
 func (Observed) isEvent()          {}
+func (NoticeReceived) isEvent()    {}
 func (RequestsStarted) isEvent()   {}
 func (DatagramReceived) isEvent()  {}
 func (TargetsRead) isEvent()       {}
--- a/fleet/fetch.go
+++ b/fleet/fetch.go
@@ -205,6 +205,7 @@
 			c.configCopy.confirm(now.Add(-ev.DocumentStamp.Age), ev.DocumentStamp.Confirmed)
 		}
 	}
+	c.applyNotices(now, ev.Notices)
 	// If the peer did not have the newer version after all, a later report leads to another
 	// fetch.
 	c.configCopy.wantedSince = time.Time{}
@@ -245,6 +246,7 @@
 		TargetsStamp:  c.targetsCopy.stamp(now),
 		Document:      c.document,
 		DocumentStamp: c.configCopy.stamp(now),
+		Notices:       c.notices(),
 	}
 	if targetsSince == 0 {
 		return out
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -77,7 +77,9 @@
 	// Loads lists all targets at which the host has requests in flight.
 	Loads []Load
 	// Endings are the requests that ended since the last report.
-	Endings                []Ending
+	Endings []Ending
+	// Notices are what targets have said in their responses since the last report.
+	Notices                []TargetNotice
 	Targets, Configuration Stamp
 }
 
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -13,8 +13,8 @@
 	due     time.Time
 }
 
-// add adds a report. A later report of a host replaces its earlier one, but the endings of both
-// are kept.
+// add adds a report. A later report of a host replaces its earlier one, but the endings and
+// notices of both are kept.
 func (b *batch) add(r Report, due time.Time) {
 	if b.due.IsZero() || due.Before(b.due) {
 		b.due = due
@@ -32,6 +32,7 @@
 		}
 		if old.Incarnation == r.Incarnation {
 			r.Endings = slices.Concat(old.Endings, r.Endings)
+			r.Notices = slices.Concat(old.Notices, r.Notices)
 			b.reports[i] = r
 			return
 		}
@@ -100,7 +101,7 @@
 	if hop == ToRelay {
 		r = c.forwarded.abbreviate(r)
 	}
-	if slices.ContainsFunc(r.Endings, func(e Ending) bool { return urgent(e.Outcome) }) {
+	if r.urgent() {
 		due := now.Add(c.scaleDelay(urgentDelay) - urgentDelay)
 		c.zoneQueue.addUrgent(r, due)
 		if hop == ToRelay {
@@ -190,7 +191,7 @@
 	if r.isHeartbeat() {
 		return heartbeatBytes
 	}
-	return reportBaseBytes + entryBytes*(len(r.Loads)+len(r.Endings))
+	return reportBaseBytes + entryBytes*(len(r.Loads)+len(r.Endings)+len(r.Notices))
 }
 
 // relayChoice is the relay that this host uses for a zone, and since when.
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -36,7 +36,7 @@
 	maxDatagramBytes = 1300
 	reportBaseBytes  = 55
 	heartbeatBytes   = 8
-	// entryBytes is the size of a Load or an Ending.
+	// entryBytes is the size of a Load, an Ending or a TargetNotice.
 	entryBytes = 8
 )
 
@@ -50,10 +50,16 @@
 	}
 }
 
+// urgent reports whether a report is forwarded without delay.
+func (r Report) urgent() bool {
+	return len(r.Notices) > 0 || slices.ContainsFunc(r.Endings, func(e Ending) bool { return urgent(e.Outcome) })
+}
+
 // pendingReport collects what this host's next report carries.
 type pendingReport struct {
 	sequence uint32
 	endings  []Ending
+	notices  []TargetNotice
 	// due is when the next report is sent.
 	due time.Time
 }
@@ -90,10 +96,11 @@
 		Ready:         c.ready(),
 		Leaving:       c.leaving,
 		Endings:       c.pending.endings,
+		Notices:       c.pending.notices,
 		Targets:       c.targetsCopy.stamp(now),
 		Configuration: c.configCopy.stamp(now),
 	}
-	c.pending.endings = nil
+	c.pending.endings, c.pending.notices = nil, nil
 	for hash, ref := range c.byHash {
 		if n := ref.target.OwnInFlight(); n > 0 {
 			r.Loads = append(r.Loads, Load{Target: hash, Requests: n})
@@ -158,6 +165,7 @@
 	if changed {
 		c.markAlive(now, p)
 	}
+	c.applyNotices(now, r.Notices)
 	c.replaceLoads(p, r.Loads)
 	c.markTargetsUsed(now, p)
 	for _, e := range r.Endings {
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -129,7 +129,7 @@
 
 // applyTargets updates the services to the registered targets and the configuration. A target of
 // a service that the configuration does not name gets no requests.
-func (c *Core) applyTargets() {
+func (c *Core) applyTargets(now time.Time) {
 	c.snapshotStale = true
 	registered := c.registry.Known()
 	if c.document == nil || registered == nil {
@@ -142,6 +142,9 @@
 	lists := make(map[string][]discovery.Target, len(config.Services))
 	for _, t := range registered.List {
 		if _, ok := config.Services[t.Service]; ok {
+			if _, said := c.saidLeaving[t.Key()]; said {
+				t.Leaving = true
+			}
 			lists[t.Service] = append(lists[t.Service], t)
 		}
 	}
@@ -160,6 +163,7 @@
 		s.Apply(lists[name])
 	}
 	c.indexTargets()
+	c.applyEarlyNotices(now)
 	for _, p := range c.peers {
 		if p.alive {
 			c.replaceLoads(p, p.lastReport.Loads)
--- a/gateway/effects.go
+++ b/gateway/effects.go
@@ -164,6 +164,7 @@
 	for _, peer := range resp.GetHosts() {
 		fetched.Peers = append(fetched.Peers, share.PeerFromProto(peer))
 	}
+	fetched.Notices = share.NoticesFromProto(resp.GetNotices())
 	fetched.Targets, fetched.TargetChanges, fetched.TargetsStamp = share.TargetsFromProto(resp.GetTargets())
 	if c := resp.GetConfiguration(); c != nil {
 		configuration, err := g.protocol.ParseConfiguration(c.GetDocument())
@@ -185,7 +186,7 @@
 	if err := s.control.Call(ctx, func(core *fleet.Core) { documents = core.Documents(time.Now(), req.Msg.GetTargetsSince()) }); err != nil {
 		return nil, err
 	}
-	resp := &sharev1.FetchResponse{}
+	resp := &sharev1.FetchResponse{Notices: share.NoticesToProto(documents.Notices)}
 	if req.Msg.GetHosts() {
 		for _, p := range documents.Peers {
 			resp.Hosts = append(resp.Hosts, share.PeerToProto(p))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/fleet"
 	"github.com/crocushinge/crocushinge/internal/wait"
+	"github.com/crocushinge/crocushinge/pool"
 	"github.com/crocushinge/crocushinge/traffic"
 	"github.com/crocushinge/crocushinge/wire/gen/crocushinge/share/v1/sharev1connect"
 	"github.com/crocushinge/crocushinge/zone"
@@ -103,6 +104,7 @@
 		Snapshot:       g.control.snapshot.Load,
 		Observe:        g.control.Observe,
 		AttemptStarted: g.control.notifyStarted,
+		Noticed:        func(t *pool.Target) { g.control.TrySend(fleet.NoticeReceived{Target: t}) },
 		Closing:        g.closing.Load,
 		ControlStalled: g.control.stalled,
 		Transport:      traffic.NewTargetTransport(dial),
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -14,6 +14,7 @@
 	// Late is set when the caller has already waited for longer than the
 	// objective.
 	Late bool
+	Now  time.Time
 }
 
 // waitFactors holds, for each priority, the longest expected wait at which a request is
@@ -34,6 +35,10 @@
 // requests that cannot meet their objective are refused, the targets serve just as many
 // requests, and most of those in time.
 func (r *Routing) Admit(d Demand) bool {
+	wait, ok := r.ExpectedWait(d.Now)
+	if !ok {
+		return false
+	}
 	typical := r.TypicalLatency()
 	if typical == 0 || d.Objective <= 0 {
 		return true
@@ -43,22 +48,27 @@
 		factor = min(factor, lateWaitFactor)
 	}
 	slack := max(d.Objective-time.Duration(tailFactor*float64(typical)), typical/2)
-	return r.ExpectedWait() <= time.Duration(factor*float64(slack))
+	return wait <= time.Duration(factor*float64(slack))
 }
 
 // ExpectedWait estimates how long a new request waits for a slot at the trusted target
-// with the shortest queue. It counts the requests in flight that this host knows of.
-func (r *Routing) ExpectedWait() time.Duration {
-	shortest := math.Inf(1)
+// with the shortest queue. It counts the requests in flight that this host knows of. It returns
+// false if there are trusted targets and none of them accepts a request of this host now.
+func (r *Routing) ExpectedWait(now time.Time) (wait time.Duration, ok bool) {
+	shortest, trusted := math.Inf(1), false
 	for _, t := range r.Targets {
 		if t.IsSuspect() {
 			continue
 		}
+		trusted = true
+		if !r.accepts(t, now) {
+			continue
+		}
 		slots := float64(max(1, t.Slots))
 		shortest = min(shortest, max(0, float64(t.InFlight())+1-slots)/slots)
 	}
 	if math.IsInf(shortest, 1) {
-		return 0 // without a trusted target, no queue is known
+		return 0, !trusted // without a trusted target, no queue is known
 	}
-	return time.Duration(shortest * float64(r.TypicalLatency()))
+	return time.Duration(shortest * float64(r.TypicalLatency())), true
 }
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -22,6 +22,9 @@
 	floor float64
 	// retryable is set while the service gets requests that may be retried.
 	retryable bool
+	// rateShare holds the share of the targets' rate limits that applies to this host, as
+	// float64 bits. The control thread updates it.
+	rateShare *atomic.Uint64
 	// typicalLatency holds the result of TypicalLatency, in nanoseconds. The control
 	// thread updates it.
 	typicalLatency *atomic.Int64
@@ -72,17 +75,42 @@
 	OnlySuspects ChoiceReason = "only suspects left"
 )
 
-// Pick chooses the target for a request and counts the request as in flight.
+// Pick chooses the target for a request and counts the request as in flight. No target gets
+// what it has asked not to get, whatever the reason for the choice.
 func (r *Routing) Pick(rng *rand.Rand, q Request) Choice {
-	choice := Choice{Target: r.pickTrial(rng, q), Reason: Trial}
-	if choice.Target == nil {
-		choice = r.cheapest(rng, q, r.suspectsInUse())
+	for {
+		choice := Choice{Target: r.pickTrial(rng, q), Reason: Trial}
+		if choice.Target == nil {
+			choice = r.cheapest(rng, q, r.suspectsInUse())
+		}
+		t := choice.Target
+		if t == nil {
+			return choice
+		}
+		if t.throttle.Take(q.Now, r.share()) {
+			choice.ProvenAge = t.provenAge(q.Now)
+			t.Begin(q.Now)
+			return choice
+		}
+		// Another request has taken the last one that the target accepts now.
 	}
-	if t := choice.Target; t != nil {
-		choice.ProvenAge = t.provenAge(q.Now)
-		t.Begin(q.Now)
+}
+
+// share returns the share of the targets' rate limits that applies to this host.
+func (r *Routing) share() float64 { return math.Float64frombits(r.rateShare.Load()) }
+
+// accepts reports whether the target accepts a request of this host now.
+func (r *Routing) accepts(t *Target, now time.Time) bool { return t.throttle.Open(now, r.share()) }
+
+// AcceptsIn returns the time until one of the targets accepts a request of this host. It
+// returns false if there is no target of which a time is known.
+func (r *Routing) AcceptsIn(now time.Time) (earliest time.Duration, ok bool) {
+	for _, t := range r.Targets {
+		if in, known := t.throttle.OpensIn(now, r.share()); known && (!ok || in < earliest) {
+			earliest, ok = in, true
+		}
 	}
-	return choice
+	return earliest, ok
 }
 
 // pickTrial returns a suspect that is due for a trial request, if this request can be
@@ -97,7 +125,7 @@
 	candidates := 0
 	for _, t := range r.Targets {
 		v := t.suspicionView.Load()
-		if !v.suspect || t.InFlight() > 0 || t.skipped(q.Now) {
+		if !v.suspect || t.InFlight() > 0 || t.skipped(q.Now) || !r.accepts(t, q.Now) {
 			continue
 		}
 		// If no retryable request came in time, any request becomes the trial, because
@@ -150,7 +178,7 @@
 	var best, bestSuspect Choice
 	lowest, lowestSuspect := math.Inf(1), math.Inf(1)
 	for _, t := range r.Targets {
-		if slices.Contains(q.Tried, t) {
+		if slices.Contains(q.Tried, t) || !r.accepts(t, q.Now) {
 			continue
 		}
 		c, reason := t.cost(q.Now, p)
@@ -198,12 +226,12 @@
 	return n
 }
 
-// FreeSlots returns how many slots of trusted targets are free, given the requests in
-// flight that this host knows of.
-func (r *Routing) FreeSlots() int {
+// FreeSlots returns how many slots of trusted targets that accept requests are free, given the
+// requests in flight that this host knows of.
+func (r *Routing) FreeSlots(now time.Time) int {
 	free := 0
 	for _, t := range r.Targets {
-		if !t.IsSuspect() {
+		if !t.IsSuspect() && r.accepts(t, now) {
 			free += max(0, t.Slots-t.InFlight())
 		}
 	}
--- a/pool/service.go
+++ b/pool/service.go
@@ -64,6 +64,9 @@
 	counts                                     struct{ ended, failed, failedTrials int }
 	// floor is the share of the targets that must be in use while requests fail.
 	floor float64
+	// rateShare is the share of the targets' rate limits that the requests this host knows
+	// of count against, as float64 bits.
+	rateShare atomic.Uint64
 	// keepAllInUse tells traffic to send requests to all targets.
 	keepAllInUse atomic.Bool
 	// routing is the last view for traffic; nil after a change of the targets.
@@ -72,7 +75,9 @@
 
 // NewService returns a service without targets.
 func NewService(name string, location Location) *Service {
-	return &Service{Name: name, location: location, targets: make(map[discovery.Key]*Target)}
+	s := &Service{Name: name, location: location, targets: make(map[discovery.Key]*Target)}
+	s.SetRateShare(1)
+	return s
 }
 
 // Apply replaces the targets by the registered ones. Targets that stay registered
@@ -89,13 +94,31 @@
 		}
 		t.warming.Store(d.Warming)
 		s.targets[d.Key()] = t
-		if !d.Leaving {
+		if !d.Leaving && !t.SaysLeaving() {
 			s.eligible = append(s.eligible, t)
 		}
 	}
 	s.routing = nil
 }
 
+// Leave takes a target out of use that has announced in a response that it is leaving, before
+// its registration says so.
+func (s *Service) Leave(t *Target) {
+	t.throttle.MarkLeaving()
+	s.eligible = slices.DeleteFunc(slices.Clone(s.eligible), func(e *Target) bool { return e == t })
+	s.routing = nil
+}
+
+// SetRateShare sets the share of the targets' rate limits that the hosts which tell each other
+// of their requests may use together: the share of them in all hosts. Hosts of the other parts
+// of a divided fleet use the rest.
+func (s *Service) SetRateShare(share float64) { s.rateShare.Store(math.Float64bits(share)) }
+
+// CountOthers counts requests of another host against the target's rate limit.
+func (s *Service) CountOthers(t *Target, requests int, now time.Time) {
+	t.throttle.Count(requests, now, math.Float64frombits(s.rateShare.Load()))
+}
+
 // Targets returns the targets that may take requests.
 func (s *Service) Targets() []*Target { return s.eligible }
 
@@ -280,6 +303,7 @@
 			Targets:        slices.Clone(s.eligible),
 			floor:          floor,
 			retryable:      s.HasRetryable,
+			rateShare:      &s.rateShare,
 			typicalLatency: &s.publishedTypical,
 			keepAllInUse:   &s.keepAllInUse,
 		}
--- a/pool/target.go
+++ b/pool/target.go
@@ -44,6 +44,9 @@
 	Address string
 	Slots   int
 
+	// Registration is the key of the target's row.
+	Registration discovery.Key
+
 	distance Distance
 	// own and others count the requests in flight from this host and from the
 	// other hosts.
@@ -68,6 +71,8 @@
 	// joinedLater is set for a target that was registered while others were
 	// already in use.
 	joinedLater bool
+	// throttle holds back what the target has asked not to get.
+	throttle link.Throttle
 
 	suspicion suspicion
 	// latency is the average latency of the successful requests, and failureRate
@@ -96,11 +101,12 @@
 // newTarget returns a trusted target without requests.
 func newTarget(d discovery.Target, distance Distance) *Target {
 	t := &Target{
-		Key:      target.Key{Service: d.Service, Name: d.ID},
-		Hash:     NewHash(d.Key()),
-		Address:  d.Address,
-		Slots:    d.Slots,
-		distance: distance,
+		Key:          target.Key{Service: d.Service, Name: d.ID},
+		Hash:         NewHash(d.Key()),
+		Address:      d.Address,
+		Slots:        d.Slots,
+		Registration: d.Key(),
+		distance:     distance,
 	}
 	t.suspicionView.Store(trusted)
 	t.slowness.Store(math.Float64bits(1))
@@ -117,6 +123,22 @@
 	t.MarkUsed(now)
 }
 
+// ObserveNotice applies the notice in a response of the target to a request that began at the
+// given time. It reports whether the other hosts must be told. Traffic calls it before the
+// response is forwarded, since a caller may send the next request at once.
+func (t *Target) ObserveNotice(n target.Notice, began, now time.Time) (announce bool) {
+	return t.throttle.Observe(n, began, now)
+}
+
+// SetRateLimit applies a limit that another host has heard of.
+func (t *Target) SetRateLimit(limit target.RateLimit, now time.Time) { t.throttle.SetLimit(limit, now) }
+
+// RateLimit returns the limit that the target has stated for the requests of all hosts.
+func (t *Target) RateLimit() target.RateLimit { return t.throttle.Limit() }
+
+// SaysLeaving reports whether the target has announced in a response that it is leaving.
+func (t *Target) SaysLeaving() bool { return t.throttle.Leaving() }
+
 // End counts the end of a request of this host.
 func (t *Target) End() { t.own.Add(-1) }
 
--- a/traffic/gateway.go
+++ b/traffic/gateway.go
@@ -28,6 +28,9 @@
 	ExpectedTarget string
 	// NotRun is set in a response of a target that did not run the request.
 	NotRun string
+	// Leaving is set in the responses of a target that is leaving. It may be empty, for
+	// none.
+	Leaving string
 }
 
 // RetryBudgetConfig limits how many requests of a service are sent to a further target.
@@ -47,6 +50,9 @@
 	// Observe reports to the control thread that an attempt has ended or is overdue.
 	// It does not block.
 	Observe func(fleet.Observation)
+	// Noticed reports to the control thread that a target has said something about itself
+	// that the other hosts must know. It does not block.
+	Noticed func(*pool.Target)
 	// AttemptStarted reports to the control thread that an attempt has started. It
 	// does not block.
 	AttemptStarted func()
--- a/traffic/gateway_attempt.go
+++ b/traffic/gateway_attempt.go
@@ -61,6 +61,7 @@
 		return a
 	}
 	a.response = resp
+	g.observeNotice(req, a)
 	if outcome, err := g.checkResponse(req, resp, trace); err != nil {
 		_ = resp.Body.Close()
 		g.finishAttempt(a, outcome, err)
@@ -116,9 +117,8 @@
 // checkResponse checks the status and header of a response. It returns the outcome
 // and an error if the response must not be forwarded.
 func (g *Gateway) checkResponse(req *gatewayRequest, resp *http.Response, trace *connTrace) (link.Outcome, error) {
-	echo := resp.Header.Get(g.cfg.Headers.RequestID)
 	switch {
-	case echo != "" && echo != req.id, trace.respondedBeforeSend():
+	case !g.isOwnResponse(req, resp, trace):
 		return link.Failed, errResponseMismatch
 	case resp.StatusCode < http.StatusOK:
 		return link.Failed, errProtocolSwitched
@@ -133,6 +133,25 @@
 	}
 }
 
+// observeNotice keeps to what the target says about itself in its response. What another
+// target says, or what belongs to another request, does not count.
+func (g *Gateway) observeNotice(req *gatewayRequest, a *gatewayAttempt) {
+	if !g.isOwnResponse(req, a.response, a.trace) || a.response.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	now := time.Now()
+	notice := noticeHeaders{leaving: g.cfg.Headers.Leaving}.read(a.response)
+	if a.target.ObserveNotice(notice, a.startedAt, now) {
+		g.cfg.Noticed(a.target)
+	}
+}
+
+// isOwnResponse reports whether a response can belong to this request.
+func (g *Gateway) isOwnResponse(req *gatewayRequest, resp *http.Response, trace *connTrace) bool {
+	echo := resp.Header.Get(g.cfg.Headers.RequestID)
+	return (echo == "" || echo == req.id) && !trace.respondedBeforeSend()
+}
+
 // finishAttempt sets the outcome of an attempt, counts it and reports it to the
 // control thread. It has no effect on a finished attempt.
 func (g *Gateway) finishAttempt(a *gatewayAttempt, o link.Outcome, err error) {
--- a/traffic/gateway_dispatch.go
+++ b/traffic/gateway_dispatch.go
@@ -53,11 +53,11 @@
 	defer d.close()
 	if routing := snap.Services[req.service]; routing != nil && !routing.Admit(req.demand()) {
 		g.counters.RefusedOverload.Add(1)
-		g.writeRefusal(w, req, refuseFor(req.retryAfter(), "every target's queue is too long for the objective"))
+		g.writeRefusal(w, req, req.refuseOverload(routing))
 		return
 	}
 	if !d.startAttempt() {
-		g.writeRefusal(w, req, refuseFor(defaultRetryAfter, "no target of the service is known, or this host renews its view"))
+		g.writeRefusal(w, req, refuseFor(defaultRetryAfter, "no target of the service is known or accepts requests, or this host renews its view"))
 		return
 	}
 	hedge := d.newHedgeTimer(snap)
@@ -177,7 +177,7 @@
 // attempt.
 func (d *dispatcher) hasFreeSlots() bool {
 	routing := d.gateway.cfg.Snapshot().Services[d.request.service]
-	return routing != nil && float64(routing.FreeSlots()) >= hedgeFreeShare*float64(routing.Slots)
+	return routing != nil && float64(routing.FreeSlots(time.Now())) >= hedgeFreeShare*float64(routing.Slots)
 }
 
 // withdrawRetry takes a retry from the budget. It returns false if there is none
@@ -232,7 +232,17 @@
 
 // demand returns the properties of the request that admission depends on.
 func (req *gatewayRequest) demand() pool.Demand {
-	return pool.Demand{Objective: req.route.Objective, Priority: req.route.Priority, Late: req.late}
+	return pool.Demand{Objective: req.route.Objective, Priority: req.route.Priority, Late: req.late, Now: time.Now()}
+}
+
+// refuseOverload refuses a request that the targets cannot serve in time. If each of them has
+// asked for no request at present, the caller is told when the first of them accepts one.
+func (req *gatewayRequest) refuseOverload(routing *pool.Routing) *refusal {
+	now := time.Now()
+	if in, ok := routing.AcceptsIn(now); !ok || in > 0 {
+		return refuseFor(max(in, req.retryAfter()), "every target has asked for fewer requests")
+	}
+	return refuseFor(req.retryAfter(), "every target's queue is too long for the objective")
 }
 
 // retryAfter returns the Retry-After for a request that is refused for lack of a
--- a/traffic/gateway_harness_test.go
+++ b/traffic/gateway_harness_test.go
@@ -20,7 +20,7 @@
 	"github.com/crocushinge/crocushinge/zone"
 )
 
-var testHeaders = GatewayHeaders{RequestID: "X-Id", Deadline: "X-Left-Ms", ExpectedTarget: "X-For", NotRun: "X-Not-Run"}
+var testHeaders = GatewayHeaders{RequestID: "X-Id", Deadline: "X-Left-Ms", ExpectedTarget: "X-For", NotRun: "X-Not-Run", Leaving: "X-Leaving"}
 
 // signatureHeader is set by targets to their name.
 const signatureHeader = "X-Signature"
@@ -74,6 +74,7 @@
 		Snapshot:       g.snapshot,
 		Observe:        g.observe,
 		AttemptStarted: func() {},
+		Noticed:        func(t *pool.Target) { g.noticed(t) },
 		Closing:        g.closing.Load,
 		ControlStalled: g.stalled.Load,
 		Transport:      NewTargetTransport(DialTCP),
@@ -111,6 +112,15 @@
 	g.service.Observe(o.Target, pool.Ending{Host: "h", Outcome: o.Outcome, Latency: o.Latency}, time.Now())
 }
 
+// noticed takes a leaving target out of use, as the control thread does.
+func (g *testGateway) noticed(t *pool.Target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.SaysLeaving() {
+		g.service.Leave(t)
+	}
+}
+
 // outcomes returns the outcomes of all attempts so far.
 func (g *testGateway) outcomes() []link.Outcome {
 	g.mu.Lock()
--- a/wire/share/share.go
+++ b/wire/share/share.go
@@ -75,6 +75,7 @@
 		out.LoadTargets = append(out.LoadTargets, uint32(l.Target))
 		out.LoadRequests = append(out.LoadRequests, uint32(l.Requests))
 	}
+	out.Notices = NoticesToProto(r.Notices)
 	for _, e := range r.Endings {
 		out.EndingTargets = append(out.EndingTargets, uint32(e.Target))
 		out.EndingOutcomes = append(out.EndingOutcomes, uint32(e.Outcome))
@@ -92,6 +93,7 @@
 		Leaving:       r.GetLeaving(),
 		Targets:       StampFromProto(r.GetTargets()),
 		Configuration: StampFromProto(r.GetConfiguration()),
+		Notices:       NoticesFromProto(r.GetNotices()),
 	}
 	loads := min(len(r.GetLoadTargets()), len(r.GetLoadRequests()))
 	out.Loads = make([]fleet.Load, 0, loads)
@@ -112,6 +114,26 @@
 	return out
 }
 
+// NoticesToProto encodes what targets have said.
+func NoticesToProto(notices []fleet.TargetNotice) []*sharev1.TargetNotice {
+	var out []*sharev1.TargetNotice
+	for _, n := range notices {
+		out = append(out, &sharev1.TargetNotice{Target: uint32(n.Target), Leaving: n.Leaving})
+	}
+	return out
+}
+
+// NoticesFromProto decodes what targets have said.
+func NoticesFromProto(in []*sharev1.TargetNotice) []fleet.TargetNotice {
+	var out []fleet.TargetNotice
+	for _, n := range in {
+		out = append(out, fleet.TargetNotice{
+			Target: pool.Hash(n.GetTarget()), Leaving: n.GetLeaving(),
+		})
+	}
+	return out
+}
+
 // StampToProto encodes the version and age of a document. It returns nil when
 // the host has no version.
 func StampToProto(s fleet.Stamp) *sharev1.Stamp {
