gateway: a target that asks for a pause gets nothing from this host until it is over

Cause: Retry-After of a target was not read. Seconds, fractions and dates are read now, from 503 and 429, and bind this host only; an unreadable one is logged. A request that no target accepts is refused at once, with the time of the first target that opens again.

Red without the pause: TestGatewayKeepsToTheRetryAfterOfATarget, TestGatewayRefusesAtOnceWhenEveryTargetHasAskedForAPause.

--- a/traffic/gateway_attempt.go
+++ b/traffic/gateway_attempt.go
@@ -140,7 +140,10 @@
 		return
 	}
 	now := time.Now()
-	notice := noticeHeaders{leaving: g.cfg.Headers.Leaving}.read(a.response)
+	notice, err := noticeHeaders{leaving: g.cfg.Headers.Leaving}.read(a.response, now)
+	if err != nil {
+		g.logUnreadableNotice(req, a, err)
+	}
 	if a.target.ObserveNotice(notice, a.startedAt, now) {
 		g.cfg.Noticed(a.target)
 	}
--- a/traffic/gateway_notice_test.go
+++ b/traffic/gateway_notice_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/crocushinge/crocushinge/target"
 )
 
 // sendUntil sends retryable requests until the target has got one.
@@ -54,3 +57,88 @@
 	is.Equal(got.status, http.StatusServiceUnavailable)
 	is.Equal(leaving.requestCount.Load(), int64(1))
 }
+
+func TestGatewayKeepsToTheRetryAfterOfATarget(t *testing.T) {
+	is := is.New(t)
+	for _, refusal := range []string{"0.6", time.Now().Add(5 * time.Second).UTC().Format(http.TimeFormat)} {
+		g := newTestGateway(t)
+		g.budget.MinRetries = 1000
+		paused := g.addTarget("a", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Not-Run", "1")
+			w.Header().Set("Retry-After", refusal)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		g.addTarget("b", nil)
+		g.start().sendUntil(paused)
+		for began := time.Now(); time.Since(began) < 500*time.Millisecond; {
+			is.Equal(g.send(http.MethodGet, "/read/x", "").status, http.StatusOK)
+		}
+		is.Equal(paused.requestCount.Load(), int64(1))
+	}
+}
+
+func TestGatewayRefusesAtOnceWhenEveryTargetHasAskedForAPause(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t)
+	paused := g.addTarget("a", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Not-Run", "1")
+		w.Header().Set("Retry-After", "3")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	g.start()
+	is.Equal(g.send(http.MethodPost, "/write/x", "").status, http.StatusServiceUnavailable)
+	began := time.Now()
+	got := g.send(http.MethodPost, "/write/y", "")
+	is.True(time.Since(began) < time.Second)
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(retryAfter > 2) // no target accepts the request sooner
+	is.Equal(paused.requestCount.Load(), int64(1))
+}
+
+func TestUnreadableNoticesAreLogged(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t)
+	g.addTarget("a", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "soon")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	g.start()
+	g.send(http.MethodPost, "/write/x", "")
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	is.Equal(g.decisions[0].Event, NoticeUnreadable)
+}
+
+func TestNoticesAreRead(t *testing.T) {
+	is := is.New(t)
+	names := noticeHeaders{leaving: "X-Leaving"}
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, test := range []struct {
+		status              int
+		leaving, retryAfter string
+		want                target.Notice
+		fails               bool
+	}{
+		{status: 200, want: target.Notice{}},
+		{status: 200, leaving: "1", want: target.Notice{Leaving: true}},
+		{status: 500, leaving: "0", want: target.Notice{}},
+		{status: 200, retryAfter: "5", want: target.Notice{}},
+		{status: 503, retryAfter: "1.5", want: target.Notice{RetryAfter: 1500 * time.Millisecond}},
+		{status: 429, retryAfter: "2", want: target.Notice{RetryAfter: 2 * time.Second}},
+		{status: 503, retryAfter: "Tue, 01 Jan 2030 00:00:07 GMT", want: target.Notice{RetryAfter: 7 * time.Second}},
+		{status: 503, retryAfter: "1e300", want: target.Notice{RetryAfter: maxRetryAfter}},
+		{status: 503, retryAfter: "soon", want: target.Notice{}, fails: true},
+	} {
+		resp := &http.Response{StatusCode: test.status, Header: http.Header{}}
+		for name, value := range map[string]string{"X-Leaving": test.leaving, "Retry-After": test.retryAfter} {
+			if value != "" {
+				resp.Header.Set(name, value)
+			}
+		}
+		got, err := names.read(resp, now)
+		is.Equal(got, test.want)
+		is.Equal(err != nil, test.fails)
+	}
+}
--- a/traffic/gateway_record.go
+++ b/traffic/gateway_record.go
@@ -65,7 +65,8 @@
 // DecisionEvent is the kind of a Decision.
 type DecisionEvent string
 
-// The kinds of decisions. All but AttemptFailed are about the response to the caller.
+// The kinds of decisions. All but AttemptFailed and NoticeUnreadable are about the response to
+// the caller.
 const (
 	// ResponseForwarded means that the response of a target was forwarded.
 	ResponseForwarded DecisionEvent = "answered"
@@ -77,10 +78,12 @@
 	FailureForwarded DecisionEvent = "failure passed on"
 	// Refused means that this host itself responded.
 	Refused DecisionEvent = "refused"
+	// NoticeUnreadable means that a target said something about itself that cannot be read.
+	NoticeUnreadable DecisionEvent = "notice unreadable"
 )
 
 // Final reports whether the decision is about the response to the caller.
-func (d Decision) Final() bool { return d.Event != AttemptFailed }
+func (d Decision) Final() bool { return d.Event != AttemptFailed && d.Event != NoticeUnreadable }
 
 // logAttempt logs a decision about an attempt. number is the number of targets that
 // may have received the request.
@@ -102,6 +105,13 @@
 	g.cfg.Log(d)
 }
 
+// logUnreadableNotice logs what a target said about itself and this host cannot read.
+func (g *Gateway) logUnreadableNotice(req *gatewayRequest, a *gatewayAttempt, err error) {
+	d := req.newDecision(NoticeUnreadable)
+	d.Target, d.Status, d.Reason = a.target.Key.Name, a.response.StatusCode, err.Error()
+	g.cfg.Log(d)
+}
+
 func (req *gatewayRequest) newDecision(event DecisionEvent) Decision {
 	d := Decision{Request: req.id, Service: req.service, Event: event, Configuration: req.configVersion, Elapsed: time.Since(req.receivedAt)}
 	if req.route != nil {
