fleet: the hosts together keep to the rate that a target accepts

Cause: the header was not read, and no host knew of the others' requests at a target but for those in flight.

A limit that a response states, or no longer states, goes to all hosts at once, again each second, and with fetched documents. Each host counts the requests of all hosts that it hears of, from the loads and ends in their reports. The hosts that hear of each other use their share of all hosts that they know of, so that the parts of a divided fleet together send no more; a host that hears nothing sends its own share; one that knows no other host yet sends nothing to a limited target.

Red without counting others: TestHostsTogetherKeepToARateLimit, TestPartsOfADividedFleetTogetherKeepToARateLimit; without the share: TestHostThatHearsNothingSendsItsShareOfARateLimit.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -6,6 +6,7 @@
 
 	"github.com/crocushinge/crocushinge/discovery"
 	"github.com/crocushinge/crocushinge/pool"
+	"github.com/crocushinge/crocushinge/target"
 	"github.com/crocushinge/crocushinge/timeline"
 	"github.com/crocushinge/crocushinge/zone"
 )
@@ -85,6 +86,8 @@
 	saidLeaving map[discovery.Key]time.Time
 	// earlyNotices are the notices of targets that this host does not know yet.
 	earlyNotices map[pool.Hash]TargetNotice
+	// recordedLimits are the rate limits that are in the timeline.
+	recordedLimits map[pool.Hash]target.RateLimit
 
 	pending pendingReport
 	// zoneQueue and otherZonesQueue hold the reports that this host relays to its own zone and
@@ -116,11 +119,12 @@
 		saidLeaving: make(map[discovery.Key]time.Time),
 		relays:      make(map[zone.ID]*relayChoice),
 
-		earlyNotices:  make(map[pool.Hash]TargetNotice),
-		forwarded:     newForwardedReports(),
-		nextTick:      now,
-		lastTick:      now,
-		snapshotStale: true,
+		earlyNotices:   make(map[pool.Hash]TargetNotice),
+		recordedLimits: make(map[pool.Hash]target.RateLimit),
+		forwarded:      newForwardedReports(),
+		nextTick:       now,
+		lastTick:       now,
+		snapshotStale:  true,
 	}
 	c.self = &peerState{Peer: cfg.Self, hash: c.hash, alive: true, reported: true}
 	c.joining.begin(c, now)
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -166,6 +166,7 @@
 		c.markAlive(now, p)
 	}
 	c.applyNotices(now, r.Notices)
+	c.countRequests(now, p.loads, r)
 	c.replaceLoads(p, r.Loads)
 	c.markTargetsUsed(now, p)
 	for _, e := range r.Endings {
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -40,6 +40,10 @@
 		return
 	}
 	c.snapshotStale = false
+	share := c.rateShare()
+	for _, s := range c.services {
+		s.SetRateShare(share)
+	}
 	c.emit(Publish{Snapshot: c.Snapshot()})
 }
 
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -24,11 +24,14 @@
 	// ConfigurationUnreadable records that this host cannot decode a contract.
 	ConfigurationUnreadable Kind = "configuration-unreadable"
 	TargetStateChanged      Kind = "target-state-changed"
-	EjectionWithheld        Kind = "ejection-withheld"
-	LinkCut                 Kind = "link-cut"
-	LinkRestored            Kind = "link-restored"
-	OutcomeUnknown          Kind = "outcome-unknown"
-	RequestEnded            Kind = "request-ended"
+	// TargetLimited records that a target has stated another limit for the rate of requests
+	// from all hosts, or none any more.
+	TargetLimited    Kind = "target-limited"
+	EjectionWithheld Kind = "ejection-withheld"
+	LinkCut          Kind = "link-cut"
+	LinkRestored     Kind = "link-restored"
+	OutcomeUnknown   Kind = "outcome-unknown"
+	RequestEnded     Kind = "request-ended"
 	// OperatorDrained records which operator drained a target, so that it gets
 	// no more requests.
 	OperatorDrained   Kind = "operator-drained"
--- a/traffic/gateway.go
+++ b/traffic/gateway.go
@@ -28,9 +28,10 @@
 	ExpectedTarget string
 	// NotRun is set in a response of a target that did not run the request.
 	NotRun string
-	// Leaving is set in the responses of a target that is leaving. It may be empty, for
-	// none.
-	Leaving string
+	// Leaving is set in the responses of a target that is leaving. RateLimit is the number
+	// of requests a second that a target accepts from all hosts together. Either may be
+	// empty, for none.
+	Leaving, RateLimit string
 }
 
 // RetryBudgetConfig limits how many requests of a service are sent to a further target.
--- a/traffic/gateway_attempt.go
+++ b/traffic/gateway_attempt.go
@@ -140,7 +140,7 @@
 		return
 	}
 	now := time.Now()
-	notice, err := noticeHeaders{leaving: g.cfg.Headers.Leaving}.read(a.response, now)
+	notice, err := noticeHeaders{leaving: g.cfg.Headers.Leaving, rateLimit: g.cfg.Headers.RateLimit}.read(a.response, now)
 	if err != nil {
 		g.logUnreadableNotice(req, a, err)
 	}
--- a/traffic/gateway_harness_test.go
+++ b/traffic/gateway_harness_test.go
@@ -20,7 +20,7 @@
 	"github.com/crocushinge/crocushinge/zone"
 )
 
-var testHeaders = GatewayHeaders{RequestID: "X-Id", Deadline: "X-Left-Ms", ExpectedTarget: "X-For", NotRun: "X-Not-Run", Leaving: "X-Leaving"}
+var testHeaders = GatewayHeaders{RequestID: "X-Id", Deadline: "X-Left-Ms", ExpectedTarget: "X-For", NotRun: "X-Not-Run", Leaving: "X-Leaving", RateLimit: "X-Rate-Limit"}
 
 // signatureHeader is set by targets to their name.
 const signatureHeader = "X-Signature"
--- a/traffic/gateway_notice_test.go
+++ b/traffic/gateway_notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,15 +98,38 @@
 	is.Equal(paused.requestCount.Load(), int64(1))
 }
 
-func TestUnreadableNoticesAreLogged(t *testing.T) {
+func TestGatewayKeepsToTheRateLimitOfATarget(t *testing.T) {
 	is := is.New(t)
 	g := newTestGateway(t)
-	g.addTarget("a", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Retry-After", "soon")
-		w.WriteHeader(http.StatusServiceUnavailable)
+	var limit atomic.Value
+	limit.Store("4")
+	limited := g.addTarget("a", func(w http.ResponseWriter, _ *http.Request) {
+		if l := limit.Load().(string); l != "" {
+			w.Header().Set("X-Rate-Limit", l)
+		}
 	})
 	g.start()
-	g.send(http.MethodPost, "/write/x", "")
+	accepted := func(length time.Duration) int64 {
+		before := limited.requestCount.Load()
+		for began := time.Now(); time.Since(began) < length; time.Sleep(time.Millisecond) {
+			g.send(http.MethodPost, "/write/x", "")
+		}
+		return limited.requestCount.Load() - before
+	}
+	got := accepted(1500 * time.Millisecond)
+	is.True(got >= 5 && got <= 9)
+	limit.Store("")
+	accepted(500 * time.Millisecond) // until a response has said nothing of a limit
+	is.True(accepted(500*time.Millisecond) > 50)
+}
+
+func TestUnreadableNoticesAreLogged(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t)
+	g.addTarget("a", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Rate-Limit", "many") })
+	g.start()
+	is.Equal(g.send(http.MethodPost, "/write/x", "").status, http.StatusOK)
+	is.Equal(g.send(http.MethodPost, "/write/y", "").status, http.StatusOK) // no limit is in force
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	is.Equal(g.decisions[0].Event, NoticeUnreadable)
@@ -113,26 +137,28 @@
 
 func TestNoticesAreRead(t *testing.T) {
 	is := is.New(t)
-	names := noticeHeaders{leaving: "X-Leaving"}
+	names := noticeHeaders{leaving: "X-Leaving", rateLimit: "X-Rate-Limit"}
 	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	for _, test := range []struct {
-		status              int
-		leaving, retryAfter string
-		want                target.Notice
-		fails               bool
+		status                     int
+		leaving, limit, retryAfter string
+		want                       target.Notice
+		fails                      bool
 	}{
 		{status: 200, want: target.Notice{}},
-		{status: 200, leaving: "1", want: target.Notice{Leaving: true}},
-		{status: 500, leaving: "0", want: target.Notice{}},
+		{status: 200, leaving: "1", limit: "2.5", want: target.Notice{Leaving: true, Limit: 2.5}},
+		{status: 500, leaving: "0", limit: "0", want: target.Notice{Limit: target.MinRateLimit}},
+		{status: 200, limit: "-1", want: target.Notice{LimitUnreadable: true}, fails: true},
+		{status: 200, limit: "NaN", want: target.Notice{LimitUnreadable: true}, fails: true},
 		{status: 200, retryAfter: "5", want: target.Notice{}},
 		{status: 503, retryAfter: "1.5", want: target.Notice{RetryAfter: 1500 * time.Millisecond}},
 		{status: 429, retryAfter: "2", want: target.Notice{RetryAfter: 2 * time.Second}},
 		{status: 503, retryAfter: "Tue, 01 Jan 2030 00:00:07 GMT", want: target.Notice{RetryAfter: 7 * time.Second}},
 		{status: 503, retryAfter: "1e300", want: target.Notice{RetryAfter: maxRetryAfter}},
-		{status: 503, retryAfter: "soon", want: target.Notice{}, fails: true},
+		{status: 503, retryAfter: "soon", limit: "3", want: target.Notice{Limit: 3}, fails: true},
 	} {
 		resp := &http.Response{StatusCode: test.status, Header: http.Header{}}
-		for name, value := range map[string]string{"X-Leaving": test.leaving, "Retry-After": test.retryAfter} {
+		for name, value := range map[string]string{"X-Leaving": test.leaving, "X-Rate-Limit": test.limit, "Retry-After": test.retryAfter} {
 			if value != "" {
 				resp.Header.Set(name, value)
 			}
--- a/traffic/notice.go
+++ b/traffic/notice.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,10 +16,13 @@
 type noticeHeaders struct {
 	// leaving is set to anything but "0" by a target that is leaving.
 	leaving string
+	// rateLimit is the number of requests a second, a decimal number, that the target accepts
+	// from all hosts together.
+	rateLimit string
 }
 
-// read returns the notice in a response. It returns an error for a Retry-After that cannot be
-// read; the rest of the notice is valid nevertheless.
+// read returns the notice in a response. It returns an error for a rate limit or a Retry-After
+// that cannot be read; the rest of the notice is valid nevertheless.
 func (names noticeHeaders) read(resp *http.Response, now time.Time) (n target.Notice, err error) {
 	if names.leaving != "" {
 		value := resp.Header.Get(names.leaving)
@@ -27,6 +31,19 @@
 	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
 		n.RetryAfter, err = parseRetryAfter(resp.Header.Get("Retry-After"), now)
 	}
+	value := ""
+	if names.rateLimit != "" {
+		value = resp.Header.Get(names.rateLimit)
+	}
+	if value == "" {
+		return n, err
+	}
+	limit, parseErr := strconv.ParseFloat(value, 64)
+	if parseErr != nil || limit < 0 || math.IsNaN(limit) || math.IsInf(limit, 0) {
+		n.LimitUnreadable = true
+		return n, errors.Errorf("%s is no rate of requests: %q", names.rateLimit, value)
+	}
+	n.Limit = max(target.RateLimit(limit), target.MinRateLimit)
 	return n, err
 }
 
--- a/wire/share/share.go
+++ b/wire/share/share.go
@@ -13,6 +13,7 @@
 	"github.com/crocushinge/crocushinge/fleet"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/pool"
+	"github.com/crocushinge/crocushinge/target"
 	sharev1 "github.com/crocushinge/crocushinge/wire/gen/crocushinge/share/v1"
 	"github.com/crocushinge/crocushinge/zone"
 )
@@ -118,7 +119,7 @@
 func NoticesToProto(notices []fleet.TargetNotice) []*sharev1.TargetNotice {
 	var out []*sharev1.TargetNotice
 	for _, n := range notices {
-		out = append(out, &sharev1.TargetNotice{Target: uint32(n.Target), Leaving: n.Leaving})
+		out = append(out, &sharev1.TargetNotice{Target: uint32(n.Target), Leaving: n.Leaving, RateLimit: float64(n.Limit)})
 	}
 	return out
 }
@@ -128,7 +129,7 @@
 	var out []fleet.TargetNotice
 	for _, n := range in {
 		out = append(out, fleet.TargetNotice{
-			Target: pool.Hash(n.GetTarget()), Leaving: n.GetLeaving(),
+			Target: pool.Hash(n.GetTarget()), Leaving: n.GetLeaving(), Limit: target.NewRateLimit(n.GetRateLimit()),
 		})
 	}
 	return out
