The product's own interface keeps to leaving, Retry-After and rate limits, too

Its contracts name the header of a rate limit (rate-limit.header) as they name that of leaving. A link asks the same throttle before it gives a slot, so panic routing, slow starts and retries keep to it; leaving counts from the head of a response, not from its end, and probes without the header end it, as before. The entry hosts divide a limit among themselves, less a tenth that all hosts divide for the time in which they reach no entry host; the limit travels in their reports, and a repeated report does not bring back one that was lifted. A request that no target accepts is refused at once instead of waiting for a slot.

--- a/caller/admission.go
+++ b/caller/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 )
@@ -41,21 +40,28 @@
 	// Displaced means that the request was removed from a full queue to make
 	// room for one of an account with fewer queued requests.
 	Displaced
+	// NotAccepted means that each target has asked for no request at present.
+	NotAccepted
 )
 
-var reasonTexts = [...]string{"the queue is full", "the queue is too slow", "the account's share of the queue is used up"}
+var reasonTexts = [...]string{
+	QueueFull:    "no target has a free slot and the queue is full",
+	QueueTooSlow: "no target has a free slot and the queue is too slow",
+	Displaced:    "no target has a free slot and the account's share of the queue is used up",
+	NotAccepted:  "every target has asked for fewer requests",
+}
 
-// Refusal is the error of a request that an AdmissionQueue refused. The request was
-// not run.
+// Refusal is the error of a request that was refused before it was sent, for lack of a slot. The
+// request was not run.
 type Refusal struct {
 	Reason RefusalReason
-	// RetryAfter is the estimated wait for a slot.
+	// RetryAfter is the estimated wait for a slot; 0 if it is not known.
 	RetryAfter time.Duration
 }
 
 // Error implements error.
 func (r *Refusal) Error() string {
-	return fmt.Sprintf("no target has a free slot and %s", reasonTexts[r.Reason])
+	return reasonTexts[r.Reason]
 }
 
 // queuedRequest is a request that waits for a slot.
--- a/contract/check.go
+++ b/contract/check.go
@@ -200,6 +200,9 @@
 	if c.Leaving.Header != "" && !validToken(c.Leaving.Header) {
 		p.report("leaving.header", "write a header name such as X-Draining", "leaving.header %q is not a header name", c.Leaving.Header)
 	}
+	if c.RateLimit.Header != "" && !validToken(c.RateLimit.Header) {
+		p.report("rate-limit.header", "write a header name such as X-Rate-Limit", "rate-limit.header %q is not a header name", c.RateLimit.Header)
+	}
 	p.checkDuration("leaving.grace", c.Leaving.Grace, 0, maxGrace)
 	if c.Health.Path != "" && !strings.HasPrefix(c.Health.Path, "/") {
 		p.report("health.path", "begin it with /", "health.path %q is not a path", c.Health.Path)
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -73,6 +73,14 @@
 	Grace time.Duration
 }
 
+// RateLimit declares how a target states at which rate it accepts requests.
+type RateLimit struct {
+	// Header is the response header with the number of requests a second that the target
+	// accepts from all hosts together, a decimal number, for example "X-Rate-Limit". A
+	// limit holds until a response comes without it. Empty means none.
+	Header string
+}
+
 // Health declares the health endpoint of the targets.
 type Health struct {
 	// Path is the URL path of the endpoint; empty means that no probes are sent.
@@ -111,8 +119,10 @@
 	Routes  []Route
 	Floor   Floor
 	Leaving Leaving
-	Health  Health
-	Weight  Weight
+	// RateLimit declares how a target limits the requests from all hosts.
+	RateLimit RateLimit
+	Health    Health
+	Weight    Weight
 	// Protocol is spoken to every target of the service.
 	Protocol Protocol
 	Queue    Queue
--- a/contract/contractfile/document.go
+++ b/contract/contractfile/document.go
@@ -36,6 +36,7 @@
 	Routes    []route       `yaml:"routes"`
 	Floor     string        `yaml:"floor"`
 	Leaving   leaving       `yaml:"leaving"`
+	RateLimit rateLimit     `yaml:"rate-limit"`
 	Health    health        `yaml:"health"`
 	Weight    string        `yaml:"weight"`
 	Queue     queue         `yaml:"queue"`
@@ -66,6 +67,10 @@
 	Grace  time.Duration `yaml:"grace"`
 }
 
+type rateLimit struct {
+	Header string `yaml:"header"`
+}
+
 type health struct {
 	Path     string        `yaml:"path"`
 	Interval time.Duration `yaml:"interval"`
@@ -107,6 +112,7 @@
 		Service:   d.Service,
 		Protocol:  contract.Protocol(d.Protocol),
 		Leaving:   contract.Leaving(d.Leaving),
+		RateLimit: contract.RateLimit(d.RateLimit),
 		Health:    contract.Health(d.Health),
 		Weight:    contract.Weight(d.Weight),
 		Queue:     contract.Queue(d.Queue),
--- a/daemon/request_metrics.go
+++ b/daemon/request_metrics.go
@@ -19,6 +19,7 @@
 		{"crocushinge.requests.cut", "Answers aborted because the target's answer was not whole.", c.Aborted.Load},
 		{"crocushinge.requests.retries", "Attempts beyond the first of a request.", c.Retries.Load},
 		{"crocushinge.requests.forwarded", "Requests passed on to the home host of their id.", c.Forwarded.Load},
+		{"crocushinge.notices.unreadable", "Responses in which a target stated a rate limit or a Retry-After that cannot be read.", c.UnreadableNotices.Load},
 		{"crocushinge.requests.denied", "Requests with missing or wrong credentials, or of an account that may not use the service.", c.Denied.Load},
 		{"crocushinge.requests.unrecorded", "Ends of requests that are not on the time line, because there were too many or the control thread was behind.", d.control.unrecordedRequests.Load},
 		{"crocushinge.outcomes.dropped", "Outcomes of ids given up because too many waited for the table.", d.claims.Log.Dropped},
--- a/host/entryset_refresh.go
+++ b/host/entryset_refresh.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/crocushinge/crocushinge/service"
 )
 
 // The minimum time between two refreshes of the entry sets: the greater of
@@ -88,7 +90,9 @@
 	if hasNewMember(c.entrySets[name], set) {
 		s.ResendReports()
 	}
-	s.SetSlotShare(len(set.Members), set.Rank(c.self.ID))
+	rank := set.Rank(c.self.ID)
+	s.SetSlotShare(len(set.Members), rank)
+	s.SetRateShare(service.RateShare(len(set.Members), rank, 1+len(c.peers)))
 	return set
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -5,6 +5,7 @@
 package link
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -83,6 +84,10 @@
 	// skipUntil is until when the link is skipped, by clock.Nanos, or 0.
 	connectFailures atomic.Int32
 	skipUntil       atomic.Int64
+	// throttle holds back what the target has asked not to get, and rateShare is this host's
+	// share of the target's rate limit, as float64 bits.
+	throttle  Throttle
+	rateShare atomic.Uint64
 }
 
 // New returns a link with the given number of slots, all free, to a target at the
@@ -95,6 +100,7 @@
 		starts:   make([]atomic.Int64, slots),
 	}
 	l.limit.Store(int32(slots))
+	l.SetRateShare(1)
 	return l
 }
 
@@ -113,17 +119,54 @@
 // InFlight returns the number of slots in use.
 func (l *Link) InFlight() int { return int(l.inFlight.Load()) }
 
+// SetRateShare sets this host's share, 0 to 1, of the target's rate limit.
+func (l *Link) SetRateShare(share float64) { l.rateShare.Store(math.Float64bits(share)) }
+
+func (l *Link) share() float64 { return math.Float64frombits(l.rateShare.Load()) }
+
+// ObserveNotice applies the notice in a response of the target to a request that began at the
+// given time.
+func (l *Link) ObserveNotice(n target.Notice, began, now time.Time) {
+	l.throttle.Observe(n, began, now)
+}
+
+// Accepts reports whether the target accepts a request of this host now.
+func (l *Link) Accepts(now time.Time) bool { return l.throttle.Open(now, l.share()) }
+
+// AcceptsIn returns the time until the target accepts a request of this host. It returns false
+// if that time is not known.
+func (l *Link) AcceptsIn(now time.Time) (time.Duration, bool) {
+	return l.throttle.OpensIn(now, l.share())
+}
+
+// SaysLeaving reports whether the target has announced in a response that it is leaving.
+func (l *Link) SaysLeaving() bool { return l.throttle.Leaving() }
+
+// Readmit lets the target take requests again that had announced that it was leaving.
+func (l *Link) Readmit() { l.throttle.leaving.Store(false) }
+
+// RateLimit returns the rate limit that the target has stated.
+func (l *Link) RateLimit() target.RateLimit { return l.throttle.Limit() }
+
+// SetRateLimit applies a rate limit that another host has heard of.
+func (l *Link) SetRateLimit(limit target.RateLimit, now time.Time) { l.throttle.SetLimit(limit, now) }
+
 // Acquire takes a free slot. It returns false when all slots that this host may use
-// are taken.
+// are taken, or when the target accepts no request now.
 func (l *Link) Acquire(now time.Time) (slot int, ok bool) {
 	if l.inFlight.Add(1) > l.limit.Load() {
 		l.inFlight.Add(-1)
 		return noSlot, false
 	}
 	for i := range l.starts {
-		if l.starts[i].CompareAndSwap(0, clock.Nanos(now)) {
-			return i, true
+		if !l.starts[i].CompareAndSwap(0, clock.Nanos(now)) {
+			continue
+		}
+		if !l.throttle.Take(now, l.share()) {
+			l.Release(i)
+			return noSlot, false
 		}
+		return i, true
 	}
 	l.inFlight.Add(-1)
 	return noSlot, false
--- a/service/leaving.go
+++ b/service/leaving.go
@@ -46,6 +46,9 @@
 		return
 	}
 	m.target.WithdrawLeaveSignal(signal)
+	if signal == target.SignalFromHeader {
+		m.link.Readmit()
+	}
 	if m.target.HasAnyLeaveSignal() {
 		return
 	}
--- a/service/pick.go
+++ b/service/pick.go
@@ -49,6 +49,17 @@
 	return nil, 0, false
 }
 
+// AcceptsIn returns the time until one of the targets accepts a request of this host, if only a
+// free slot is missing then. It returns false if there is no target of which a time is known.
+func (r *Routing) AcceptsIn(now time.Time) (earliest time.Duration, ok bool) {
+	for _, l := range r.Links {
+		if in, known := l.AcceptsIn(now); known && (!ok || in < earliest) {
+			earliest, ok = in, true
+		}
+	}
+	return earliest, ok
+}
+
 // cheapest compares the first links, in the given order, that may take the request, and
 // returns the index of the cheapest. It returns -1 if no link may take the request.
 func (r *Routing) cheapest(rng *rand.Rand, order permutation, a Attempt) int {
@@ -56,7 +67,7 @@
 	for k := range r.Links {
 		i := order.at(k)
 		l := r.Links[i]
-		if a.Tried[l] || a.avoids(l) || l.InFlight() >= l.Limit() || !r.slowStarts[i].admits(rng, a.Now) {
+		if a.Tried[l] || a.avoids(l) || l.InFlight() >= l.Limit() || !l.Accepts(a.Now) || !r.slowStarts[i].admits(rng, a.Now) {
 			continue
 		}
 		if best < 0 || cost(l) < cost(r.Links[best]) {
--- a/service/report.go
+++ b/service/report.go
@@ -31,7 +31,7 @@
 
 // Reports returns the reports that are due. A report about a target is due after a
 // significant change of the evidence, after every change while the evidence is
-// elevated, after a change of Leaving or LinkCut, and periodically. The caller sends
+// elevated, after a change of Leaving, Limit or LinkCut, and periodically. The caller sends
 // each report to every peer that exchanges reports about the service. A lost report
 // need not be repeated, because the next one replaces it.
 func (s *Service) Reports(now time.Time) []TargetReport {
@@ -39,6 +39,7 @@
 	for _, m := range s.targets {
 		report := m.target.Evidence().OwnReport()
 		report.Leaving = m.target.HasOwnLeaveSignal()
+		report.Limit = m.link.RateLimit()
 		report.LinkCut = s.selfSuspicion.active || m.linkStatus.Faulty()
 		if !m.lastReport.needsUpdate(report, m.target.Evidence().IsElevated(), now) {
 			continue
@@ -51,11 +52,14 @@
 }
 
 // HasUrgentReport reports whether a report must be sent immediately, because a request
-// failed or because elevated evidence changed. Other reports can wait for the next
+// failed, because elevated evidence changed, or because the target stated another rate limit. Other reports can wait for the next
 // regular exchange.
 func (s *Service) HasUrgentReport() bool {
 	for _, m := range s.targets {
 		ev := m.target.Evidence()
+		if m.link.RateLimit() != m.lastReport.content.Limit {
+			return true
+		}
 		if ev.IsEmpty() {
 			continue
 		}
@@ -81,7 +85,7 @@
 // against the target is elevated.
 func (r *lastReport) needsUpdate(report target.Report, elevated bool, now time.Time) bool {
 	last := &r.content
-	if report.Leaving != last.Leaving || report.LinkCut != last.LinkCut {
+	if report.Leaving != last.Leaving || report.Limit != last.Limit || report.LinkCut != last.LinkCut {
 		return true
 	}
 	if now.Sub(r.sentAt) >= reportRepeatInterval {
@@ -103,6 +107,9 @@
 	}
 	s.reporters[from] = true
 	s.updatePeerLeaveSignal(m, now)
+	if limit, changed := m.target.Evidence().ReportedLimit(from); changed {
+		m.link.SetRateLimit(limit, now)
+	}
 	s.evaluate(m, now)
 	return s.takeTransitions()
 }
--- a/service/service.go
+++ b/service/service.go
@@ -147,6 +147,9 @@
 	for _, m := range s.targets {
 		s.advanceState(m, now)
 		s.observeOpenRequests(m, now)
+		if m.link.SaysLeaving() && !m.target.HasLeaveSignal(target.SignalFromHeader) {
+			s.addLeaveSignal(m, target.SignalFromHeader, now) // the response is still being read
+		}
 		if m.target.Evidence().IsEmpty() {
 			continue
 		}
--- a/service/share.go
+++ b/service/share.go
@@ -25,6 +25,28 @@
 // slotsAssignedTo returns how many of the first n slots are assigned to a rank.
 func slotsAssignedTo(n, members, rank int) int { return (n + members - 1 - rank) / members }
 
+// outsideRateShare is the part of a target's rate limit that is set aside for the hosts outside
+// the entry set. They send requests themselves only while they reach no host of the set, and
+// then hear nothing of each other.
+const outsideRateShare = 0.1
+
+// RateShare returns the share of a target's rate limit that a host may use by itself. The
+// members of the entry set divide all but outsideRateShare among themselves, and all hosts of
+// the fleet divide that, so that the shares add up to 1 at most if the hosts agree on the set.
+func RateShare(members, rank, hosts int) float64 {
+	if rank < 0 {
+		return outsideRateShare / float64(max(1, hosts))
+	}
+	return (1 - outsideRateShare) / float64(members)
+}
+
+// SetRateShare limits the links to a share of the targets' rate limits.
+func (s *Service) SetRateShare(share float64) {
+	for _, m := range s.targets {
+		m.link.SetRateShare(share)
+	}
+}
+
 // SetSlotShare limits the links to this host's share of the slots: that of the member
 // with the given rank, or nonMemberSlots for a host outside the set, whose rank is -1.
 func (s *Service) SetSlotShare(members, rank int) {
--- a/target/pooled_evidence.go
+++ b/target/pooled_evidence.go
@@ -35,6 +35,10 @@
 	// excluded is set while the host reports that its own link is at fault.
 	excluded bool
 	leaving  bool
+	// limit is the target's rate limit as last reported, and limitChanged is set if the report
+	// before that said something else.
+	limit        RateLimit
+	limitChanged bool
 }
 
 // Evidence combines the evidence that the hosts of an entry set observe about one
--- a/target/report.go
+++ b/target/report.go
@@ -20,12 +20,14 @@
 	Observations uint64
 	// Leaving is set while the host itself has a leave signal of the target.
 	Leaving bool
+	// Limit is the rate limit of the target that the host keeps to.
+	Limit RateLimit
 	// LinkCut is set while the host attributes the fault to its link to the target, or
 	// to itself, rather than to the target.
 	LinkCut bool
 }
 
-// OwnReport returns this host's own report, except for Sequence, Leaving and LinkCut,
+// OwnReport returns this host's own report, except for Sequence, Leaving, Limit and LinkCut,
 // which the caller sets.
 func (ev *Evidence) OwnReport() Report {
 	return Report{Zone: ev.own.zone, Total: ev.own.total, Observations: ev.own.observations}
@@ -52,6 +54,7 @@
 	}
 	e.zone, e.total, e.sequence = report.Zone, report.Total, report.Sequence
 	e.observations, e.leaving = report.Observations, report.Leaving
+	e.limitChanged, e.limit = report.Limit != e.limit, report.Limit
 	return true
 }
 
@@ -75,6 +78,16 @@
 	}
 }
 
+// ReportedLimit returns the rate limit in the latest report of a host, and whether it differs
+// from that of the report before. A repeated limit may have been lifted since.
+func (ev *Evidence) ReportedLimit(from string) (limit RateLimit, changed bool) {
+	i, known := ev.findPeer(from)
+	if !known {
+		return Unlimited, false
+	}
+	return ev.peers[i].limit, ev.peers[i].limitChanged
+}
+
 // PeerReportsLeaving reports whether a peer has a leave signal of the target.
 func (ev *Evidence) PeerReportsLeaving() bool {
 	for _, e := range ev.peers {
--- a/traffic/admission.go
+++ b/traffic/admission.go
@@ -71,6 +71,9 @@
 	now := time.Now()
 	deadline, _ := ctx.Deadline()
 	queue := req.routing.Contract.Queue
+	if refused := h.refuseUnaccepted(req, now); refused != nil {
+		return nil, 0, refused
+	}
 	var l *link.Link
 	var slot int
 	err := h.serviceState(req.match.Service).queue.Acquire(ctx, caller.AdmissionRequest{
@@ -94,6 +97,20 @@
 	return l, slot, nil
 }
 
+// refuseUnaccepted returns a refusal if each target of the service has asked for no request at
+// present. The request does not wait then: a free slot would be of no use to it.
+func (h *Handler) refuseUnaccepted(req *request, now time.Time) error {
+	routing := h.cfg.Snapshot().Services[req.match.Service]
+	if routing == nil {
+		return nil
+	}
+	in, ok := routing.AcceptsIn(now)
+	if len(routing.Links) == 0 || ok && in == 0 {
+		return nil
+	}
+	return &caller.Refusal{Reason: caller.NotAccepted, RetryAfter: in}
+}
+
 // pickLink takes a slot on a link of the latest snapshot, if one is free.
 func (h *Handler) pickLink(req *request, tried map[*link.Link]bool) (*link.Link, int, bool) {
 	routing := h.cfg.Snapshot().Services[req.match.Service]
--- a/traffic/attempt.go
+++ b/traffic/attempt.go
@@ -70,8 +70,7 @@
 		return a, errors.Wrapf(err, "target %s", l.Target)
 	}
 	a.response = resp
-	leavingHeader := req.routing.Contract.Leaving.Header
-	a.leaving = leavingHeader != "" && resp.Header.Get(leavingHeader) != ""
+	h.observeNotice(a, noticeHeaders{leaving: req.routing.Contract.Leaving.Header, rateLimit: req.routing.Contract.RateLimit.Header})
 	l.ResponseBegan(slot)
 	if resp.StatusCode >= http.StatusInternalServerError {
 		a.outcome = link.Failed
@@ -79,6 +78,17 @@
 	return a, nil
 }
 
+// observeNotice keeps to what the target says about itself in its response.
+func (h *Handler) observeNotice(a *attempt, names noticeHeaders) {
+	now := time.Now()
+	notice, err := names.read(a.response, now)
+	if err != nil {
+		h.counters.UnreadableNotices.Add(1)
+	}
+	a.leaving = notice.Leaving
+	a.link.ObserveNotice(notice, a.startedAt, now)
+}
+
 // prepareOutbound sets the headers of this system and the body of a request to a
 // target.
 func (req *request) prepareOutbound(ctx context.Context, out *http.Request) {
--- a/traffic/counters.go
+++ b/traffic/counters.go
@@ -18,6 +18,9 @@
 	Retries atomic.Int64
 	// Forwarded counts requests forwarded to the home host of their id.
 	Forwarded atomic.Int64
+	// UnreadableNotices counts responses in which a target stated a rate limit or a
+	// Retry-After that cannot be read.
+	UnreadableNotices atomic.Int64
 	// Denied counts requests with missing or wrong credentials and those of accounts
 	// that may not use the service.
 	Denied atomic.Int64
--- a/wire/report.go
+++ b/wire/report.go
@@ -19,6 +19,7 @@
 			Observations: r.Report.Observations,
 			Leaving:      r.Report.Leaving,
 			LinkCut:      r.Report.LinkCut,
+			RateLimit:    float64(r.Report.Limit),
 		}
 		for _, nats := range r.Report.Total {
 			out[i].TotalNats = append(out[i].TotalNats, float32(nats))
@@ -40,6 +41,7 @@
 				Observations: r.GetObservations(),
 				Leaving:      r.GetLeaving(),
 				LinkCut:      r.GetLinkCut(),
+				Limit:        target.NewRateLimit(r.GetRateLimit()),
 			},
 		}
 		totals := r.GetTotalNats()
