gateway: a refusal counts only if it names the request

Report of similar systems: a faulty target wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that were running (REFUSED), or these ran at a second target (TWICE). Here: a repeated refusal with the earlier id was taken for a mismatch, one without an id was believed. A 421 or a response that says 'not run' now needs the id of the request; any other is no proof, and the request may have run.

TestGatewayDoesNotBelieveARefusalOfAnotherRequest was red for 429, 503 and 421 without an id. The product's own interface takes nothing but refused streams of HTTP/2 for 'not run'.

--- a/traffic/gateway_attempt.go
+++ b/traffic/gateway_attempt.go
@@ -20,6 +20,10 @@
 // errNotRun means that the target responded that it did not run the request.
 var errNotRun = errors.New("the target refused the request unprocessed")
 
+// errForeignRefusal means that a response refuses a request without naming this one. It may be
+// the repeated refusal of an earlier request on the connection, while the target runs this one.
+var errForeignRefusal = errors.New("the refusal does not name this request")
+
 // errOtherTarget means that another target now has the address.
 var errOtherTarget = errors.New("another target answers at this address")
 
@@ -122,6 +126,8 @@
 		return link.Failed, errResponseMismatch
 	case resp.StatusCode < http.StatusOK:
 		return link.Failed, errProtocolSwitched
+	case g.refuses(resp) && resp.Header.Get(g.cfg.Headers.RequestID) != req.id:
+		return link.Failed, errForeignRefusal
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		return link.ConnectFailed, errOtherTarget
 	case resp.Header.Get(g.cfg.Headers.NotRun) != "":
@@ -155,6 +161,11 @@
 	return (echo == "" || echo == req.id) && !trace.respondedBeforeSend()
 }
 
+// refuses reports whether a response says that a request was not run.
+func (g *Gateway) refuses(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(g.cfg.Headers.NotRun) != ""
+}
+
 // finishAttempt sets the outcome of an attempt, counts it and reports it to the
 // control thread. It has no effect on a finished attempt.
 func (g *Gateway) finishAttempt(a *gatewayAttempt, o link.Outcome, err error) {
