gateway: a stopping host accepts only what it can finish

Here: a stopping host took every request for half of the grace and cut at nine tenths. With the grace of 10 s and time limits of 6 s and 8 s of the large site, a request that came after 3 s could be cut at 9 s. Now it takes every request while callers may still use its address (three times the directory's TTL, half of the grace at most), after that only those whose deadline passes before the cut, and refuses the others as not run. The product's own interface waits for the longest deadline of any route: it can't happen there.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,7 +16,6 @@
 
 	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/fleet"
-	"github.com/crocushinge/crocushinge/internal/wait"
 	"github.com/crocushinge/crocushinge/pool"
 	"github.com/crocushinge/crocushinge/traffic"
 	"github.com/crocushinge/crocushinge/wire/gen/crocushinge/share/v1/sharev1connect"
@@ -38,9 +37,9 @@
 	counters  counters
 	metrics   *metrics
 	logLimits *logLimits
-	// closing is set when a shutdown begins to refuse new requests.
-	closing    atomic.Bool
-	background sync.WaitGroup
+	// shutdownPlan is nil until the shutdown begins.
+	shutdownPlan atomic.Pointer[shutdownPlan]
+	background   sync.WaitGroup
 	// ctx ends after the requests in flight have ended.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -105,7 +104,7 @@
 		Observe:        g.control.Observe,
 		AttemptStarted: g.control.notifyStarted,
 		Noticed:        func(t *pool.Target) { g.control.TrySend(fleet.NoticeReceived{Target: t}) },
-		Closing:        g.closing.Load,
+		Accepts:        g.accepts,
 		ControlStalled: g.control.stalled,
 		Transport:      traffic.NewTargetTransport(dial),
 		Bodies:         caller.NewMemory(bodyMemory),
@@ -233,42 +232,6 @@
 	return err
 }
 
-// Steps of a shutdown, as shares of the grace period.
-const (
-	// refuseAfterShare is when the host begins to refuse new requests. Requests that
-	// were accepted earlier have the rest of the grace period to end.
-	refuseAfterShare = 0.5
-	// closeAfterShare is when the listeners are closed, and cutAfterShare when requests
-	// still in flight are aborted, so that the process exits before it is killed. With a
-	// sixth of a core, ending a busy process takes half a second.
-	closeAfterShare = 0.8
-	cutAfterShare   = 0.9
-)
-
-// shutdown leaves the fleet and ends the servers. Callers are directed to other hosts
-// at once. New requests are accepted for half of the grace period and refused after
-// that. Requests in flight may end until cutAfterShare of the grace period.
-func (g *Gateway) shutdown(ctx context.Context) {
-	began, grace := time.Now(), g.settings.Load().GracePeriod
-	g.log.Info().Dur("grace", grace).Msg("stopping")
-	g.control.Send(ctx, fleet.ShutdownRequested{})
-	wait.For(ctx, time.Duration(refuseAfterShare*float64(grace)))
-	g.closing.Store(true)
-	wait.For(ctx, time.Until(began.Add(time.Duration(closeAfterShare*float64(grace)))))
-	shutdownCtx, cancel := context.WithDeadline(ctx, began.Add(time.Duration(cutAfterShare*float64(grace))))
-	defer cancel()
-	var servers sync.WaitGroup
-	for _, s := range g.servers {
-		servers.Go(func() {
-			if err := s.http.Shutdown(shutdownCtx); err != nil {
-				g.log.Warn().Err(err).Str("server", s.name).Msg("shutdown timed out; in-flight requests were aborted")
-				_ = s.http.Close() // the error of Shutdown is logged above
-			}
-		})
-	}
-	servers.Wait()
-}
-
 // maxDatagramBytes is the size of the receive buffer; it holds any UDP datagram.
 const maxDatagramBytes = 64 << 10
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -189,17 +189,20 @@
 
 const testGracePeriod = 1500 * time.Millisecond
 
-func startProcess(t *testing.T, store Store, name string, seeds ...string) *process {
+func startProcess(t *testing.T, store Store, name string, changes ...func(*Settings)) *process {
 	t.Helper()
 	a := freeAddresses(t, 5)
 	s := Settings{
 		Host: name, Zone: "a", Zones: []zone.Zone{{ID: "a", Region: "r"}},
 		CallerAddress: a[0], ReadyAddress: a[1], DirectoryAddress: a[2], RPCAddress: a[3], DatagramAddress: freeDatagramAddress(t), MetricsAddress: a[4], MetricsPath: "/metrics",
-		Seeds: seeds, Capacity: 32, DrainWithin: 2 * time.Second, ApplyWithin: 2 * time.Second, GracePeriod: testGracePeriod,
+		Capacity: 32, DrainWithin: 2 * time.Second, ApplyWithin: 2 * time.Second, GracePeriod: testGracePeriod,
 		DirectoryLimit: 64, DirectoryTTL: time.Second, Floor: 0.7,
 		RetryBudget: traffic.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, MinRetries: 20},
 		Headers:     traffic.GatewayHeaders{RequestID: "X-Id", Deadline: "X-Left", ExpectedTarget: "X-For", NotRun: "X-Not-Run"},
 	}
+	for _, change := range changes {
+		change(&s)
+	}
 	g, err := New(s, store, testProtocol{}, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
@@ -211,6 +214,11 @@
 	return p
 }
 
+// withSeed lets a process find the fleet through another one.
+func withSeed(p *process) func(*Settings) {
+	return func(s *Settings) { s.Seeds = []string{p.settings.DatagramAddress} }
+}
+
 func eventually(t *testing.T, condition string, f func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
@@ -266,7 +274,7 @@
 	store := newMemoryStore()
 	addTarget(t, store, "t1", 0)
 	first := startProcess(t, store, "h1")
-	second := startProcess(t, store, "h2", first.settings.DatagramAddress)
+	second := startProcess(t, store, "h2", withSeed(first))
 	eventually(t, "both processes are ready", func() bool { return first.ready() && second.ready() })
 	for _, p := range []*process{first, second} {
 		resp, err := p.postOrder(http.DefaultClient)
@@ -291,7 +299,7 @@
 	addTarget(t, store, "t1", 0)
 	addTarget(t, store, "t2", 0)
 	first := startProcess(t, store, "h1")
-	second := startProcess(t, store, "h2", first.settings.DatagramAddress)
+	second := startProcess(t, store, "h2", withSeed(first))
 	eventually(t, "each process knows both hosts and both targets", func() bool {
 		a, b := first.gateway.control.snapshot.Load(), second.gateway.control.snapshot.Load()
 		return a.LiveHosts == 2 && b.LiveHosts == 2 && a.Ready && b.Ready && len(b.Services["orders"].Targets) == 2
@@ -317,7 +325,7 @@
 	store.mu.Lock()
 	store.unavailable = true
 	store.mu.Unlock()
-	second := startProcess(t, store, "h2", first.settings.DatagramAddress)
+	second := startProcess(t, store, "h2", withSeed(first))
 	eventually(t, "the second process is ready", second.ready)
 }
 
--- a/traffic/gateway.go
+++ b/traffic/gateway.go
@@ -57,9 +57,9 @@
 	// AttemptStarted reports to the control thread that an attempt has started. It
 	// does not block.
 	AttemptStarted func()
-	// Closing reports whether this host's shutdown has reached the point from which
-	// new requests are refused.
-	Closing func() bool
+	// Accepts reports whether a new request that may take until the deadline is accepted.
+	// A stopping host refuses those that it may have to abort.
+	Accepts func(deadline time.Time) bool
 	// ControlStalled reports whether the control thread has not run for a while, because the
 	// process was paused or is starved. The snapshot may then allow what no longer holds.
 	ControlStalled func() bool
@@ -146,9 +146,6 @@
 	if invalid := validateHeader(r); invalid != nil {
 		return req, refuse(invalid.status, invalid.message)
 	}
-	if g.cfg.Closing() {
-		return req, refuseFor(defaultRetryAfter, "this host shuts down")
-	}
 	if g.outdated(snap) {
 		return req, refuseFor(defaultRetryAfter, "this host was paused and renews its view")
 	}
@@ -177,6 +174,9 @@
 		req.late = g.longestDeadline(req.route.Name, remaining)-remaining > req.route.Objective
 	}
 	req.deadline = req.receivedAt.Add(timeout)
+	if !g.cfg.Accepts(req.deadline) {
+		return req, refuseFor(defaultRetryAfter, "this host shuts down")
+	}
 	return req, nil
 }
 
--- a/traffic/gateway_harness_test.go
+++ b/traffic/gateway_harness_test.go
@@ -75,7 +75,7 @@
 		Observe:        g.observe,
 		AttemptStarted: func() {},
 		Noticed:        func(t *pool.Target) { g.noticed(t) },
-		Closing:        g.closing.Load,
+		Accepts:        func(time.Time) bool { return !g.closing.Load() },
 		ControlStalled: g.stalled.Load,
 		Transport:      NewTargetTransport(DialTCP),
 		Bodies:         caller.NewMemory(1 << 20),
