fleet: a host that becomes the first one reads the store at once

What callers would see: a host that hears nothing of the others, but reaches the store, routes by an older configuration (CONFIG) and to targets that have left (DRAIN) for up to 3 s longer than the bound. Cause: a host beyond the sixth in rank order waited a random time of up to 3 s before it read in place of the first ones, and the delay after a failed read was of up to 6 s for hosts that others read for. Both were fixed when they began and outlived the rank that they followed from: the host that found itself alone, and so the first one, waited them out. In a fleet of 293 hosts 287 wait like that; in one of 18, 12. Class: a delay that outlives the role for which it was chosen. Now each check computes the delays from the present rank.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -75,6 +75,7 @@
 	leaving   bool
 	started   bool
 
+	storeRetry  storeRetry
 	targetsCopy copyState
 	registry    discovery.Registry
 	configCopy  copyState
--- a/fleet/document_copy.go
+++ b/fleet/document_copy.go
@@ -19,8 +19,9 @@
 
 	reading  bool
 	failures int
-	// retryAt is when this host may read again.
-	retryAt time.Time
+	// takeoverAt is when this host reads in place of the first ones, if it still is not one of
+	// them by then; zero while it hears of reads.
+	takeoverAt time.Time
 }
 
 func (s *copyState) stamp(now time.Time) Stamp {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -898,3 +898,28 @@
 	failed := eventsOf(lost, timeline.FetchFailed)
 	is.Equal(failed[len(failed)-1].Reason, errUnavailable.Error())
 }
+
+// TestIsolatedHostAppliesAConfigurationInTime cuts a host off from all others, but not from the
+// store, at different ages of its copies.
+func TestIsolatedHostAppliesAConfigurationInTime(t *testing.T) {
+	for offset := range 24 {
+		t.Run(fmt.Sprint(offset), func(t *testing.T) {
+			is := is.New(t)
+			c := newSettledCluster(t, uint64(50+offset))
+			c.run(time.Duration(offset) * 37 * time.Millisecond)
+			isolated := c.rankOrder()[hostCount-1]
+			c.partition = func(a, b string) bool { return a == isolated || b == isolated }
+			c.run(time.Second)
+			c.configure(2)
+			c.run(drainBound)
+			is.Equal(int(c.hosts[isolated].snapshot.Configuration.Version), 2)
+		})
+	}
+}
+
+func TestDelayAfterAFailedReadFollowsThePresentRank(t *testing.T) {
+	is := is.New(t)
+	retry := storeRetry{failedAt: epoch, failures: 1, factor: 1}
+	is.Equal(retry.due(frequentRetryHosts), epoch.Add(otherRetryDelay))
+	is.Equal(retry.due(0), epoch.Add(minRetryDelay)) // the same host, once it is the first one
+}
--- a/fleet/store_reads.go
+++ b/fleet/store_reads.go
@@ -52,9 +52,11 @@
 
 // readDue reports whether this host must read a document. The first host in rank order always has a
 // long poll in flight, to which the store responds after wait at the latest. The other hosts read
-// only when the results of the first host do not reach them.
+// only when the results of the first host do not reach them. All delays follow from the present
+// rank: a host that has become the first one, for instance because it hears nothing any more, does
+// not wait out those of a host that others read for.
 func (c *Core) readDue(state *copyState, now time.Time, rank int, wait time.Duration) bool {
-	if state.reading || now.Before(state.retryAt) {
+	if state.reading || now.Before(c.storeRetry.due(rank)) {
 		return false
 	}
 	if rank == 0 {
@@ -65,13 +67,22 @@
 	}
 	limit := wait + takeoverGrace + time.Duration(min(rank-1, maxTakeoverSteps))*takeoverStep
 	if state.age(now) < limit {
+		state.takeoverAt = time.Time{}
 		return false
 	}
-	if rank > maxTakeoverSteps && state.failures == 0 && state.retryAt.IsZero() {
-		state.retryAt = now.Add(time.Duration(c.cfg.Rand.Int64N(int64(takeoverJitter))))
-		return false
+	return c.takeoverDue(state, now, rank)
+}
+
+// takeoverDue reports whether this host reads in place of the first ones. Those beyond
+// maxTakeoverSteps wait a random time more.
+func (c *Core) takeoverDue(state *copyState, now time.Time, rank int) bool {
+	if rank <= maxTakeoverSteps {
+		return true
+	}
+	if state.takeoverAt.IsZero() {
+		state.takeoverAt = now.Add(time.Duration(c.cfg.Rand.Int64N(int64(takeoverJitter))))
 	}
-	return true
+	return !now.Before(state.takeoverAt)
 }
 
 // firstReadDue reports whether a host that has no copy of a document yet must read it. The first
@@ -84,48 +95,49 @@
 	if now.Before(c.joining.rankKnownAt.Add(time.Duration(min(rank, maxTakeoverSteps)) * firstReadStep)) {
 		return false
 	}
-	if rank > maxTakeoverSteps && state.retryAt.IsZero() {
-		state.retryAt = now.Add(time.Duration(c.cfg.Rand.Int64N(int64(takeoverJitter))))
-		return false
-	}
-	return true
+	return c.takeoverDue(state, now, rank)
 }
 
 // finishRead records the end of a read and reports whether it succeeded.
 func (c *Core) finishRead(now time.Time, state *copyState, err error) bool {
 	state.reading = false
-	state.retryAt = time.Time{}
+	state.takeoverAt = time.Time{}
 	if err == nil {
 		if state.failures > 0 {
 			c.record(now, timeline.Event{Kind: timeline.StoreBack, Service: c.documentName(state)})
 		}
 		state.failures = 0
+		c.storeRetry = storeRetry{}
 		return true
 	}
 	if state.failures == 0 {
 		c.record(now, timeline.Event{Kind: timeline.StoreLost, Service: c.documentName(state), Reason: err.Error()})
 	}
 	state.failures++
-	// A failure for one document delays the reads of both: they come from the same store.
-	at := now.Add(c.retryDelay(state.failures))
-	c.targetsCopy.retryAt, c.configCopy.retryAt = later(c.targetsCopy.retryAt, at), later(c.configCopy.retryAt, at)
+	c.storeRetry = storeRetry{failedAt: now, failures: state.failures, factor: 0.5 + c.cfg.Rand.Float64()}
 	return false
 }
 
-// retryDelay returns the delay after a number of failed reads in a row.
-func (c *Core) retryDelay(failures int) time.Duration {
-	delay := min(minRetryDelay<<min(failures-1, 8), maxRetryDelay)
-	if c.rank() >= frequentRetryHosts {
-		delay = otherRetryDelay
-	}
-	return delay/2 + time.Duration(c.cfg.Rand.Int64N(int64(delay)))
+// storeRetry is the delay of reads after a failed one. A failure for one document delays the reads
+// of both: they come from the same store.
+type storeRetry struct {
+	// failedAt is when the last read failed; zero if it succeeded.
+	failedAt time.Time
+	// failures is the number of failed reads in a row, and factor the random factor of the delay.
+	failures int
+	factor   float64
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+// due returns when a host of the given rank may read again.
+func (r storeRetry) due(rank int) time.Time {
+	if r.failedAt.IsZero() {
+		return time.Time{}
+	}
+	delay := min(minRetryDelay<<min(r.failures-1, 8), maxRetryDelay)
+	if rank >= frequentRetryHosts {
+		delay = otherRetryDelay
 	}
-	return b
+	return r.failedAt.Add(time.Duration(r.factor * float64(delay)))
 }
 
 func (c *Core) documentName(state *copyState) string {
