fleet: a host that joins introduces itself to the relays

What callers would see: hosts that join a large fleet, or start again with it, are taken for lost and take the others for lost; for up to 4 s they get no callers, read the store each for itself, and learn of configurations and of leaving targets only that way. Cause: a host introduces itself to 16 random hosts of a list; the relay of its zone sends reports only to hosts that it knows, and a host that hears of an unknown one asked a random peer for the list, which does not know it either.

Now a host introduces itself to the relays of all zones first, and the list is asked of the host that forwarded the report of an unknown one.

--- a/fleet/fetch.go
+++ b/fleet/fetch.go
@@ -114,6 +114,10 @@
 // zone, since all hosts of this zone may lack the same hosts.
 func (c *Core) fetchSource(now time.Time, targets, config bool) *peerState {
 	if !targets && !config {
+		if p := c.peers[c.joining.peersFrom]; p != nil && p.alive {
+			c.joining.peersFrom = 0
+			return p
+		}
 		return c.randomPeer()
 	}
 	var sameZone, otherZones []*peerState
--- a/fleet/joining.go
+++ b/fleet/joining.go
@@ -61,7 +61,10 @@
 	membershipKnown bool
 	// wantPeers is set when the list of hosts is to be fetched, for instance after a report of
 	// an unknown host.
-	wantPeers     bool
+	wantPeers bool
+	// peersFrom is the host that has forwarded a report of an unknown one, and so knows it; 0
+	// for any host.
+	peersFrom     Hash
 	nextPeerFetch time.Time
 }
 
@@ -201,6 +204,44 @@
 // the datagrams would grow with the square of the hosts.
 const maxHellos = 16
 
+// introductions returns the hosts of a list to which this host introduces itself: those that relay
+// for the zones, since a relay sends reports only to hosts that it knows, and random ones.
+func (c *Core) introductions(list []Peer) []Peer {
+	c.cfg.Rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	out := list[:0:0]
+	for _, p := range list {
+		if c.mayRelay(p) && len(out) < maxHellos {
+			out = append(out, p)
+		}
+	}
+	for _, p := range list {
+		if !c.mayRelay(p) && len(out) < maxHellos {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// mayRelay reports whether a host is the relay of its zone or, in this host's zone, one of those
+// that take over from it.
+func (c *Core) mayRelay(p Peer) bool {
+	before, limit := 0, 1
+	if p.Zone == c.cfg.Self.Zone {
+		limit += backupRelays
+	}
+	for _, other := range c.liveHosts() {
+		if other.ID == p.ID {
+			return true
+		}
+		if other.Zone == p.Zone && other != c.self {
+			if before++; before >= limit {
+				return false
+			}
+		}
+	}
+	return false
+}
+
 // addPeers adds hosts that are new or have restarted, and introduces this host to some of them.
 func (c *Core) addPeers(now time.Time, peers []Peer) {
 	var added []Peer
@@ -217,8 +258,7 @@
 	}
 	if len(added) > maxHellos {
 		c.record(now, timeline.Event{Kind: timeline.HostJoined, To: fmt.Sprintf("%d hosts", len(added)), Reason: "from a list of hosts"})
-		c.cfg.Rand.Shuffle(len(added), func(i, k int) { added[i], added[k] = added[k], added[i] })
-		added = added[:maxHellos]
+		added = c.introductions(added)
 	}
 	for _, p := range added {
 		c.sendHello(p.DatagramAddress, false)
--- /dev/null
+++ b/fleet/joining_test.go
@@ -0,0 +1,69 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocushinge/crocushinge/timeline"
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+// lostSince returns how many losses of hosts the hosts have recorded since a time.
+func lostSince(c *cluster, since time.Time) int {
+	lost := 0
+	c.forEachUp(func(n *node) {
+		for _, e := range eventsOf(n, timeline.HostLost) {
+			if e.Stamp.Time().After(since) {
+				lost++
+			}
+		}
+	})
+	return lost
+}
+
+// TestHostsThatJoinALargeFleetHearFromIt starts hosts that no other one knows. The relay of a zone
+// sends reports only to the hosts that it knows.
+func TestHostsThatJoinALargeFleetHearFromIt(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(41, 60)
+	c.run(9 * time.Second)
+	joined := c.now
+	var added []*node
+	for i, z := range []zone.ID{"a", "b", "c"} {
+		for k := range 8 {
+			address := fmt.Sprintf("10.%d.1.%d:7000", i, k)
+			c.addresses = append(c.addresses, address)
+			added = append(added, c.start(address, z, false))
+		}
+	}
+	c.run(1500 * time.Millisecond)
+	hosts := len(c.addresses)
+	for _, n := range added {
+		is.Equal(n.snapshot.LiveHosts, hosts)
+	}
+	is.Equal(lostSince(c, joined), 0)
+	c.run(2500 * time.Millisecond)
+	is.True(c.allUp(func(n *node) bool { return n.snapshot.LiveHosts == hosts }))
+	is.Equal(lostSince(c, joined), 0)
+}
+
+// TestRestartOfAllHostsOfALargeFleetLosesNobody kills all processes at the same moment.
+func TestRestartOfAllHostsOfALargeFleetLosesNobody(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(42, 60)
+	c.run(9 * time.Second)
+	for _, address := range c.addresses {
+		c.kill(address)
+	}
+	c.run(time.Second)
+	restarted := c.now
+	for _, address := range c.addresses {
+		c.restart(address)
+	}
+	c.run(3 * time.Second)
+	is.True(c.allUp(func(n *node) bool { return n.snapshot.Ready && n.snapshot.LiveHosts == len(c.addresses) }))
+	is.Equal(lostSince(c, restarted), 0)
+}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -134,6 +134,9 @@
 		p.datagramReceived = now
 	}
 	for _, r := range d.Reports {
+		if c.peers[r.Host] == nil && r.Host != c.hash {
+			c.joining.wantPeers, c.joining.peersFrom = true, d.From
+		}
 		if c.receiveReport(now, r) && d.Hop != ToHost {
 			c.relayReport(now, r, d.Hop)
 		}
@@ -149,7 +152,6 @@
 	}
 	p := c.peers[r.Host]
 	if p == nil {
-		c.joining.wantPeers = true
 		return false
 	}
 	if r.isHeartbeat() {
