--- a/fleet/fetch.go
+++ b/fleet/fetch.go
@@ -108,17 +108,23 @@
 	return others[c.cfg.Rand.IntN(len(others))]
 }
 
+// peerListSource returns the peer to fetch the list of hosts from: the one that has forwarded a
+// report of an unknown host, if there was one.
+func (c *Core) peerListSource() *peerState {
+	if p := c.peers[c.joining.peersFrom]; p != nil && p.alive {
+		c.joining.peersFrom = 0
+		return p
+	}
+	return c.randomPeer()
+}
+
 // fetchSource returns the peer to fetch from, or nil if there is none yet. Peers of the same zone
 // come first. The relay of the zone may fetch from other zones at once, the other hosts only after
 // sameZoneTimeout. If nothing but the list of hosts is wanted, it is fetched from a peer of any
 // zone, since all hosts of this zone may lack the same hosts.
 func (c *Core) fetchSource(now time.Time, targets, config bool) *peerState {
 	if !targets && !config {
-		if p := c.peers[c.joining.peersFrom]; p != nil && p.alive {
-			c.joining.peersFrom = 0
-			return p
-		}
-		return c.randomPeer()
+		return c.peerListSource()
 	}
 	var sameZone, otherZones []*peerState
 	newest := c.newestStamps()
