--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -175,10 +175,10 @@
 	return ages
 }
 
-// recordDecision adds a final decision to the request histogram and any other to the
+// recordDecision adds a final decision to the request histogram and a failed attempt to the
 // attempt histogram.
 func (m *metrics) recordDecision(d traffic.Decision) {
-	if m == nil {
+	if m == nil || d.Event == traffic.NoticeUnreadable {
 		return
 	}
 	ctx := context.Background()
