pool: what a target has said outlasts its row

A target whose row lapses and comes back, or changes its slots, was a new one: its pause and its rate limit were forgotten (leaving was kept by the core). A lapse is ordinary after an outage of the store. The throttles belong to the service now, by incarnation. TestNoticeOutlastsALapsedRow was red for all three notices.

--- a/pool/notice_test.go
+++ b/pool/notice_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/crocushinge/crocushinge/discovery"
 	"github.com/crocushinge/crocushinge/target"
 )
 
@@ -109,3 +110,22 @@
 	is.True(!s.Routing(testFloor).accepts(x, epoch.Add(2900*time.Millisecond)))
 	is.True(s.Routing(testFloor).accepts(x, epoch.Add(3*time.Second)))
 }
+
+// TestNoticeOutlastsALapsedRow lets the row of a target lapse and come back with other slots.
+func TestNoticeOutlastsALapsedRow(t *testing.T) {
+	is := is.New(t)
+	for _, notice := range notices {
+		s := NewService("orders", location())
+		row := discovery.Target{ID: "t", Born: 7, Service: "orders", Address: "10.0.0.1:80", Zone: "a", Slots: 4}
+		s.Apply([]discovery.Target{row})
+		s.Targets()[0].ObserveNotice(notice, epoch, epoch)
+		takeAllowance(s.Targets()[0])
+		s.Apply(nil)
+		row.Slots = 8
+		s.Apply([]discovery.Target{row})
+		is.True(pick(s, Request{Now: epoch}) == nil)
+		row.Born++ // another incarnation has said nothing
+		s.Apply([]discovery.Target{row})
+		is.True(pick(s, Request{Now: epoch}) != nil)
+	}
+}
--- a/pool/service.go
+++ b/pool/service.go
@@ -64,6 +64,9 @@
 	counts                                     struct{ ended, failed, failedTrials int }
 	// floor is the share of the targets that must be in use while requests fail.
 	floor float64
+	// throttles holds back what each target has asked not to get. They outlast the rows of
+	// their targets, which lapse and come back after an outage of the store.
+	throttles map[discovery.Key]*link.Throttle
 	// rateShare is the share of the targets' rate limits that the requests this host knows
 	// of count against, as float64 bits.
 	rateShare atomic.Uint64
@@ -75,7 +78,7 @@
 
 // NewService returns a service without targets.
 func NewService(name string, location Location) *Service {
-	s := &Service{Name: name, location: location, targets: make(map[discovery.Key]*Target)}
+	s := &Service{Name: name, location: location, targets: make(map[discovery.Key]*Target), throttles: make(map[discovery.Key]*link.Throttle)}
 	s.SetRateShare(1)
 	return s
 }
@@ -89,7 +92,7 @@
 	for _, d := range registered {
 		t := known[d.Key()]
 		if t == nil || t.Address != d.Address || t.Slots != d.Slots {
-			t = newTarget(d, s.location.distance(d.Zone))
+			t = newTarget(d, s.location.distance(d.Zone), s.throttle(d.Key()))
 			t.joinedLater = inUse
 		}
 		t.warming.Store(d.Warming)
@@ -99,6 +102,31 @@
 		}
 	}
 	s.routing = nil
+	s.forgetThrottles()
+}
+
+// throttle returns the throttle of an incarnation of a target.
+func (s *Service) throttle(k discovery.Key) *link.Throttle {
+	if s.throttles[k] == nil {
+		s.throttles[k] = &link.Throttle{}
+	}
+	return s.throttles[k]
+}
+
+// maxLapsedThrottles is from how many throttles of targets without a row they are forgotten. It is
+// above the number of targets whose rows lapse in one outage.
+const maxLapsedThrottles = 8192
+
+// forgetThrottles forgets the throttles of targets without a row when there are too many.
+func (s *Service) forgetThrottles() {
+	if len(s.throttles) <= len(s.targets)+maxLapsedThrottles {
+		return
+	}
+	for k := range s.throttles {
+		if s.targets[k] == nil {
+			delete(s.throttles, k)
+		}
+	}
 }
 
 // Leave takes a target out of use that has announced in a response that it is leaving, before
--- a/pool/target.go
+++ b/pool/target.go
@@ -71,8 +71,8 @@
 	// joinedLater is set for a target that was registered while others were
 	// already in use.
 	joinedLater bool
-	// throttle holds back what the target has asked not to get.
-	throttle link.Throttle
+	// throttle holds back what the target has asked not to get. It belongs to the service.
+	throttle *link.Throttle
 
 	suspicion suspicion
 	// latency is the average latency of the successful requests, and failureRate
@@ -99,7 +99,7 @@
 var trusted = &suspicionView{}
 
 // newTarget returns a trusted target without requests.
-func newTarget(d discovery.Target, distance Distance) *Target {
+func newTarget(d discovery.Target, distance Distance, throttle *link.Throttle) *Target {
 	t := &Target{
 		Key:          target.Key{Service: d.Service, Name: d.ID},
 		Hash:         NewHash(d.Key()),
@@ -107,6 +107,7 @@
 		Slots:        d.Slots,
 		Registration: d.Key(),
 		distance:     distance,
+		throttle:     throttle,
 	}
 	t.suspicionView.Store(trusted)
 	t.slowness.Store(math.Float64bits(1))
