fleet: a relay that is still starting is not replaced by small hosts

What callers would see: after all hosts of a large fleet have started again, hosts are taken for lost for seconds though they serve; some hear nothing meanwhile (CONFIG, DRAIN). Cause: a relay that had not been heard of for 0.4 s was excluded for 3 s, also if it had not been heard of yet, because it was starting like all others. Each host excluded the large hosts of its zone one after the other and used a small one, with a sixth of a core, which could not forward what 58 hosts sent it: on the large site ten such hosts were then lost by nearly all others.

TestSlowlyStartingRelayIsNotReplacedBySmallHosts was red before.

--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -61,6 +61,8 @@
 	received map[string]int
 	// fullReports and heartbeats count the forwarded reports.
 	fullReports, heartbeats int
+	// capacity returns the capacity of a host; nil stands for the same one everywhere.
+	capacity func(address string) int
 	// partition reports whether two hosts cannot reach each other.
 	partition func(a, b string) bool
 }
@@ -146,6 +148,9 @@
 		Bootstrap: first,
 		Rand:      rand.New(rand.NewPCG(c.rand.Uint64(), 2)),
 	}
+	if c.capacity != nil {
+		n.config.Self.Capacity = c.capacity(address)
+	}
 	n.core = New(n.config, c.now)
 	n.snapshot = n.core.Snapshot()
 	c.hosts[address] = n
--- a/fleet/joining_test.go
+++ b/fleet/joining_test.go
@@ -67,3 +67,30 @@
 	is.True(c.allUp(func(n *node) bool { return n.snapshot.Ready && n.snapshot.LiveHosts == len(c.addresses) }))
 	is.Equal(lostSince(c, restarted), 0)
 }
+
+// TestSlowlyStartingRelayIsNotReplacedBySmallHosts starts all hosts anew. Nothing is heard of the
+// largest host of each zone for a little longer than of the others.
+func TestSlowlyStartingRelayIsNotReplacedBySmallHosts(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(43, 20)
+	large := map[string]bool{"10.0.0.5:7000": true, "10.1.0.5:7000": true, "10.2.0.5:7000": true}
+	c.capacity = func(address string) int {
+		if large[address] {
+			return 80
+		}
+		return 16
+	}
+	c.run(6 * time.Second)
+	for _, address := range c.addresses {
+		c.kill(address)
+	}
+	c.run(time.Second)
+	c.partition = func(a, b string) bool { return large[a] || large[b] }
+	for _, address := range c.addresses {
+		c.restart(address)
+	}
+	c.run(700 * time.Millisecond)
+	c.partition = nil
+	c.run(800 * time.Millisecond)
+	c.forEachUp(func(n *node) { is.True(large[n.core.relayOf(n.config.Self.Zone, c.now).Address]) })
+}
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -223,6 +223,16 @@
 	return out
 }
 
+// relayTimeout returns how long a relay may be silent. One that this host has not heard from yet may
+// still be starting, together with the whole fleet: hosts of which each chose another relay then
+// would leave the duty to the smallest ones.
+func (p *peerState) relayTimeout() time.Duration {
+	if p.datagramReceived.IsZero() {
+		return hostTimeout
+	}
+	return relayTimeout
+}
+
 // relayOf returns the relay of a zone: the first host in rank order that has not timed out. It
 // returns nil if there is none.
 func (c *Core) relayOf(z zone.ID, now time.Time) *peerState {
@@ -241,7 +251,7 @@
 		c.relays[z] = &relayChoice{host: first.hash, since: now}
 		return first
 	}
-	if now.Sub(chosen.since) > relayTimeout && now.Sub(first.datagramReceived) > relayTimeout {
+	if timeout := first.relayTimeout(); now.Sub(chosen.since) > timeout && now.Sub(first.datagramReceived) > timeout {
 		first.relayExcludedUntil = now.Add(relayExclusion)
 		return c.relayOf(z, now)
 	}
