--- a/fleet/report.go
+++ b/fleet/report.go
@@ -36,7 +36,9 @@
 	maxDatagramBytes = 1300
 	reportBaseBytes  = 55
 	heartbeatBytes   = 8
-	// entryBytes is the size of a Load, an Ending or a TargetNotice.
+	// noticeBytes is the size of a TargetNotice.
+	noticeBytes = 20
+	// entryBytes is the size of a Load or an Ending.
 	entryBytes = 8
 )
 
--- a/wire/share/share_test.go
+++ b/wire/share/share_test.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/crocushinge/crocushinge/fleet"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/pool"
+	"github.com/crocushinge/crocushinge/target"
 	sharev1 "github.com/crocushinge/crocushinge/wire/gen/crocushinge/share/v1"
 )
 
@@ -37,7 +39,12 @@
 	hello := fleet.Peer{ID: "h", Incarnation: 3, Zone: "a", Address: "10.0.0.1:1", DatagramAddress: "10.0.0.1:2", RPCAddress: "10.0.0.1:3", Capacity: 16}
 	changes := &discovery.Changes{Since: 5, Updated: []discovery.Target{{ID: "t", Revision: 8}}, Removed: []string{"u"}, Revision: 9, At: 77, Digest: 4}
 	pushed := fleet.Datagram{From: 1, Hop: fleet.ToZone, Changes: changes, ChangesStamp: fleet.Stamp{Revision: 9, Digest: 4, Confirmed: 77}}
-	for _, d := range []fleet.Datagram{datagram(), pushed, {From: 1, Hop: fleet.ToHost, Hello: &hello, WantsHello: true}, {From: 1, Registered: true}} {
+	noticed := datagram()
+	noticed.Reports = noticed.Reports[:1]
+	for i := range 40 {
+		noticed.Reports[0].Notices = append(noticed.Reports[0].Notices, fleet.TargetNotice{Target: pool.Hash(1 << 30), Limit: target.RateLimit(i) + 1.5})
+	}
+	for _, d := range []fleet.Datagram{datagram(), noticed, pushed, {From: 1, Hop: fleet.ToHost, Hello: &hello, WantsHello: true}, {From: 1, Registered: true}} {
 		data, err := EncodeDatagram(d)
 		is.NoErr(err)
 		is.True(len(data) < 1400) // one packet
@@ -101,3 +108,16 @@
 		}
 	}
 }
+
+func TestNoticesAreDecodedAsEncoded(t *testing.T) {
+	is := is.New(t)
+	notices := []fleet.TargetNotice{{Target: 1, Leaving: true}, {Target: 2, Limit: 1.1}, {Target: 3}}
+	is.Equal(NoticesFromProto(NoticesToProto(notices)), notices)
+	for _, limit := range []float64{-1, math.NaN(), math.Inf(1)} {
+		got := NoticesFromProto([]*sharev1.TargetNotice{{Target: 1, RateLimit: limit}})
+		is.Equal(got, []fleet.TargetNotice{{Target: 1}})
+	}
+	// An odd limit must not stop all requests for long.
+	got := NoticesFromProto([]*sharev1.TargetNotice{{Target: 1, RateLimit: 1e-300}})
+	is.Equal(got[0].Limit, target.MinRateLimit)
+}
