discovery: a late read of an earlier revision does not bring back old targets

Cause: the store's feed hands out many changes in several responses. A response is the state of its revision, but bears the time at which it was sent, and readings were ordered by time alone. They are ordered by both now; the host reads on from there. Class: the time of a reading taken for the age of what was read. TestLateReadOfAnEarlierRevisionIsIgnored was red.

--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -121,3 +121,14 @@
 	r.Merge(NewTargets(2, recovered+100, nil))
 	is.Equal(len(bornByID(&r)), 1)
 }
+
+// TestLateReadOfAnEarlierRevisionIsIgnored reads a part of the changes after another host has read all.
+func TestLateReadOfAnEarlierRevisionIsIgnored(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	is.True(r.Merge(NewTargets(20, 1000, []Target{row("a", 1), row("b", 1)})))
+	is.True(!r.Merge(NewTargets(15, 1500, []Target{row("a", 1)})))
+	is.Equal(len(bornByID(&r)), 2)
+	is.True(r.Merge(NewTargets(21, 1600, []Target{row("a", 1)})))
+	is.Equal(len(bornByID(&r)), 1)
+}
--- a/discovery/target.go
+++ b/discovery/target.go
@@ -143,9 +143,10 @@
 
 // Merge replaces the known targets by those of a read by this host or another one,
 // except for those that retainKnown keeps. It reports whether the read was at least as
-// new as the known targets; an older read is ignored.
+// new as the known targets; an older read is ignored. A late read may have an earlier
+// revision: a store hands out many changes in several responses.
 func (r *Registry) Merge(read *Targets) bool {
-	if r.known != nil && read.At < r.known.At {
+	if r.known != nil && (read.At < r.known.At || read.Revision < r.known.Revision) {
 		return false
 	}
 	r.Confirm(read.At)
