fleet, traffic: count requests whose callers were not served, on all hosts

Logs and metrics could not tell whether a service's callers were served: hosts counted the ends of attempts only, and a request that a host refuses itself is no attempt. Each host now reports how many requests for a service ended unserved (8 bytes for a service and report, nothing while all are served). The timeline records when a service begins or ceases to keep all targets in use, with the share unserved and the targets in use. No decision changes yet.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -82,6 +82,8 @@
 	document    *Document
 	services    map[string]*pool.Service
 	byHash      map[pool.Hash]targetRef
+	// servicesByHash holds the services by the hashes that identify them in reports.
+	servicesByHash map[pool.ServiceHash]*pool.Service
 	// saidLeaving holds when each target announced in a response that it is leaving. It
 	// outlasts the target's registration and its service.
 	saidLeaving map[discovery.Key]time.Time
@@ -112,13 +114,14 @@
 // New returns a core that knows only its settings.
 func New(cfg Config, now time.Time) *Core {
 	c := &Core{
-		cfg:         cfg,
-		hash:        NewHash(cfg.Self.ID),
-		peers:       make(map[Hash]*peerState),
-		services:    make(map[string]*pool.Service),
-		byHash:      make(map[pool.Hash]targetRef),
-		saidLeaving: make(map[discovery.Key]time.Time),
-		relays:      make(map[zone.ID]*relayChoice),
+		cfg:            cfg,
+		hash:           NewHash(cfg.Self.ID),
+		peers:          make(map[Hash]*peerState),
+		services:       make(map[string]*pool.Service),
+		byHash:         make(map[pool.Hash]targetRef),
+		servicesByHash: make(map[pool.ServiceHash]*pool.Service),
+		saidLeaving:    make(map[discovery.Key]time.Time),
+		relays:         make(map[zone.ID]*relayChoice),
 
 		earlyNotices:   make(map[pool.Hash]TargetNotice),
 		recordedLimits: make(map[pool.Hash]target.RateLimit),
@@ -224,12 +227,18 @@
 	c.nextRefresh = now.Add(refreshInterval)
 	c.forgetNotices(now)
 	for _, s := range c.services {
+		before := s.Usage(now)
 		s.Refresh(refreshInterval, now)
+		c.recordFloor(now, s, before, s.Usage(now))
 	}
 }
 
 func (c *Core) handleObservations(now time.Time, observations []Observation) {
 	for _, o := range observations {
+		if o.Unserved != "" {
+			c.handleUnserved(now, Unserved{Service: pool.NewServiceHash(o.Unserved), Requests: 1})
+			continue
+		}
 		ending := Ending{Target: o.Target.Hash, Ending: pool.Ending{Host: string(c.cfg.Self.ID), Outcome: o.Outcome, Latency: o.Latency}}
 		c.pending.endings = append(c.pending.endings, ending)
 		delay := reportDelay
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -107,11 +107,13 @@
 	Configuration *discovery.Configuration
 }
 
-// Observation is the end of a request of this host.
+// Observation is the end of an attempt of this host or, if Unserved is set, of a whole request.
 type Observation struct {
 	Target  *pool.Target
 	Outcome link.Outcome
 	Latency time.Duration
+	// Unserved is the service of a request whose caller was not served; empty for an attempt.
+	Unserved string
 }
 
 // Effect is an action that the control thread must carry out. Its result, if it has one, comes
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -64,7 +64,8 @@
 	last, ok := f.full[r.Host]
 	step := confirmedStep.Milliseconds()
 	return ok && last.Incarnation == r.Incarnation && last.Ready == r.Ready && last.Leaving == r.Leaving &&
-		len(r.Endings) == 0 && len(r.Notices) == 0 && len(r.Loads) == 0 && len(last.Loads) == 0 &&
+		len(r.Endings) == 0 && len(r.Notices) == 0 && len(r.Unserved) == 0 &&
+		len(r.Loads) == 0 && len(last.Loads) == 0 &&
 		last.Targets.Digest == r.Targets.Digest && last.Configuration.Revision == r.Configuration.Revision &&
 		r.Targets.Confirmed < f.targetsConfirmed+step && r.Configuration.Confirmed < f.configConfirmed+step
 }
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -53,6 +53,13 @@
 	pool.Ending
 }
 
+// Unserved is the number of requests for a service that ended without their callers having been
+// served, whatever the reason.
+type Unserved struct {
+	Service  pool.ServiceHash
+	Requests int
+}
+
 // Stamp tells which version of a document a host has, and how old its copy is.
 type Stamp struct {
 	// Revision orders the versions; 0 means that the host has none.
@@ -79,7 +86,9 @@
 	// Endings are the requests that ended since the last report.
 	Endings []Ending
 	// Notices are what targets have said in their responses since the last report.
-	Notices                []TargetNotice
+	Notices []TargetNotice
+	// Unserved are the requests that ended unserved since the last report.
+	Unserved               []Unserved
 	Targets, Configuration Stamp
 }
 
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -38,7 +38,7 @@
 	heartbeatBytes   = 8
 	// noticeBytes is the size of a TargetNotice.
 	noticeBytes = 20
-	// entryBytes is the size of a Load or an Ending.
+	// entryBytes is the size of a Load, an Ending or an Unserved.
 	entryBytes = 8
 )
 
@@ -62,6 +62,7 @@
 	sequence uint32
 	endings  []Ending
 	notices  []TargetNotice
+	unserved []Unserved
 	// due is when the next report is sent.
 	due time.Time
 }
@@ -99,10 +100,11 @@
 		Leaving:       c.leaving,
 		Endings:       c.pending.endings,
 		Notices:       c.pending.notices,
+		Unserved:      c.pending.unserved,
 		Targets:       c.targetsCopy.stamp(now),
 		Configuration: c.configCopy.stamp(now),
 	}
-	c.pending.endings, c.pending.notices = nil, nil
+	c.pending.endings, c.pending.notices, c.pending.unserved = nil, nil, nil
 	for hash, ref := range c.byHash {
 		if n := ref.target.OwnInFlight(); n > 0 {
 			r.Loads = append(r.Loads, Load{Target: hash, Requests: n})
@@ -177,6 +179,9 @@
 		e.Host = string(p.ID)
 		c.countEnding(now, e)
 	}
+	for _, u := range r.Unserved {
+		c.countUnserved(u)
+	}
 	c.mergeStamps(now, r)
 	return true
 }
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -175,11 +175,13 @@
 	}
 }
 
-// indexTargets indexes the targets by the hashes that identify them in reports. Leaving targets are
+// indexTargets indexes the services and targets by the hashes that identify them in reports. Leaving targets are
 // included, since they still have requests in flight.
 func (c *Core) indexTargets() {
 	clear(c.byHash)
-	for _, s := range c.services {
+	clear(c.servicesByHash)
+	for name, s := range c.services {
+		c.servicesByHash[pool.NewServiceHash(name)] = s
 		for _, t := range s.All() {
 			c.byHash[t.Hash] = targetRef{service: s, target: t}
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,6 +102,7 @@
 	g.handler = traffic.NewGateway(traffic.GatewayConfig{
 		Snapshot:       g.control.snapshot.Load,
 		Observe:        g.control.Observe,
+		Unserved:       func(service string) { g.control.Observe(fleet.Observation{Unserved: service}) },
 		AttemptStarted: g.control.notifyStarted,
 		Noticed:        func(t *pool.Target) { g.control.TrySend(fleet.NoticeReceived{Target: t}) },
 		Accepts:        g.accepts,
--- a/pool/service.go
+++ b/pool/service.go
@@ -61,7 +61,10 @@
 	// the requests that fail at trusted targets, and trialFailureRate that of the trial
 	// requests that fail. counts holds the requests since the last Refresh.
 	requestRate, failureRate, trialFailureRate movingAverage
-	counts                                     struct{ ended, failed, failedTrials int }
+	counts                                     struct{ ended, failed, failedTrials, served, unserved int }
+	// servedRate and unservedRate are the numbers of callers' requests of all hosts that are
+	// served and not served in a second.
+	servedRate, unservedRate movingAverage
 	// floor is the share of the targets that must be in use while requests fail.
 	floor float64
 	// throttles holds back what each target has asked not to get. They outlast the rows of
@@ -214,6 +217,7 @@
 	failed := 0.0
 	switch o {
 	case link.Succeeded:
+		s.counts.served++
 	case link.Failed, link.Broken, link.TimedOut:
 		failed = 1
 		if t.suspicion.suspect {
@@ -268,10 +272,13 @@
 	for _, r := range []struct {
 		rate  *movingAverage
 		count int
-	}{{&s.requestRate, s.counts.ended}, {&s.failureRate, s.counts.failed}, {&s.trialFailureRate, s.counts.failedTrials}} {
+	}{
+		{&s.requestRate, s.counts.ended}, {&s.failureRate, s.counts.failed}, {&s.trialFailureRate, s.counts.failedTrials},
+		{&s.servedRate, s.counts.served}, {&s.unservedRate, s.counts.unserved},
+	} {
 		r.rate.add(float64(r.count)/interval.Seconds(), requestRateWeight)
 	}
-	s.counts.ended, s.counts.failed, s.counts.failedTrials = 0, 0, 0
+	s.counts.ended, s.counts.failed, s.counts.failedTrials, s.counts.served, s.counts.unserved = 0, 0, 0, 0, 0
 	enough := s.requestRate.value*floorWindow.Seconds() >= float64(len(s.eligible))
 	limit := keepAllInUseFailureShare * s.requestRate.value
 	failing := s.failureRate.value > limit ||
@@ -282,17 +289,8 @@
 // fewInUse reports whether the share of the trusted targets that are in use is close to
 // the floor. Suspects do not count: they get trial requests.
 func (s *Service) fewInUse(now time.Time) bool {
-	trusted, used := 0, 0
-	for _, t := range s.eligible {
-		if t.suspicion.suspect {
-			continue
-		}
-		trusted++
-		if t.InFlight() > 0 || clock.Nanos(now)-t.lastUsed.Load() < int64(maxRequestGap) {
-			used++
-		}
-	}
-	return float64(used) < (1+s.floor)/2*float64(trusted)
+	u := s.Usage(now)
+	return float64(u.InUse) < (1+s.floor)/2*float64(u.Trusted)
 }
 
 // Refresh compares the targets' latencies and updates the rate of requests. The
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -28,10 +28,12 @@
 	// from all hosts, or none any more.
 	TargetLimited    Kind = "target-limited"
 	EjectionWithheld Kind = "ejection-withheld"
-	LinkCut          Kind = "link-cut"
-	LinkRestored     Kind = "link-restored"
-	OutcomeUnknown   Kind = "outcome-unknown"
-	RequestEnded     Kind = "request-ended"
+	// TargetsInUse records that a service begins or ceases to keep all its targets in use.
+	TargetsInUse   Kind = "targets-in-use"
+	LinkCut        Kind = "link-cut"
+	LinkRestored   Kind = "link-restored"
+	OutcomeUnknown Kind = "outcome-unknown"
+	RequestEnded   Kind = "request-ended"
 	// OperatorDrained records which operator drained a target, so that it gets
 	// no more requests.
 	OperatorDrained   Kind = "operator-drained"
--- a/traffic/gateway.go
+++ b/traffic/gateway.go
@@ -51,6 +51,9 @@
 	// Observe reports to the control thread that an attempt has ended or is overdue.
 	// It does not block.
 	Observe func(fleet.Observation)
+	// Unserved reports to the control thread that a request for a service has ended without its
+	// caller having been served. It does not block.
+	Unserved func(service string)
 	// Noticed reports to the control thread that a target has said something about itself
 	// that the other hosts must know. It does not block.
 	Noticed func(*pool.Target)
@@ -109,6 +112,9 @@
 	// timeout.
 	deadline     time.Time
 	writeInterim func(status int, fields textproto.MIMEHeader) error
+	// served is set once the caller has received a whole response of a target that is no
+	// server error.
+	served bool
 	// triedNames are the names of the targets that the request was sent to.
 	triedNames []string
 }
@@ -122,12 +128,14 @@
 	out.closeAfterResponse = snap.Leaving
 	req, refused := g.admit(snap, inbound)
 	if refused != nil {
+		g.countRefusal(req, refused)
 		g.writeRefusal(out, req, refused)
 		return
 	}
 	req.writeInterim = out.writeInterim
 	out.setBodyDeadline(req.deadline)
 	if refused := g.readBody(snap, req); refused != nil {
+		g.countRefusal(req, refused)
 		g.writeRefusal(out, req, refused)
 		return
 	}
@@ -136,6 +144,21 @@
 	g.proxy(out, snap, req)
 }
 
+// countRefusal counts a request that this host refused before it chose a target, unless the
+// request itself was at fault.
+func (g *Gateway) countRefusal(req *gatewayRequest, r *refusal) {
+	if r.status == http.StatusServiceUnavailable {
+		g.countEnd(req)
+	}
+}
+
+// countEnd reports the end of a request whose caller was not served.
+func (g *Gateway) countEnd(req *gatewayRequest) {
+	if !req.served && req.service != "" {
+		g.cfg.Unserved(req.service)
+	}
+}
+
 // defaultRetryAfter is the Retry-After of a refusal whose cause is not load.
 const defaultRetryAfter = 200 * time.Millisecond
 
--- a/traffic/gateway_dispatch.go
+++ b/traffic/gateway_dispatch.go
@@ -49,6 +49,7 @@
 func (g *Gateway) proxy(w http.ResponseWriter, snap *fleet.Snapshot, req *gatewayRequest) {
 	ctx, cancel := req.attemptContext()
 	defer cancel()
+	defer g.countEnd(req)
 	d := &dispatcher{gateway: g, request: req, ctx: ctx, results: make(chan *gatewayAttempt, req.route.Attempts+maxConnectFailures)}
 	defer d.close()
 	if routing := snap.Services[req.service]; routing != nil && !routing.Admit(req.demand()) {
@@ -68,6 +69,7 @@
 			if final := d.handleResult(a); final != nil {
 				g.logAttempt(req, final, d.sent, ResponseForwarded)
 				g.writeResponse(w, final)
+				req.served = final.succeeded()
 				return
 			}
 			if d.inFlight == 0 && d.shouldRetry() {
--- a/traffic/gateway_harness_test.go
+++ b/traffic/gateway_harness_test.go
@@ -42,6 +42,8 @@
 	mu           sync.Mutex
 	observations []fleet.Observation
 	decisions    []Decision
+	// unserved counts the requests that ended unserved.
+	unserved int
 
 	targets []discovery.Target
 	gateway *Gateway
@@ -73,6 +75,7 @@
 	g.gateway = NewGateway(GatewayConfig{
 		Snapshot:       g.snapshot,
 		Observe:        g.observe,
+		Unserved:       g.countUnserved,
 		AttemptStarted: func() {},
 		Noticed:        func(t *pool.Target) { g.noticed(t) },
 		Accepts:        func(time.Time) bool { return !g.closing.Load() },
@@ -112,6 +115,12 @@
 	g.service.Observe(o.Target, pool.Ending{Host: "h", Outcome: o.Outcome, Latency: o.Latency}, time.Now())
 }
 
+func (g *testGateway) countUnserved(string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unserved++
+}
+
 // noticed takes a leaving target out of use, as the control thread does.
 func (g *testGateway) noticed(t *pool.Target) {
 	g.mu.Lock()
--- a/wire/share/share.go
+++ b/wire/share/share.go
@@ -77,6 +77,10 @@
 		out.LoadRequests = append(out.LoadRequests, uint32(l.Requests))
 	}
 	out.Notices = NoticesToProto(r.Notices)
+	for _, u := range r.Unserved {
+		out.UnservedServices = append(out.UnservedServices, uint32(u.Service))
+		out.UnservedRequests = append(out.UnservedRequests, uint32(u.Requests))
+	}
 	for _, e := range r.Endings {
 		out.EndingTargets = append(out.EndingTargets, uint32(e.Target))
 		out.EndingOutcomes = append(out.EndingOutcomes, uint32(e.Outcome))
@@ -112,6 +116,10 @@
 			Ending: pool.Ending{Outcome: link.Outcome(outcome), Latency: fromMillis(r.GetEndingLatenciesMs()[i])},
 		})
 	}
+	unserved := min(len(r.GetUnservedServices()), len(r.GetUnservedRequests()))
+	for i := range unserved {
+		out.Unserved = append(out.Unserved, fleet.Unserved{Service: pool.ServiceHash(r.GetUnservedServices()[i]), Requests: int(r.GetUnservedRequests()[i])})
+	}
 	return out
 }
 
--- a/wire/share/share_test.go
+++ b/wire/share/share_test.go
@@ -29,6 +29,7 @@
 			r.Loads = append(r.Loads, fleet.Load{Target: pool.Hash(1000 + k), Requests: k + 1})
 		}
 		r.Endings = []fleet.Ending{{Target: 1000, Ending: pool.Ending{Outcome: link.Failed, Latency: 5 * time.Millisecond}}}
+		r.Unserved = []fleet.Unserved{{Service: 2000, Requests: 3}}
 		d.Reports = append(d.Reports, r)
 	}
 	return d
