--- /dev/null
+++ b/pool/floor_states_test.go
@@ -0,0 +1,297 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/link"
+	"github.com/crocushinge/crocushinge/target"
+	"github.com/crocushinge/crocushinge/zone"
+)
+
+// condition is a state in which a target is not to be used now, or not by all requests.
+type condition int
+
+const (
+	// refusing targets refuse a share of their requests at once, and pausing ones state when
+	// to come back besides.
+	refusing condition = iota
+	pausing
+	// limited targets state a rate limit and refuse what goes beyond it.
+	limited
+	// failing targets fail a share of their requests, so that they become suspects.
+	failing
+	// full targets have queues: their requests take very long.
+	full
+	// warming targets are slow after their start.
+	warming
+	// leaving targets have announced that they leave.
+	leaving
+)
+
+// statedLimit is the rate that limited targets accept, in requests a second.
+const statedLimit = 2.0
+
+// floorLoad is what the hosts of a fleet send to a service, a part of whose targets is in some
+// condition while the others are sound.
+type floorLoad struct {
+	hosts, zones int
+	// callerZones is the number of zones whose hosts get requests; 0 for all.
+	callerZones int
+	// troubled targets are in the condition, and refuse or fail the given share of their
+	// requests. Of the sound ones, the given share is slowFactor times slower than the others.
+	sound, troubled  int
+	condition        condition
+	share, slowShare float64
+	slots            int
+	perSecond        int
+	// retryable is the share of the requests that may be retried. retries is the share of the
+	// refused requests that the budget allows to be sent again.
+	retryable, retries float64
+	objective          time.Duration
+}
+
+const slowFactor = 1.6
+
+// floorPlay is the state of a play of a floorLoad on the virtual clock.
+type floorPlay struct {
+	floorLoad
+	random *rand.Rand
+	fleet  []*Service
+	ends   map[int64][]func() // by millisecond
+	// arrivals are the requests that reached a target, and ended the ends of all requests.
+	arrivals []arrival
+	ended    []requestEnd
+	// ready holds when each troubled target accepts its next request at its stated rate.
+	ready []time.Time
+}
+
+// requestEnd is the end of a caller's request.
+type requestEnd struct {
+	at     time.Time
+	served bool
+}
+
+func (l floorLoad) newPlay(seed uint64) *floorPlay {
+	p := &floorPlay{floorLoad: l, random: rand.New(rand.NewPCG(seed, 7)), ends: make(map[int64][]func()), ready: make([]time.Time, l.sound+l.troubled)}
+	var zones []zone.Zone
+	for i := range l.zones {
+		zones = append(zones, zone.Zone{ID: zone.ID(rune('a' + i)), Region: "r"})
+	}
+	var list []discovery.Target
+	for i := range l.sound + l.troubled {
+		troubled := i >= l.sound
+		list = append(list, discovery.Target{
+			ID: fmt.Sprintf("t%02d", i), Service: "orders", Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: zones[i%l.zones].ID,
+			Slots: l.slots, Leaving: troubled && l.condition == leaving, Warming: troubled && l.condition == warming,
+		})
+	}
+	for h := range l.hosts {
+		s := NewService("orders", Location{Zone: zones[h%l.zones].ID, Zones: zone.NewMap(zones, nil), Rand: rand.New(rand.NewPCG(seed, uint64(h)))})
+		s.HasRetryable = l.retryable > 0
+		s.Apply(list)
+		p.fleet = append(p.fleet, s)
+	}
+	return p
+}
+
+// run sends the load for some time. The targets' trouble begins after the warm-up.
+func (p *floorPlay) run(warmUp, length time.Duration) {
+	for ms := range length.Milliseconds() {
+		now := epoch.Add(time.Duration(ms) * time.Millisecond)
+		for _, end := range p.ends[ms] {
+			end()
+		}
+		delete(p.ends, ms)
+		if ms%250 == 0 {
+			for _, s := range p.fleet {
+				s.Refresh(250*time.Millisecond, now)
+			}
+		}
+		if p.random.IntN(1000) < p.perSecond {
+			p.request(now, now.Sub(epoch) >= warmUp)
+		}
+	}
+}
+
+// request sends a caller's request to a random host that has callers.
+func (p *floorPlay) request(now time.Time, trouble bool) {
+	host := p.random.IntN(p.hosts)
+	if p.callerZones > 0 {
+		for host%p.zones >= p.callerZones {
+			host = p.random.IntN(p.hosts)
+		}
+	}
+	retryable := p.random.Float64() < p.retryable
+	if !p.fleet[host].Routing(testFloor).Admit(Demand{Objective: p.objective, Now: now}) {
+		p.endRequest(now, false)
+		return
+	}
+	p.attempt(now, host, retryable, nil, trouble)
+}
+
+func (p *floorPlay) endRequest(now time.Time, served bool) {
+	p.ended = append(p.ended, requestEnd{at: now, served: served})
+	if !served {
+		for _, s := range p.fleet {
+			s.CountUnserved(1)
+		}
+	}
+}
+
+// attempt sends a request to a target. All hosts learn of its start and end.
+func (p *floorPlay) attempt(now time.Time, host int, retryable bool, tried []*Target, trouble bool) {
+	got := p.fleet[host].Routing(testFloor).Pick(p.random, Request{Retryable: retryable, Idempotent: retryable, Tried: tried, Now: now}).Target
+	if got == nil {
+		p.endRequest(now, false)
+		return
+	}
+	var i int
+	fmt.Sscanf(got.Key.Name, "t%d", &i) //nolint:errcheck // the names are this test's own
+	e, notice := p.outcome(now, i, retryable, trouble)
+	e.Host = fmt.Sprint(host)
+	p.arrivals = append(p.arrivals, arrival{at: now, target: i})
+	for h, s := range p.fleet {
+		if t := s.All()[got.Registration]; h != host {
+			t.AddOthersInFlight(1)
+			t.MarkUsed(now)
+			s.CountOthers(t, 1, now)
+		}
+	}
+	after := now.Sub(epoch).Milliseconds() + 1 + e.Latency.Milliseconds()
+	p.ends[after] = append(p.ends[after], func() {
+		at := epoch.Add(time.Duration(after) * time.Millisecond)
+		got.End()
+		if got.ObserveNotice(notice, now, at) {
+			for _, s := range p.fleet {
+				s.All()[got.Registration].SetRateLimit(notice.Limit, at)
+			}
+		}
+		for h, s := range p.fleet {
+			t := s.All()[got.Registration]
+			if h != host {
+				t.AddOthersInFlight(-1)
+			}
+			s.Observe(t, e, at)
+		}
+		switch {
+		case e.Outcome == link.Succeeded:
+			p.endRequest(at, true)
+		case e.Outcome == link.Refused && len(tried) == 0 && p.random.Float64() < p.retries:
+			p.attempt(at, host, retryable, []*Target{got}, trouble)
+		default:
+			p.endRequest(at, false)
+		}
+	})
+}
+
+// outcome returns how a target ends an attempt, and what it says about itself.
+func (p *floorPlay) outcome(now time.Time, i int, retryable, trouble bool) (e Ending, n target.Notice) {
+	latency := time.Duration(float64(testLatency) / 4 * (1 + p.random.ExpFloat64()))
+	e = Ending{Outcome: link.Succeeded, Latency: latency}
+	if i < p.sound {
+		if float64(i) < p.slowShare*float64(p.sound) {
+			e.Latency = time.Duration(slowFactor * float64(latency))
+		}
+		return e, n
+	}
+	if !trouble {
+		return e, n
+	}
+	hit := p.random.Float64() < p.share
+	switch p.condition {
+	case refusing, pausing:
+		if hit {
+			e = Ending{Outcome: link.Refused, Latency: time.Millisecond}
+			if p.condition == pausing {
+				n.RetryAfter = 300 * time.Millisecond
+			}
+		}
+	case limited:
+		n.Limit = statedLimit
+		if now.Before(p.ready[i]) {
+			e = Ending{Outcome: link.Refused, Latency: time.Millisecond}
+		} else {
+			p.ready[i] = now.Add(time.Second / statedLimit)
+		}
+	case failing:
+		if hit {
+			e = Ending{Outcome: link.Failed, Latency: latency / 4}
+		}
+	case full:
+		e.Latency = 8 * latency
+		if hit {
+			e.Outcome, e.Latency = link.TimedOut, 2*time.Second
+		}
+	case warming:
+		e.Latency = 3 * latency
+		if hit {
+			e = Ending{Outcome: link.Failed, Latency: latency}
+		}
+	case leaving:
+	}
+	return e, n
+}
+
+// belowFloor returns the first window of two seconds in which a tenth to half of the requests are
+// not served and fewer of the sound targets than the floor's share get a request.
+func (p *floorPlay) belowFloor(from, to time.Duration) (violation string, owed int) {
+	const window, minUnserved, maxUnserved = 2 * time.Second, 0.1, 0.5
+	for at := from; at+window <= to; at += 50 * time.Millisecond {
+		begin, end := epoch.Add(at), epoch.Add(at+window)
+		used, unserved, requests := make(map[int]bool), 0, 0
+		for _, a := range p.arrivals {
+			if a.target < p.sound && !a.at.Before(begin) && a.at.Before(end) {
+				used[a.target] = true
+			}
+		}
+		for _, r := range p.ended {
+			if r.at.Before(begin) || !r.at.Before(end) {
+				continue
+			}
+			requests++
+			if !r.served {
+				unserved++
+			}
+		}
+		if share := float64(unserved) / float64(requests); share <= minUnserved || share >= maxUnserved {
+			continue
+		}
+		owed++
+		if violation == "" && float64(len(used)) < testFloor*float64(p.sound) {
+			violation = fmt.Sprintf("from %v: %d of %d sound targets used, %d of %d requests not served", at, len(used), p.sound, unserved, requests)
+		}
+	}
+	return violation, owed
+}
+
+// TestFloorIsInUseWhileTargetsRefuse covers targets that refuse a fixed share of their requests:
+// no attempt fails, yet callers are not served.
+func TestFloorIsInUseWhileTargetsRefuse(t *testing.T) {
+	is := is.New(t)
+	var violations []string
+	owed := 0
+	for _, share := range []float64{0.2, 0.35, 0.5, 0.7, 0.9} {
+		for seed := range uint64(10) {
+			l := floorLoad{
+				hosts: 20, zones: 5, callerZones: 2, sound: 21, troubled: 20, condition: refusing, share: share, slowShare: 0.3,
+				slots: 2, perSecond: 150, retryable: 0.05, objective: 400 * time.Millisecond,
+			}
+			p := l.newPlay(seed)
+			p.run(4*time.Second, 16*time.Second)
+			violation, n := p.belowFloor(4*time.Second, 15*time.Second)
+			owed += n
+			if violation != "" {
+				violations = append(violations, fmt.Sprintf("share %v seed %d: %s", share, seed, violation))
+			}
+		}
+	}
+	is.True(owed > 1000) // the loads are of the kind that the floor is owed in
+	is.Equal(strings.Join(violations, "\n"), "")
+}
