pool: the floor counts callers that are not served, not attempts that fail

What callers saw (FLOOR): sound targets without a request for 2 s, while others refused a part of the requests. Cause: a host judged a service by the ends of attempts. A refused attempt raised the number of ended ones and not that of failed ones, and a request that hosts refuse themselves is no attempt. The averages took two seconds to follow, as long as the window in which the floor is owed. The number of requests needed for it is that of the floor's share, not of all targets. Ruled out: a limit or pause that the floor overrides; the throttle is still asked last, and the tests check it.

--- a/pool/floor.go
+++ b/pool/floor.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/crocushinge/crocushinge/internal/clock"
+	"github.com/crocushinge/crocushinge/link"
 )
 
 // ServiceHash identifies a service in the messages between hosts.
@@ -17,9 +18,105 @@
 	return ServiceHash(h ^ h>>32)
 }
 
+const (
+	// floorWindow is the time within which each target of the floor must get a request.
+	floorWindow = 2 * time.Second
+	// keepAllInUseShare is the share of unserved requests or failed attempts above which all
+	// targets get requests. The floor is owed from a share of 0.1 in floorWindow; the lower
+	// value leaves a margin for the delay of the averages.
+	keepAllInUseShare = 0.06
+	// demandWeight averages the counts of a Refresh over about two seconds, and
+	// unservedWeight over half a second: the floor is owed in a window in which requests
+	// have only begun to be unserved.
+	demandWeight   = 0.12
+	unservedWeight = 0.4
+)
+
+// demand is what all hosts together send to a service, and how that ends. It counts both attempts
+// at targets and the requests of callers: an attempt that failed may have been repeated with
+// success, and a request that was refused by its host had no attempt.
+type demand struct {
+	counts struct{ attempts, failed, failedTrials, served, unserved int }
+	// attempts is the rate of attempts that end, failures that of attempts that fail at
+	// trusted targets, and trialFailures that of failed trial requests, in attempts a second.
+	attempts, failures, trialFailures movingAverage
+	// served and unserved are the rates of requests whose callers were and were not served, in
+	// requests a second.
+	served, unserved movingAverage
+	// keepUntil is until when all targets are kept in use after the last reason for it.
+	keepUntil time.Time
+}
+
+// countAttempt counts the end of an attempt of any host.
+func (d *demand) countAttempt(o link.Outcome, trial bool) {
+	if o == link.Overdue {
+		return // the attempt goes on
+	}
+	d.counts.attempts++
+	switch {
+	case o == link.Succeeded:
+		d.counts.served++
+	case o != link.Failed && o != link.Broken && o != link.TimedOut:
+	case trial:
+		d.counts.failedTrials++
+	default:
+		d.counts.failed++
+	}
+}
+
+// average turns the counts of the given time into rates.
+func (d *demand) average(interval time.Duration) {
+	for _, r := range []struct {
+		rate   *movingAverage
+		count  int
+		weight float64
+	}{
+		{&d.attempts, d.counts.attempts, demandWeight},
+		{&d.failures, d.counts.failed, demandWeight},
+		{&d.trialFailures, d.counts.failedTrials, demandWeight},
+		{&d.served, d.counts.served, unservedWeight},
+		{&d.unserved, d.counts.unserved, unservedWeight},
+	} {
+		r.rate.add(float64(r.count)/interval.Seconds(), r.weight)
+	}
+	d.counts = struct{ attempts, failed, failedTrials, served, unserved int }{}
+}
+
+// requests returns the rate of the callers' requests.
+func (d *demand) requests() float64 { return d.served.value + d.unserved.value }
+
+// manyUnserved reports whether so many callers are not served that the floor may be owed.
+func (d *demand) manyUnserved() bool { return d.unserved.value > keepAllInUseShare*d.requests() }
+
+// manyFail reports whether many attempts fail. A failed attempt is known before the end of its
+// request, and from hosts of versions that report no unserved requests. Failed trial requests
+// count only while few targets are in use.
+func (d *demand) manyFail(fewInUse bool) bool {
+	failures := d.failures.value
+	if fewInUse {
+		failures += d.trialFailures.value
+	}
+	return failures > keepAllInUseShare*d.attempts.value
+}
+
 // CountUnserved counts requests of any host that ended without their callers having been
 // served: failed, late, or refused by a target or by the host itself.
-func (s *Service) CountUnserved(requests int) { s.counts.unserved += requests }
+func (s *Service) CountUnserved(requests int) { s.demand.counts.unserved += requests }
+
+// updateKeepAllInUse decides whether all targets must get requests. They must while many callers
+// are not served, because the floor must be in use then, and while the service gets no retryable
+// requests, because only those explore unused targets. In both cases there must be enough
+// requests for the targets of the floor.
+func (s *Service) updateKeepAllInUse(interval time.Duration, now time.Time) {
+	s.demand.average(interval)
+	u := s.Usage(now)
+	fewInUse := float64(u.InUse) < (1+s.floor)/2*float64(u.Trusted)
+	if s.demand.manyUnserved() || s.demand.manyFail(fewInUse) {
+		s.demand.keepUntil = now.Add(floorWindow)
+	}
+	enough := s.demand.attempts.value*floorWindow.Seconds() >= s.floor*float64(len(s.eligible))
+	s.keepAllInUse.Store(enough && s.demand.attempts.value > 0 && (now.Before(s.demand.keepUntil) || !s.HasRetryable))
+}
 
 // Usage is how many of a service's targets are in use, and what that is judged by.
 type Usage struct {
@@ -35,10 +132,9 @@
 
 // Usage returns the usage as of the last Refresh.
 func (s *Service) Usage(now time.Time) Usage {
-	u := Usage{KeepAllInUse: s.keepAllInUse.Load()}
-	u.RequestRate = s.servedRate.value + s.unservedRate.value
+	u := Usage{KeepAllInUse: s.keepAllInUse.Load(), RequestRate: s.demand.requests()}
 	if u.RequestRate > 0 {
-		u.UnservedShare = s.unservedRate.value / u.RequestRate
+		u.UnservedShare = s.demand.unserved.value / u.RequestRate
 	}
 	for _, t := range s.eligible {
 		if t.suspicion.suspect {
--- a/pool/floor_states_test.go
+++ b/pool/floor_states_test.go
@@ -68,8 +68,12 @@
 	// arrivals are the requests that reached a target, and ended the ends of all requests.
 	arrivals []arrival
 	ended    []requestEnd
-	// ready holds when each troubled target accepts its next request at its stated rate.
-	ready []time.Time
+	// hostRefusals counts the requests that their hosts refused without an attempt.
+	hostRefusals int
+	// ready holds when each troubled target accepts its next request at its stated rate, and
+	// slotFree when each slot of each target is free.
+	ready    []time.Time
+	slotFree [][]time.Time
 }
 
 // requestEnd is the end of a caller's request.
@@ -92,6 +96,9 @@
 			Slots: l.slots, Leaving: troubled && l.condition == leaving, Warming: troubled && l.condition == warming,
 		})
 	}
+	for range list {
+		p.slotFree = append(p.slotFree, make([]time.Time, l.slots))
+	}
 	for h := range l.hosts {
 		s := NewService("orders", Location{Zone: zones[h%l.zones].ID, Zones: zone.NewMap(zones, nil), Rand: rand.New(rand.NewPCG(seed, uint64(h)))})
 		s.HasRetryable = l.retryable > 0
@@ -130,6 +137,7 @@
 	}
 	retryable := p.random.Float64() < p.retryable
 	if !p.fleet[host].Routing(testFloor).Admit(Demand{Objective: p.objective, Now: now}) {
+		p.hostRefusals++
 		p.endRequest(now, false)
 		return
 	}
@@ -164,6 +172,7 @@
 			s.CountOthers(t, 1, now)
 		}
 	}
+	e.Latency += p.waitForSlot(now, i, e)
 	after := now.Sub(epoch).Milliseconds() + 1 + e.Latency.Milliseconds()
 	p.ends[after] = append(p.ends[after], func() {
 		at := epoch.Add(time.Duration(after) * time.Millisecond)
@@ -191,6 +200,23 @@
 	})
 }
 
+// waitForSlot returns how long an attempt waits for a slot of its target. A refused one does not.
+func (p *floorPlay) waitForSlot(now time.Time, i int, e Ending) time.Duration {
+	if e.Outcome == link.Refused {
+		return 0
+	}
+	slots := p.slotFree[i]
+	first := 0
+	for k, free := range slots {
+		if free.Before(slots[first]) {
+			first = k
+		}
+	}
+	wait := max(0, slots[first].Sub(now))
+	slots[first] = now.Add(wait + e.Latency)
+	return wait
+}
+
 // outcome returns how a target ends an attempt, and what it says about itself.
 func (p *floorPlay) outcome(now time.Time, i int, retryable, trouble bool) (e Ending, n target.Notice) {
 	latency := time.Duration(float64(testLatency) / 4 * (1 + p.random.ExpFloat64()))
@@ -275,23 +301,128 @@
 // no attempt fails, yet callers are not served.
 func TestFloorIsInUseWhileTargetsRefuse(t *testing.T) {
 	is := is.New(t)
-	var violations []string
 	owed := 0
 	for _, share := range []float64{0.2, 0.35, 0.5, 0.7, 0.9} {
-		for seed := range uint64(10) {
-			l := floorLoad{
-				hosts: 20, zones: 5, callerZones: 2, sound: 21, troubled: 20, condition: refusing, share: share, slowShare: 0.3,
-				slots: 2, perSecond: 150, retryable: 0.05, objective: 400 * time.Millisecond,
+		l := stateLoad(refusing)
+		l.share = share
+		owed += checkFloor(t, l, 10).owed
+	}
+	is.True(owed > 1000) // the loads are of the kind that the floor is owed in
+}
+
+// conditions names the conditions of the table in docs/design/floor.md.
+var conditions = map[string]condition{
+	"refusing": refusing, "pausing": pausing, "limited": limited, "failing": failing, "full": full, "warming": warming, "leaving": leaving,
+}
+
+// stateLoad returns a load in which half of the targets are in a condition, and callers are in two
+// of five zones.
+func stateLoad(c condition) floorLoad {
+	l := floorLoad{
+		hosts: 20, zones: 5, callerZones: 2, sound: 21, troubled: 20, condition: c, share: 0.4, slowShare: 0.3,
+		slots: 2, perSecond: 150, retryable: 0.05, objective: 400 * time.Millisecond,
+	}
+	switch c {
+	case limited:
+		l.perSecond = 250
+	case leaving:
+		l.perSecond, l.objective = 550, 250*time.Millisecond
+	case failing, full:
+		l.perSecond, l.share = 60, 0.9
+	case warming:
+		l.share = 0.7
+	case refusing, pausing:
+	}
+	return l
+}
+
+// floorPlays is what several plays of a load amount to.
+type floorPlays struct {
+	// owed is the number of windows in which the floor was owed, and hostRefusals that of
+	// requests that hosts refused without an attempt.
+	owed, hostRefusals int
+}
+
+// checkFloor plays a load with several seeds and checks that the floor is in use whenever it is
+// owed, and that the targets get no more than they ask for.
+func checkFloor(t *testing.T, l floorLoad, seeds uint64) (played floorPlays) {
+	t.Helper()
+	is := is.New(t)
+	var violations []string
+	for seed := range seeds {
+		p := l.newPlay(seed)
+		p.run(4*time.Second, 16*time.Second)
+		violation, n := p.belowFloor(4*time.Second, 15*time.Second)
+		played.owed += n
+		played.hostRefusals += p.hostRefusals
+		if violation != "" {
+			violations = append(violations, fmt.Sprintf("seed %d: %s", seed, violation))
+		}
+		if excess := p.moreThanAskedFor(); excess != "" {
+			violations = append(violations, fmt.Sprintf("seed %d: %s", seed, excess))
+		}
+	}
+	is.Equal(strings.Join(violations, "\n"), "")
+	return played
+}
+
+// moreThanAskedFor returns a request to a leaving target, or a limited target that gets more than
+// one and a half times its limit and five requests in four seconds.
+func (p *floorPlay) moreThanAskedFor() string {
+	const window, settled = 4 * time.Second, 6 * time.Second
+	perTarget := make(map[int][]time.Time)
+	for _, a := range p.arrivals {
+		if a.target >= p.sound && a.at.Sub(epoch) >= settled {
+			perTarget[a.target] = append(perTarget[a.target], a.at)
+		}
+	}
+	for i, times := range perTarget {
+		if p.condition == leaving {
+			return fmt.Sprintf("leaving target %d gets %d requests", i, len(times))
+		}
+		if p.condition != limited {
+			continue
+		}
+		for k, from := range times {
+			n := 0
+			for _, at := range times[k:] {
+				if at.Sub(from) < window {
+					n++
+				}
 			}
-			p := l.newPlay(seed)
-			p.run(4*time.Second, 16*time.Second)
-			violation, n := p.belowFloor(4*time.Second, 15*time.Second)
-			owed += n
-			if violation != "" {
-				violations = append(violations, fmt.Sprintf("share %v seed %d: %s", share, seed, violation))
+			if float64(n) > 1.5*statedLimit*window.Seconds()+5 {
+				return fmt.Sprintf("limited target %d gets %d requests in %v", i, n, window)
 			}
 		}
 	}
-	is.True(owed > 1000) // the loads are of the kind that the floor is owed in
-	is.Equal(strings.Join(violations, "\n"), "")
+	return ""
+}
+
+// TestFloorIsInUseInEveryCondition covers each state in which targets are not to be used now.
+func TestFloorIsInUseInEveryCondition(t *testing.T) {
+	for name, c := range conditions {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).True(checkFloor(t, stateLoad(c), 10).owed > 0)
+		})
+		t.Run(name+" with callers in all zones", func(t *testing.T) {
+			l := stateLoad(c)
+			l.callerZones = 0
+			is.New(t).True(checkFloor(t, l, 5).owed > 0)
+		})
+		t.Run(name+" with retries of refused requests", func(t *testing.T) {
+			l := stateLoad(c)
+			l.retries = 0.2
+			is.New(t).True(checkFloor(t, l, 5).owed > 0)
+		})
+	}
+}
+
+// TestFloorIsInUseWhileHostsRefuse covers requests that hosts refuse without an attempt.
+func TestFloorIsInUseWhileHostsRefuse(t *testing.T) {
+	is := is.New(t)
+	l := stateLoad(pausing)
+	l.perSecond, l.objective = 900, 250*time.Millisecond
+	played := checkFloor(t, l, 10)
+	is.True(played.owed > 0)
+	is.True(played.hostRefusals > 1000)
 }
--- a/pool/service.go
+++ b/pool/service.go
@@ -57,14 +57,8 @@
 	typicalLatency   movingAverage
 	successes        int
 	publishedTypical atomic.Int64
-	// requestRate is the number of requests that end in a second, failureRate that of
-	// the requests that fail at trusted targets, and trialFailureRate that of the trial
-	// requests that fail. counts holds the requests since the last Refresh.
-	requestRate, failureRate, trialFailureRate movingAverage
-	counts                                     struct{ ended, failed, failedTrials, served, unserved int }
-	// servedRate and unservedRate are the numbers of callers' requests of all hosts that are
-	// served and not served in a second.
-	servedRate, unservedRate movingAverage
+	// demand is what the fleet sends to the service and how that ends.
+	demand demand
 	// floor is the share of the targets that must be in use while requests fail.
 	floor float64
 	// throttles holds back what each target has asked not to get. They outlast the rows of
@@ -213,18 +207,12 @@
 // countOutcome updates the counts of requests and the share of requests that fail at
 // the target. That average starts at 0 instead of at its first value.
 func (s *Service) countOutcome(t *Target, o link.Outcome) {
-	s.counts.ended++
+	s.demand.countAttempt(o, t.suspicion.suspect)
 	failed := 0.0
 	switch o {
 	case link.Succeeded:
-		s.counts.served++
 	case link.Failed, link.Broken, link.TimedOut:
 		failed = 1
-		if t.suspicion.suspect {
-			s.counts.failedTrials++
-		} else {
-			s.counts.failed++
-		}
 	default:
 		return
 	}
@@ -253,46 +241,6 @@
 // without requests returns to the median, so that the target gets requests again.
 const slownessDecayTime = 4 * time.Second
 
-// A service sends requests to all its targets in three cases: while many of its requests
-// fail, because its floor must be in use then; while many fail if trial requests count too,
-// and few targets are in use; and while it gets no retryable requests, because only those
-// explore unused targets. In all cases, there must be enough requests for all targets.
-const (
-	// keepAllInUseFailureShare is the share of failed requests above which all targets
-	// get requests. The floor must be in use from a share of 0.1; the lower value leaves
-	// a margin for the delay of the averages.
-	keepAllInUseFailureShare = 0.06
-	// floorWindow is the time within which each target of the floor must get a
-	// request.
-	floorWindow = 2 * time.Second
-)
-
-// updateKeepAllInUse decides whether all targets must get requests.
-func (s *Service) updateKeepAllInUse(interval time.Duration, now time.Time) {
-	for _, r := range []struct {
-		rate  *movingAverage
-		count int
-	}{
-		{&s.requestRate, s.counts.ended}, {&s.failureRate, s.counts.failed}, {&s.trialFailureRate, s.counts.failedTrials},
-		{&s.servedRate, s.counts.served}, {&s.unservedRate, s.counts.unserved},
-	} {
-		r.rate.add(float64(r.count)/interval.Seconds(), requestRateWeight)
-	}
-	s.counts.ended, s.counts.failed, s.counts.failedTrials, s.counts.served, s.counts.unserved = 0, 0, 0, 0, 0
-	enough := s.requestRate.value*floorWindow.Seconds() >= float64(len(s.eligible))
-	limit := keepAllInUseFailureShare * s.requestRate.value
-	failing := s.failureRate.value > limit ||
-		s.failureRate.value+s.trialFailureRate.value > limit && s.fewInUse(now)
-	s.keepAllInUse.Store(enough && (failing || !s.HasRetryable))
-}
-
-// fewInUse reports whether the share of the trusted targets that are in use is close to
-// the floor. Suspects do not count: they get trial requests.
-func (s *Service) fewInUse(now time.Time) bool {
-	u := s.Usage(now)
-	return float64(u.InUse) < (1+s.floor)/2*float64(u.Trusted)
-}
-
 // Refresh compares the targets' latencies and updates the rate of requests. The
 // control thread calls it at the given interval.
 func (s *Service) Refresh(interval time.Duration, now time.Time) {
--- a/pool/target.go
+++ b/pool/target.go
@@ -208,8 +208,6 @@
 	latencyWeight = 0.15
 	// targetFailureWeight averages over about twenty requests.
 	targetFailureWeight = 0.05
-	// requestRateWeight averages over about two seconds.
-	requestRateWeight = 0.12
 )
 
 func (a *movingAverage) add(value, weight float64) {
