pool, fleet: a long request in flight is one arrival at its target, not many

What callers saw (FLOOR): sound targets without a new request for 2 s while others refuse, where requests last long. Cause: every report of a host with a request in flight marked its target as used just now, and a target with a request in flight was never due. Why this works: hosts tell arrivals from reports: more in flight than before, or an end, which dates its start.

--- a/fleet/report.go
+++ b/fleet/report.go
@@ -173,8 +173,9 @@
 	}
 	c.applyNotices(now, r.Notices)
 	c.countRequests(now, p.loads, r)
+	c.markArrivals(now, p.loads, r)
 	c.replaceLoads(p, r.Loads)
-	c.markTargetsUsed(now, p)
+	c.markTargetsBusy(now, p)
 	for _, e := range r.Endings {
 		e.Host = string(p.ID)
 		c.countEnding(now, e)
@@ -186,11 +187,31 @@
 	return true
 }
 
-// markTargetsUsed records that the targets at which a host has requests in flight were used just
-// now.
-func (c *Core) markTargetsUsed(now time.Time, p *peerState) {
+// markArrivals records the requests that a host has begun since its last report: where it has more
+// in flight than before, now, and those that have ended, at their start. Loads are sorted by target.
+func (c *Core) markArrivals(now time.Time, before []Load, r Report) {
+	for _, l := range r.Loads {
+		for len(before) > 0 && before[0].Target < l.Target {
+			before = before[1:]
+		}
+		if len(before) > 0 && before[0].Target == l.Target && before[0].Requests >= l.Requests {
+			continue
+		}
+		if ref, ok := c.byHash[l.Target]; ok {
+			ref.target.MarkArrival(now)
+		}
+	}
+	for _, e := range r.Endings {
+		if ref, ok := c.byHash[e.Target]; ok && e.Outcome != link.ConnectFailed {
+			ref.target.MarkArrival(now.Add(-e.Latency))
+		}
+	}
+}
+
+// markTargetsBusy records that a host has requests in flight at targets.
+func (c *Core) markTargetsBusy(now time.Time, p *peerState) {
 	for _, l := range p.loads {
-		c.byHash[l.Target].target.MarkUsed(now)
+		c.byHash[l.Target].target.MarkBusy(now)
 	}
 }
 
--- a/pool/cost.go
+++ b/pool/cost.go
@@ -95,7 +95,8 @@
 	cost += failureCost * math.Float64frombits(t.publishedFailureRate.Load())
 	reason := LowestCost
 	switch {
-	case (p.explore || t.awaitsFirstRequest()) && t.dueForRequest(now, slow, p.keepAllInUse):
+	case (p.explore || t.awaitsFirstRequest()) && t.dueForRequest(now, slow),
+		p.keepAllInUse && t.dueForFloor(now):
 		cost, reason = min(cost, dueCost), Due
 	case !p.explore:
 		cost += p.uncertaintyCost(t, now)
@@ -125,18 +126,17 @@
 	dueCost = 0.5
 )
 
-// dueForRequest reports whether the target has been without a request for too long:
-// for maxRequestGap if it is in this host's zone and not slow, else for maxFloorGap
-// while all targets must be in use.
-func (t *Target) dueForRequest(now time.Time, slow float64, keepAllInUse bool) bool {
-	gap := maxRequestGap
-	if t.distance != SameZone || slow >= slowRatio {
-		if !keepAllInUse {
-			return false
-		}
-		gap = maxFloorGap
-	}
-	return t.InFlight() == 0 && clock.Nanos(now)-t.lastUsed.Load() > int64(gap)
+// dueForRequest reports whether the target, which is in this host's zone and not slow, has been
+// without a request for maxRequestGap.
+func (t *Target) dueForRequest(now time.Time, slow float64) bool {
+	return t.distance == SameZone && slow < slowRatio &&
+		t.InFlight() == 0 && clock.Nanos(now)-t.lastUsed.Load() > int64(maxRequestGap)
+}
+
+// dueForFloor reports whether the target has been without a new request for maxFloorGap. A long
+// request in flight does not put that off, unless the target has no free slot.
+func (t *Target) dueForFloor(now time.Time) bool {
+	return t.InFlight() < t.Slots && t.SinceArrival(now) > maxFloorGap
 }
 
 // awaitsFirstRequest reports whether the target joined after others and was never
--- a/pool/floor.go
+++ b/pool/floor.go
@@ -5,7 +5,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/crocushinge/crocushinge/internal/clock"
 	"github.com/crocushinge/crocushinge/link"
 )
 
@@ -124,7 +123,7 @@
 	// share of them, 0 to 1, whose callers were not served.
 	RequestRate, UnservedShare float64
 	// Trusted is the number of trusted targets, and InUse the number of those that got a
-	// request lately.
+	// request within maxFloorGap.
 	Trusted, InUse int
 	// KeepAllInUse is set while all targets must get requests.
 	KeepAllInUse bool
@@ -141,7 +140,7 @@
 			continue
 		}
 		u.Trusted++
-		if t.InFlight() > 0 || clock.Nanos(now)-t.lastUsed.Load() < int64(maxRequestGap) {
+		if t.SinceArrival(now) < maxFloorGap {
 			u.InUse++
 		}
 	}
--- a/pool/floor_states_test.go
+++ b/pool/floor_states_test.go
@@ -51,6 +51,8 @@
 	share, slowShare float64
 	slots            int
 	perSecond        int
+	// latency is the average latency of a sound target; 0 for testLatency / 2.
+	latency time.Duration
 	// retryable is the share of the requests that may be retried. retries is the share of the
 	// refused requests that the budget allows to be sent again.
 	retryable, retries float64
@@ -121,12 +123,26 @@
 				s.Refresh(250*time.Millisecond, now)
 			}
 		}
+		if ms%200 == 0 {
+			p.reportLoads(now)
+		}
 		if p.random.IntN(1000) < p.perSecond {
 			p.request(now, now.Sub(epoch) >= warmUp)
 		}
 	}
 }
 
+// reportLoads tells all hosts of the requests in flight, as periodic reports do.
+func (p *floorPlay) reportLoads(now time.Time) {
+	for _, s := range p.fleet {
+		for _, t := range s.All() {
+			if t.InFlight() > 0 {
+				t.MarkBusy(now)
+			}
+		}
+	}
+}
+
 // request sends a caller's request to a random host that has callers.
 func (p *floorPlay) request(now time.Time, trouble bool) {
 	host := p.random.IntN(p.hosts)
@@ -219,7 +235,11 @@
 
 // outcome returns how a target ends an attempt, and what it says about itself.
 func (p *floorPlay) outcome(now time.Time, i int, retryable, trouble bool) (e Ending, n target.Notice) {
-	latency := time.Duration(float64(testLatency) / 4 * (1 + p.random.ExpFloat64()))
+	mean := p.latency
+	if mean == 0 {
+		mean = testLatency / 2
+	}
+	latency := time.Duration(float64(mean) / 2 * (1 + p.random.ExpFloat64()))
 	e = Ending{Outcome: link.Succeeded, Latency: latency}
 	if i < p.sound {
 		if float64(i) < p.slowShare*float64(p.sound) {
@@ -426,3 +446,12 @@
 	is.True(played.owed > 0)
 	is.True(played.hostRefusals > 1000)
 }
+
+// TestFloorIsInUseBesideLongRequests covers requests that last longer than half of the floor's
+// window: a target that still works on one has not got another.
+func TestFloorIsInUseBesideLongRequests(t *testing.T) {
+	is := is.New(t)
+	l := stateLoad(refusing)
+	l.slots, l.perSecond, l.latency, l.objective, l.share = 8, 40, 1700*time.Millisecond, 4*time.Second, 0.5
+	is.True(checkFloor(t, l, 10).owed > 0)
+}
--- a/pool/target.go
+++ b/pool/target.go
@@ -62,12 +62,15 @@
 	// and publishedFailureRate the copy of failureRate that traffic reads, both as
 	// float64 bits.
 	slowness, publishedFailureRate atomic.Uint64
-	// lastUsed is when any host last sent the target a request, as far as this
-	// host knows.
+	// lastUsed is when any host last had a request in flight at the target, as far as
+	// this host knows.
 	lastUsed atomic.Int64
 	// lastUsedHere is when this host last sent it a request, and lastSuccess when
 	// a request of any host last succeeded.
 	lastUsedHere, lastSuccess atomic.Int64
+	// lastArrival is when a request of any host last began at the target, as far as this host
+	// knows. A request in flight keeps lastUsed at the present, and lastArrival at its start.
+	lastArrival atomic.Int64
 	// joinedLater is set for a target that was registered while others were
 	// already in use.
 	joinedLater bool
@@ -114,6 +117,7 @@
 	t.lastUsed.Store(never)
 	t.lastUsedHere.Store(never)
 	t.lastSuccess.Store(never)
+	t.lastArrival.Store(never)
 	return t
 }
 
@@ -150,8 +154,34 @@
 // flight.
 func (t *Target) AddOthersInFlight(n int) { t.others.Add(int32(n)) }
 
-// MarkUsed records that a host sent a request to the target.
-func (t *Target) MarkUsed(now time.Time) { t.lastUsed.Store(clock.Nanos(now)) }
+// MarkUsed records that a host has just sent a request to the target.
+func (t *Target) MarkUsed(now time.Time) {
+	t.MarkBusy(now)
+	t.MarkArrival(now)
+}
+
+// MarkBusy records that a host has a request in flight at the target.
+func (t *Target) MarkBusy(now time.Time) { t.lastUsed.Store(clock.Nanos(now)) }
+
+// MarkArrival records that a request of any host began at the target at the given time.
+func (t *Target) MarkArrival(at time.Time) {
+	for {
+		old := t.lastArrival.Load()
+		if clock.Nanos(at) <= old || t.lastArrival.CompareAndSwap(old, clock.Nanos(at)) {
+			return
+		}
+	}
+}
+
+// SinceArrival returns the time since a request last began at the target, as far as this host
+// knows; it is very long if there was none.
+func (t *Target) SinceArrival(now time.Time) time.Duration {
+	last := t.lastArrival.Load()
+	if last == never {
+		return math.MaxInt64
+	}
+	return time.Duration(clock.Nanos(now) - last)
+}
 
 // InFlight returns how many requests the fleet has in flight at the target, as far
 // as this host knows.
