discovery, fleet, platform: revisions order readings within one history of the store

Cause: a version orders only within one history, and was used as an order over all time: by the client's copies of the tables, which dropped the rows and the whole read with lower versions; by the merge of targets; by the stamps, pushes and deltas between hosts. Why this works: a reading has a history (history.ID), which the platform takes from Store-Era, and hosts tell each other with their stamps. Readings of an earlier history are older, whatever their versions; deltas apply within one history. A store that names none begins a new history when its version goes back. The configuration keeps the order of its own versions, so that the restored, older one does not come into force. Targets whose leaving was lost are not used; those whose rows were lost stay as after an outage. Hosts of earlier versions send history 0, which is neither earlier nor later.

--- a/discovery/changes.go
+++ b/discovery/changes.go
@@ -5,9 +5,11 @@
 	"slices"
 
 	"github.com/pkg/errors"
+
+	"github.com/crocushinge/crocushinge/history"
 )
 
-// Changes lead from one version of the registered targets to a later one.
+// Changes lead from one version of the registered targets to a later one of the same history.
 type Changes struct {
 	// Since is the revision of the version that the changes apply to.
 	Since uint64
@@ -15,16 +17,21 @@
 	// that are gone. An id can be in both: a target that left and came back.
 	Updated []Target
 	Removed []string
-	// Revision, At and Digest are those of the version that the changes lead to.
-	Revision uint64
-	At       int64
-	Digest   uint32
+	// Reading and Digest are those of the version that the changes lead to.
+	history.Reading
+	Digest uint32
 }
 
 // ErrChangesMismatch means that changes did not lead to the version that they stand for. The
 // whole list must be read instead.
 var ErrChangesMismatch = errors.New("the changes of the targets do not lead to the announced version")
 
+// AppliesTo reports whether the changes apply to a version: they are of its history and begin no
+// later than it.
+func (c *Changes) AppliesTo(version history.Reading) bool {
+	return c.History.Comparable(version.History) && c.Since <= version.Revision
+}
+
 // Apply returns the targets with the changes applied. It fails if the result is not the
 // version that the changes stand for, for instance because a part of them is missing.
 func (t *Targets) Apply(c *Changes) (*Targets, error) {
@@ -35,7 +42,7 @@
 	for _, target := range c.Updated {
 		byID[target.ID] = target
 	}
-	out := NewTargets(c.Revision, c.At, slices.Collect(maps.Values(byID)))
+	out := NewTargets(c.Reading, slices.Collect(maps.Values(byID)))
 	if out.Digest != c.Digest {
 		return nil, ErrChangesMismatch
 	}
@@ -61,8 +68,8 @@
 
 // record remembers the targets of the old version that the new one lacks.
 func (r *removals) record(old, current *Targets) {
-	if old == nil {
-		r.completeFrom = current.Revision
+	if old == nil || old.History.Before(current.History) {
+		*r = removals{completeFrom: current.Revision}
 		return
 	}
 	kept := current.byID()
@@ -78,12 +85,12 @@
 }
 
 // ChangesSince returns the changes from an earlier version to the known one. It returns
-// false if that version is too old or not older than the known one.
-func (r *Registry) ChangesSince(revision uint64) (*Changes, bool) {
-	if r.known == nil || revision < r.removals.completeFrom || revision > r.known.Revision {
+// false if that version is of another history, too old or not older than the known one.
+func (r *Registry) ChangesSince(h history.ID, revision uint64) (*Changes, bool) {
+	if r.known == nil || !h.Comparable(r.known.History) || revision < r.removals.completeFrom || revision > r.known.Revision {
 		return nil, false
 	}
-	c := &Changes{Since: revision, Revision: r.known.Revision, At: r.known.At, Digest: r.known.Digest}
+	c := &Changes{Since: revision, Reading: r.known.Reading, Digest: r.known.Digest}
 	for _, t := range r.known.List {
 		if t.Revision > revision {
 			c.Updated = append(c.Updated, t)
--- a/discovery/changes_test.go
+++ b/discovery/changes_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/crocushinge/crocushinge/history"
 )
 
 // registered returns a target with the given revision.
@@ -33,7 +35,7 @@
 		for _, row := range rows {
 			list = append(list, row)
 		}
-		is.True(full.Merge(NewTargets(revision, int64(revision), list)))
+		is.True(full.Merge(NewTargets(history.Reading{Revision: revision, At: int64(revision)}, list)))
 		if random.IntN(20) > 0 {
 			continue
 		}
@@ -41,7 +43,7 @@
 			is.True(partial.Merge(full.Known()))
 			continue
 		}
-		changes, ok := full.ChangesSince(partial.Known().Revision)
+		changes, ok := full.ChangesSince(0, partial.Known().Revision)
 		if !ok {
 			whole++
 			is.True(partial.Merge(full.Known()))
@@ -59,10 +61,10 @@
 func TestChangesWithAMissingPartAreRefused(t *testing.T) {
 	is := is.New(t)
 	var r Registry
-	r.Merge(NewTargets(1, 1, []Target{registered("a", 1, false), registered("b", 1, false)}))
+	r.Merge(NewTargets(history.Reading{Revision: 1, At: 1}, []Target{registered("a", 1, false), registered("b", 1, false)}))
 	old := r.Known()
-	r.Merge(NewTargets(3, 3, []Target{registered("a", 1, false), registered("c", 2, false), registered("d", 3, true)}))
-	changes, ok := r.ChangesSince(1)
+	r.Merge(NewTargets(history.Reading{Revision: 3, At: 3}, []Target{registered("a", 1, false), registered("c", 2, false), registered("d", 3, true)}))
+	changes, ok := r.ChangesSince(0, 1)
 	is.True(ok)
 	is.Equal(len(changes.Updated), 2)
 	is.Equal(changes.Removed, []string{"b"})
@@ -81,20 +83,20 @@
 func TestChangesSinceAForgottenVersion(t *testing.T) {
 	is := is.New(t)
 	var r Registry
-	_, ok := r.ChangesSince(0)
+	_, ok := r.ChangesSince(0, 0)
 	is.True(!ok) // nothing is known
 	var list []Target
 	for i := range maxRemovals + 10 {
 		list = append(list, registered(fmt.Sprintf("t%04d", i), 5, false))
 	}
-	r.Merge(NewTargets(5, 5, list))
-	_, ok = r.ChangesSince(4)
+	r.Merge(NewTargets(history.Reading{Revision: 5, At: 5}, list))
+	_, ok = r.ChangesSince(0, 4)
 	is.True(!ok) // removals before the first read are unknown
-	r.Merge(NewTargets(6, 6, append([]Target(nil), list[:5]...)))
-	_, ok = r.ChangesSince(5)
+	r.Merge(NewTargets(history.Reading{Revision: 6, At: 6}, append([]Target(nil), list[:5]...)))
+	_, ok = r.ChangesSince(0, 5)
 	is.True(!ok) // more removals than are remembered
-	_, ok = r.ChangesSince(6)
+	_, ok = r.ChangesSince(0, 6)
 	is.True(ok)
-	_, ok = r.ChangesSince(7)
+	_, ok = r.ChangesSince(0, 7)
 	is.True(!ok) // newer than the known version
 }
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/crocushinge/crocushinge/history"
 )
 
 func TestFindReturnsLongestPrefix(t *testing.T) {
@@ -63,34 +65,34 @@
 	is := is.New(t)
 	a, b := row("a", 1), row("a", 1)
 	b.Revision = 99
-	is.Equal(NewTargets(1, 1, []Target{a}).Digest, NewTargets(2, 2, []Target{b}).Digest)
+	is.Equal(NewTargets(history.Reading{Revision: 1, At: 1}, []Target{a}).Digest, NewTargets(history.Reading{Revision: 2, At: 2}, []Target{b}).Digest)
 	b.Leaving = true
-	is.True(NewTargets(1, 1, []Target{a}).Digest != NewTargets(2, 2, []Target{b}).Digest)
+	is.True(NewTargets(history.Reading{Revision: 1, At: 1}, []Target{a}).Digest != NewTargets(history.Reading{Revision: 2, At: 2}, []Target{b}).Digest)
 }
 
 func TestOlderReadIsIgnored(t *testing.T) {
 	is := is.New(t)
 	var r Registry
-	is.True(r.Merge(NewTargets(5, 1000, []Target{row("a", 1)})))
-	is.True(!r.Merge(NewTargets(9, 900, nil)))
+	is.True(r.Merge(NewTargets(history.Reading{Revision: 5, At: 1000}, []Target{row("a", 1)})))
+	is.True(!r.Merge(NewTargets(history.Reading{Revision: 9, At: 900}, nil)))
 	is.Equal(len(bornByID(&r)), 1)
 }
 
 func TestEarlierIncarnationDoesNotReplaceLaterOne(t *testing.T) {
 	is := is.New(t)
 	var r Registry
-	r.Merge(NewTargets(1, 1000, []Target{row("a", 50)}))
-	r.Merge(NewTargets(2, 1100, []Target{row("a", 40)})) // a delayed write
+	r.Merge(NewTargets(history.Reading{Revision: 1, At: 1000}, []Target{row("a", 50)}))
+	r.Merge(NewTargets(history.Reading{Revision: 2, At: 1100}, []Target{row("a", 40)})) // a delayed write
 	is.Equal(bornByID(&r)["a"], int64(50))
-	r.Merge(NewTargets(3, 1200, []Target{row("a", 60)}))
+	r.Merge(NewTargets(history.Reading{Revision: 3, At: 1200}, []Target{row("a", 60)}))
 	is.Equal(bornByID(&r)["a"], int64(60))
 }
 
 func TestTargetWithoutRowIsRemoved(t *testing.T) {
 	is := is.New(t)
 	var r Registry
-	r.Merge(NewTargets(1, 1000, []Target{row("a", 1), row("b", 1)}))
-	r.Merge(NewTargets(2, 1700, []Target{row("b", 1)}))
+	r.Merge(NewTargets(history.Reading{Revision: 1, At: 1000}, []Target{row("a", 1), row("b", 1)}))
+	r.Merge(NewTargets(history.Reading{Revision: 2, At: 1700}, []Target{row("b", 1)}))
 	is.Equal(len(bornByID(&r)), 1)
 }
 
@@ -101,12 +103,12 @@
 	recovered := 1000 + OutageGap.Milliseconds() + 1
 	grace := ReRegistrationGrace.Milliseconds()
 	var r Registry
-	r.Merge(NewTargets(1, 1000, []Target{row("a", 1), leaving}))
-	r.Merge(NewTargets(2, recovered, nil))
+	r.Merge(NewTargets(history.Reading{Revision: 1, At: 1000}, []Target{row("a", 1), leaving}))
+	r.Merge(NewTargets(history.Reading{Revision: 2, At: recovered}, nil))
 	is.Equal(bornByID(&r), map[string]int64{"a": 1}) // the leaving one has no grace period
-	r.Merge(NewTargets(2, recovered+grace-1, nil))
+	r.Merge(NewTargets(history.Reading{Revision: 2, At: recovered + grace - 1}, nil))
 	is.Equal(len(bornByID(&r)), 1)
-	r.Merge(NewTargets(2, recovered+grace, nil))
+	r.Merge(NewTargets(history.Reading{Revision: 2, At: recovered + grace}, nil))
 	is.Equal(len(bornByID(&r)), 0)
 }
 
@@ -115,10 +117,10 @@
 func TestGracePeriodBeginsWithAReadByAPeer(t *testing.T) {
 	is := is.New(t)
 	var r Registry
-	r.Merge(NewTargets(1, 1000, []Target{row("a", 1)}))
+	r.Merge(NewTargets(history.Reading{Revision: 1, At: 1000}, []Target{row("a", 1)}))
 	recovered := 1000 + 10*time.Second.Milliseconds()
-	r.Confirm(recovered)
-	r.Merge(NewTargets(2, recovered+100, nil))
+	r.Confirm(history.Reading{At: recovered})
+	r.Merge(NewTargets(history.Reading{Revision: 2, At: recovered + 100}, nil))
 	is.Equal(len(bornByID(&r)), 1)
 }
 
@@ -126,9 +128,9 @@
 func TestLateReadOfAnEarlierRevisionIsIgnored(t *testing.T) {
 	is := is.New(t)
 	var r Registry
-	is.True(r.Merge(NewTargets(20, 1000, []Target{row("a", 1), row("b", 1)})))
-	is.True(!r.Merge(NewTargets(15, 1500, []Target{row("a", 1)})))
+	is.True(r.Merge(NewTargets(history.Reading{Revision: 20, At: 1000}, []Target{row("a", 1), row("b", 1)})))
+	is.True(!r.Merge(NewTargets(history.Reading{Revision: 15, At: 1500}, []Target{row("a", 1)})))
 	is.Equal(len(bornByID(&r)), 2)
-	is.True(r.Merge(NewTargets(21, 1600, []Target{row("a", 1)})))
+	is.True(r.Merge(NewTargets(history.Reading{Revision: 21, At: 1600}, []Target{row("a", 1)})))
 	is.Equal(len(bornByID(&r)), 1)
 }
--- a/discovery/target.go
+++ b/discovery/target.go
@@ -2,13 +2,12 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strconv"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/zone"
 )
 
@@ -44,22 +43,19 @@
 
 // Targets holds the registered targets as of one read of the store. It is immutable.
 type Targets struct {
-	// Revision is the store's version at the time of the read.
-	Revision uint64
+	// Reading is the reading of the store that the targets are from.
+	history.Reading
 	// List is sorted by id.
 	List []Target
 	// Digest is equal for two reads whose targets differ in nothing but their
 	// revisions.
 	Digest uint32
-	// At is the time of the read by the store's monotonic clock, in milliseconds.
-	At int64
 }
 
-// NewTargets returns the targets of a read at the given time of the store's clock. It
-// takes ownership of the list.
-func NewTargets(revision uint64, at int64, list []Target) *Targets {
+// NewTargets returns the targets of a reading. It takes ownership of the list.
+func NewTargets(reading history.Reading, list []Target) *Targets {
 	slices.SortFunc(list, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
-	return &Targets{Revision: revision, At: at, List: list, Digest: digest(list)}
+	return &Targets{Reading: reading, List: list, Digest: digest(list)}
 }
 
 // byID returns the targets by their ids, in a new map.
@@ -105,76 +101,3 @@
 	}
 	return uint32(h.Sum64())
 }
-
-const (
-	// ReRegistrationGrace is how long targets are kept after a store outage if their
-	// rows expired during it. The platform guarantees that they register again within
-	// two seconds.
-	ReRegistrationGrace = 2200 * time.Millisecond
-	// OutageGap is the longest gap between two reads that is not taken for a store
-	// outage. During an outage, rows may expire. The gap is longer than it takes to
-	// replace failed store readers.
-	OutageGap = 2500 * time.Millisecond
-)
-
-// Registry merges reads of the store into the set of known targets. All times are by
-// the store's clock, so that all hosts decide alike. The control thread owns it.
-type Registry struct {
-	known *Targets
-	// confirmed is the time of the latest read by any host.
-	confirmed int64
-	// graceUntil is when targets whose rows expired in an outage are dropped.
-	graceUntil int64
-	// removals are the targets that were removed lately, for ChangesSince.
-	removals removals
-}
-
-// Known returns the known targets, or nil before the first read.
-func (r *Registry) Known() *Targets { return r.known }
-
-// Confirm records that some host read the store at the given time. A gap longer than
-// OutageGap since the previous read begins a grace period.
-func (r *Registry) Confirm(at int64) {
-	if r.known != nil && at-r.confirmed > OutageGap.Milliseconds() {
-		r.graceUntil = at + ReRegistrationGrace.Milliseconds()
-	}
-	r.confirmed = max(r.confirmed, at)
-}
-
-// Merge replaces the known targets by those of a read by this host or another one,
-// except for those that retainKnown keeps. It reports whether the read was at least as
-// new as the known targets; an older read is ignored. A late read may have an earlier
-// revision: a store hands out many changes in several responses.
-func (r *Registry) Merge(read *Targets) bool {
-	if r.known != nil && (read.At < r.known.At || read.Revision < r.known.Revision) {
-		return false
-	}
-	r.Confirm(read.At)
-	if r.known == nil {
-		r.removals.record(nil, read)
-		r.known = read
-		return true
-	}
-	byID := read.byID()
-	r.retainKnown(byID, read.At < r.graceUntil)
-	merged := NewTargets(read.Revision, read.At, slices.Collect(maps.Values(byID)))
-	r.removals.record(r.known, merged)
-	r.known = merged
-	return true
-}
-
-// retainKnown puts back known targets that a read must not remove. If the read has an
-// earlier incarnation of a target than the known one, the known one stays: a delayed
-// write of the earlier incarnation may have replaced its row. In the grace period after
-// an outage, targets stay whose rows expired during the outage.
-func (r *Registry) retainKnown(byID map[string]Target, inGrace bool) {
-	for _, known := range r.known.List {
-		read, found := byID[known.ID]
-		switch {
-		case found && read.Born != 0 && read.Born < known.Born:
-			byID[known.ID] = known
-		case !found && inGrace && !known.Leaving:
-			byID[known.ID] = known
-		}
-	}
-}
--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/timeline"
 	"github.com/crocushinge/crocushinge/zone"
 )
@@ -41,6 +43,10 @@
 	targets  map[string]discovery.Target
 	config   *discovery.Configuration
 	revision uint64
+	// history is the history of the store, and contents what tells configurations of one version
+	// apart.
+	history  history.ID
+	contents string
 	changed  map[string]time.Time
 	// removed holds the hosts whose rows were removed, and rows those whose rows were
 	// written.
@@ -109,6 +115,7 @@
 		hosts:       make(map[string]*node),
 		targets:     make(map[string]discovery.Target),
 		changed:     make(map[string]time.Time),
+		history:     1,
 		storeCutOff: make(map[string]bool),
 		removed:     make(map[ID]bool),
 		rows:        make(map[ID]bool),
@@ -218,11 +225,11 @@
 				list = append(list, t)
 			}
 			slices.SortFunc(list, func(a, b discovery.Target) int { return cmp.Compare(a.ID, b.ID) })
-			return TargetsRead{Targets: discovery.NewTargets(c.revision, c.now.UnixMilli(), list)}
+			return TargetsRead{Targets: discovery.NewTargets(c.reading(), list)}
 		}, func(err error) Event { return TargetsRead{Err: err} })
 	case ReadConfiguration:
 		c.longPollStore(n, "config", e.Wait, func() Event {
-			return ConfigurationRead{Document: &Document{Configuration: c.config}, At: c.now.UnixMilli()}
+			return ConfigurationRead{Document: c.document(), Reading: c.reading()}
 		}, func(err error) Event { return ConfigurationRead{Err: err} })
 	case ReadPeers:
 		c.callStore(n, func() Event {
@@ -288,7 +295,7 @@
 			return
 		}
 		c.fetches++
-		documents := peer.core.Documents(c.now, e.TargetsSince)
+		documents := peer.core.Documents(c.now, e.TargetsHistory, e.TargetsSince)
 		if !e.Targets {
 			documents.Targets, documents.TargetChanges = nil, nil
 		} else {
@@ -338,6 +345,40 @@
 	c.schedule(storeDelay, poll)
 }
 
+// reading returns a reading of the store at present.
+func (c *cluster) reading() history.Reading {
+	return history.Reading{History: c.history, Revision: c.revision, At: c.now.UnixMilli()}
+}
+
+// document returns the configuration as read from the store.
+func (c *cluster) document() *Document {
+	return &Document{Configuration: c.config, Bytes: []byte(c.contents), History: c.history}
+}
+
+// storeCopy is what the store held at a moment.
+type storeCopy struct {
+	targets       map[string]discovery.Target
+	config        *discovery.Configuration
+	contents      string
+	revision      uint64
+	removed, rows map[ID]bool
+}
+
+func (c *cluster) copyStore() storeCopy {
+	return storeCopy{
+		targets: maps.Clone(c.targets), config: c.config, contents: c.contents, revision: c.revision,
+		removed: maps.Clone(c.removed), rows: maps.Clone(c.rows),
+	}
+}
+
+// restoreStore makes the store hold a copy again, in a later history.
+func (c *cluster) restoreStore(s storeCopy) {
+	c.targets, c.config, c.contents, c.revision = maps.Clone(s.targets), s.config, s.contents, s.revision
+	c.removed, c.rows = maps.Clone(s.removed), maps.Clone(s.rows)
+	c.history++
+	c.changed["targets"], c.changed["config"] = c.now, c.now
+}
+
 func (c *cluster) putTarget(t discovery.Target) {
 	c.revision++
 	t.Revision = c.revision
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/pool"
 	"github.com/crocushinge/crocushinge/target"
 	"github.com/crocushinge/crocushinge/timeline"
@@ -75,6 +76,8 @@
 	leaving   bool
 	started   bool
 
+	// history is the latest history of the store that this host knows of.
+	history     history.ID
 	storeRetry  storeRetry
 	targetsCopy copyState
 	registry    discovery.Registry
--- a/fleet/document_copy.go
+++ b/fleet/document_copy.go
@@ -1,10 +1,15 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/crocushinge/crocushinge/history"
+)
 
 // copyState describes the version and age of this host's copy of a document in the store, and
 // the reads that keep it up to date.
 type copyState struct {
+	history  history.ID
 	revision uint64
 	digest   uint32
 	// confirmedAt is the latest time at which the store confirmed this version as its newest.
@@ -28,7 +33,7 @@
 	if s.storeTimeMs == 0 {
 		return Stamp{}
 	}
-	return Stamp{Revision: s.revision, Digest: s.digest, Confirmed: s.storeTimeMs, Age: now.Sub(s.confirmedAt)}
+	return Stamp{History: s.history, Revision: s.revision, Digest: s.digest, Confirmed: s.storeTimeMs, Age: now.Sub(s.confirmedAt)}
 }
 
 // age returns the time since the store confirmed the copy.
@@ -39,11 +44,17 @@
 	return now.Sub(s.confirmedAt)
 }
 
-// confirm records that this version was the newest in the store at the given time, which is passed
-// both by this host's clock and by the store's.
-func (s *copyState) confirm(at time.Time, storeTime int64) {
-	if storeTime > s.storeTimeMs {
-		s.storeTimeMs = storeTime
+// confirmed returns the reading that last confirmed this copy.
+func (s *copyState) confirmed() history.Reading {
+	return history.Reading{History: s.history, Revision: s.revision, At: s.storeTimeMs}
+}
+
+// confirm records that this version was the newest in the store at the given reading, at the given
+// time by this host's clock.
+func (s *copyState) confirm(at time.Time, reading history.Reading) {
+	if s.confirmed().ConfirmedBefore(reading) {
+		s.history = reading.Or(s.history).History
+		s.storeTimeMs = reading.At
 		s.confirmedAt = at
 	}
 }
@@ -51,22 +62,42 @@
 // mergeStamps updates the ages of this host's copies from a peer's report, and marks newer
 // versions as wanted.
 func (c *Core) mergeStamps(now time.Time, r Report) {
-	if s := r.Targets; s.Revision > 0 && s.Confirmed > c.targetsCopy.storeTimeMs {
+	c.learnHistory(now, r.Targets.History, "from a peer")
+	c.learnHistory(now, r.Configuration.History, "from a peer")
+	if s := r.Targets; s.Revision > 0 && c.targetsCopy.confirmed().ConfirmedBefore(s.reading()) {
 		if s.Digest == c.targetsCopy.digest && c.targetsCopy.revision > 0 {
-			c.registry.Confirm(s.Confirmed)
-			c.targetsCopy.revision = max(c.targetsCopy.revision, s.Revision)
-			c.targetsCopy.confirm(now.Add(-s.Age), s.Confirmed)
+			c.registry.Confirm(s.reading())
+			c.targetsCopy.advance(s)
+			c.targetsCopy.confirm(now.Add(-s.Age), s.reading())
 			c.targetsCopy.wantedSince = time.Time{} // what was wanted has been overtaken
 		} else {
 			c.wantNewer(now, &c.targetsCopy)
 		}
 	}
 	switch s := r.Configuration; {
-	case s.Revision > c.configCopy.revision:
+	case s.newerConfiguration(c.configurationInForce()):
 		c.wantNewer(now, &c.configCopy)
-	case s.Confirmed > 0 && s.Revision == c.configCopy.revision:
-		c.configCopy.confirm(now.Add(-s.Age), s.Confirmed)
+	case s.Confirmed > 0 && s.Revision == c.configCopy.revision && (s.Digest == 0 || s.Digest == c.configCopy.digest):
+		c.configCopy.confirm(now.Add(-s.Age), s.reading())
+	}
+}
+
+// advance sets the revision to that of a copy with the same contents.
+func (s *copyState) advance(same Stamp) {
+	if s.history.Before(same.History) {
+		s.revision = same.Revision
+	}
+	s.revision = max(s.revision, same.Revision)
+}
+
+// newerConfiguration reports whether a peer's configuration is newer than this host's. The version
+// decides, which rises over all histories of the store: a restored store has an older one for a
+// while. A version that was written again with other contents counts from its later history.
+func (s Stamp) newerConfiguration(own Stamp) bool {
+	if s.Revision != own.Revision {
+		return s.Revision > own.Revision
 	}
+	return s.Revision > 0 && own.History.Before(s.History) && s.Digest != 0 && s.Digest != own.Digest
 }
 
 // wantNewer records that a peer has a newer version, and fetches it.
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/pool"
 	"github.com/crocushinge/crocushinge/timeline"
@@ -44,9 +47,8 @@
 	ConfigurationRead struct {
 		// Document is nil if the store has no newer version.
 		Document *Document
-		// At is the time of the read by the store's clock, in milliseconds.
-		At  int64
-		Err error
+		Reading  history.Reading
+		Err      error
 	}
 
 	// PeersRead is the result of ReadPeers.
@@ -105,8 +107,13 @@
 	// Bytes is the document as the operator wrote it. It is passed on to hosts that fetch it.
 	Bytes         []byte
 	Configuration *discovery.Configuration
+	// History is the history of the store that the document was read in.
+	History history.ID
 }
 
+// digest returns a hash of the document.
+func (d *Document) digest() uint32 { return uint32(xxhash.Sum64(d.Bytes)) }
+
 // Observation is the end of an attempt of this host or, if Unserved is set, of a whole request.
 type Observation struct {
 	Target  *pool.Target
@@ -131,11 +138,18 @@
 	}
 
 	// ReadTargets reads the registered targets from the store and waits up to Wait for a change.
-	ReadTargets struct{ Wait time.Duration }
+	// Known is the latest history of the store that this host knows of.
+	ReadTargets struct {
+		Known history.ID
+		Wait  time.Duration
+	}
 
 	// ReadConfiguration reads the configuration from the store and waits up to Wait for a
 	// change.
-	ReadConfiguration struct{ Wait time.Duration }
+	ReadConfiguration struct {
+		Known history.ID
+		Wait  time.Duration
+	}
 
 	// ReadPeers reads the rows of the registered hosts from the store.
 	ReadPeers struct{}
@@ -151,9 +165,10 @@
 	Fetch struct {
 		From                          string
 		Peers, Targets, Configuration bool
-		// TargetsSince asks for the changes of the targets since this revision; 0 asks
-		// for the whole list.
-		TargetsSince uint64
+		// TargetsSince asks for the changes of the targets since this revision of
+		// TargetsHistory; 0 asks for the whole list.
+		TargetsHistory history.ID
+		TargetsSince   uint64
 	}
 
 	// Record adds an event to the timeline.
--- a/fleet/fetch.go
+++ b/fleet/fetch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/timeline"
 )
 
@@ -99,7 +100,7 @@
 	if f.Targets {
 		c.fetching.nextTargets = now.Add(targetsFetchInterval)
 		if known := c.registry.Known(); known != nil && !c.fetching.wholeTargets {
-			f.TargetsSince = known.Revision
+			f.TargetsHistory, f.TargetsSince = known.History, known.Revision
 		}
 	}
 	c.emit(f)
@@ -110,8 +111,8 @@
 func (c *Core) canProvide(p *peerState, targets, config bool) bool {
 	justFailed := p.hash == c.fetching.source && len(c.liveCache) > 2 && !c.fetching.retryAt.IsZero()
 	return p != c.self && !justFailed &&
-		(!targets || p.lastReport.Targets.Confirmed > c.targetsCopy.storeTimeMs) &&
-		(!config || p.lastReport.Configuration.Revision > c.configCopy.revision)
+		(!targets || c.targetsCopy.confirmed().ConfirmedBefore(p.lastReport.Targets.reading())) &&
+		(!config || p.lastReport.Configuration.newerConfiguration(c.configurationInForce()))
 }
 
 // randomPeer returns one of the other live hosts, or nil if there is none.
@@ -166,27 +167,43 @@
 	return otherZones[c.cfg.Rand.IntN(len(otherZones))]
 }
 
-// newestStamps holds the latest times at which the store confirmed the copies of any live host, by
-// the store's clock in milliseconds.
-type newestStamps struct{ targets, configuration int64 }
+// newestStamps holds the latest readings by which the store confirmed the copies of any live host.
+type newestStamps struct{ targets, configuration history.Reading }
 
 func (c *Core) newestStamps() newestStamps {
 	var n newestStamps
 	for _, p := range c.liveHosts() {
-		n.targets = max(n.targets, p.lastReport.Targets.Confirmed)
-		n.configuration = max(n.configuration, p.lastReport.Configuration.Confirmed)
+		n.targets = later(n.targets, p.lastReport.Targets.reading())
+		n.configuration = later(n.configuration, p.lastReport.Configuration.reading())
 	}
 	return n
 }
 
+// later returns the later of two confirmations.
+func later(a, b history.Reading) history.Reading {
+	if a.ConfirmedBefore(b) {
+		return b.Or(a.History)
+	}
+	return a
+}
+
 // targetsStale reports whether a host's copy of the targets is older than staleAfter.
 func (n newestStamps) targetsStale(p *peerState) bool {
-	return n.targets-p.lastReport.Targets.Confirmed > staleAfter.Milliseconds()
+	return stale(p.lastReport.Targets.reading(), n.targets)
 }
 
 // configStale reports whether a host's copy of the configuration is older than staleAfter.
 func (n newestStamps) configStale(p *peerState) bool {
-	return n.configuration-p.lastReport.Configuration.Confirmed > staleAfter.Milliseconds()
+	return stale(p.lastReport.Configuration.reading(), n.configuration)
+}
+
+// stale reports whether a copy was confirmed longer than staleAfter before the newest one, or in an
+// earlier history.
+func stale(confirmed, newest history.Reading) bool {
+	if !confirmed.History.Comparable(newest.History) {
+		return confirmed.History.Before(newest.History)
+	}
+	return newest.At-confirmed.At > staleAfter.Milliseconds()
 }
 
 // earlier returns the earlier of two times, ignoring one that is zero.
@@ -227,7 +244,7 @@
 	if ev.Document != nil {
 		c.putInForce(now, ev.Document, c.fetchReason(now))
 		if uint64(ev.Document.Configuration.Version) == c.configCopy.revision {
-			c.configCopy.confirm(now.Add(-ev.DocumentStamp.Age), ev.DocumentStamp.Confirmed)
+			c.configCopy.confirm(now.Add(-ev.DocumentStamp.Age), ev.DocumentStamp.reading())
 		}
 	}
 	c.applyNotices(now, ev.Notices)
@@ -256,15 +273,15 @@
 		return ev.Targets, nil
 	}
 	known := c.registry.Known()
-	if known == nil || known.Revision < ev.TargetChanges.Since {
+	if known == nil || !ev.TargetChanges.AppliesTo(known.Reading) {
 		return nil, discovery.ErrChangesMismatch
 	}
 	return known.Apply(ev.TargetChanges)
 }
 
 // Documents returns the documents of this host with their stamps, for a peer that fetches them and
-// has the targets of a revision (0 for none).
-func (c *Core) Documents(now time.Time, targetsSince uint64) Fetched {
+// has the targets of a revision (0 for none) of a history.
+func (c *Core) Documents(now time.Time, targetsHistory history.ID, targetsSince uint64) Fetched {
 	out := Fetched{
 		Peers:         c.Peers(),
 		Targets:       c.registry.Known(),
@@ -276,9 +293,9 @@
 	if targetsSince == 0 {
 		return out
 	}
-	if changes, ok := c.registry.ChangesSince(targetsSince); ok {
+	if changes, ok := c.registry.ChangesSince(targetsHistory, targetsSince); ok {
 		// The stamp may be later than the list: the store has confirmed it since.
-		changes.Revision, changes.At = out.TargetsStamp.Revision, out.TargetsStamp.Confirmed
+		changes.Reading = out.TargetsStamp.reading()
 		out.Targets, out.TargetChanges = nil, changes
 	}
 	return out
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/pool"
 	"github.com/crocushinge/crocushinge/timeline"
@@ -146,7 +147,7 @@
 	c.run(500 * time.Millisecond)
 	old := &Document{Configuration: discovery.NewConfiguration(4, nil, nil, discovery.Limits{})}
 	c.forEachUp(func(n *node) {
-		c.deliver(n, ConfigurationRead{Document: old, At: c.now.UnixMilli()})
+		c.deliver(n, ConfigurationRead{Document: old, Reading: c.reading()})
 		c.deliver(n, Fetched{Document: old})
 	})
 	is.True(c.allUp(func(n *node) bool { return n.snapshot.Configuration.Version == 5 }))
@@ -665,7 +666,7 @@
 	known := n.core.registry.Known()
 	n.core.fetching.inFlight = true
 	c.deliver(n, Fetched{
-		TargetChanges: &discovery.Changes{Since: known.Revision, Revision: known.Revision + 5, At: known.At + 5, Digest: 1},
+		TargetChanges: &discovery.Changes{Since: known.Revision, Reading: history.Reading{Revision: known.Revision + 5, At: known.At + 5}, Digest: 1},
 		TargetsStamp:  Stamp{Revision: known.Revision + 5, Digest: 1, Confirmed: known.At + 5},
 	})
 	is.Equal(n.core.registry.Known(), known) // refused
@@ -849,7 +850,7 @@
 	for _, n := range c.hosts {
 		known := n.core.registry.Known()
 		c.deliver(n, DatagramReceived{Datagram: Datagram{
-			From: 1, Hop: ToRelay, Changes: &discovery.Changes{Since: known.Revision + 1, Revision: known.Revision + 2},
+			From: 1, Hop: ToRelay, Changes: &discovery.Changes{Since: known.Revision + 1, Reading: history.Reading{Revision: known.Revision + 2}},
 		}})
 		pushed++
 	}
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/crocushinge/crocushinge/history"
+)
 
 // A relay forwards most unchanged reports as heartbeats, which carry only the host and sequence 0.
 // This saves bytes, since every report goes to every host, and almost all reports are unchanged in
@@ -32,8 +36,8 @@
 	full       map[Hash]Report
 	heartbeats map[Hash]int
 	// targetsConfirmed and configConfirmed are the latest confirmations of the two documents
-	// that were forwarded, by the store's clock in milliseconds.
-	targetsConfirmed, configConfirmed int64
+	// that were forwarded.
+	targetsConfirmed, configConfirmed history.Reading
 }
 
 func newForwardedReports() forwardedReports {
@@ -54,20 +58,26 @@
 		Incarnation: r.Incarnation, Ready: r.Ready, Leaving: r.Leaving, Loads: r.Loads,
 		Targets: r.Targets, Configuration: r.Configuration,
 	}
-	f.targetsConfirmed = max(f.targetsConfirmed, r.Targets.Confirmed)
-	f.configConfirmed = max(f.configConfirmed, r.Configuration.Confirmed)
+	f.targetsConfirmed = later(f.targetsConfirmed, r.Targets.reading())
+	f.configConfirmed = later(f.configConfirmed, r.Configuration.reading())
 	return r
 }
 
 // isUnchanged reports whether a report repeats the latest full one of its host.
 func (f *forwardedReports) isUnchanged(r Report) bool {
 	last, ok := f.full[r.Host]
-	step := confirmedStep.Milliseconds()
 	return ok && last.Incarnation == r.Incarnation && last.Ready == r.Ready && last.Leaving == r.Leaving &&
 		len(r.Endings) == 0 && len(r.Notices) == 0 && len(r.Unserved) == 0 &&
 		len(r.Loads) == 0 && len(last.Loads) == 0 &&
 		last.Targets.Digest == r.Targets.Digest && last.Configuration.Revision == r.Configuration.Revision &&
-		r.Targets.Confirmed < f.targetsConfirmed+step && r.Configuration.Confirmed < f.configConfirmed+step
+		!confirmsLater(r.Targets, f.targetsConfirmed) && !confirmsLater(r.Configuration, f.configConfirmed)
+}
+
+// confirmsLater reports whether a stamp was confirmed by confirmedStep or more after a reading, or
+// in a later history.
+func confirmsLater(s Stamp, than history.Reading) bool {
+	than.At += confirmedStep.Milliseconds() - 1
+	return than.ConfirmedBefore(s.reading())
 }
 
 // receiveHeartbeat records that a host is alive and returns whether the heartbeat is to be
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/pool"
 	"github.com/crocushinge/crocushinge/zone"
 )
@@ -62,7 +63,10 @@
 
 // Stamp tells which version of a document a host has, and how old its copy is.
 type Stamp struct {
-	// Revision orders the versions; 0 means that the host has none.
+	// History is the history of the store that the copy was confirmed in.
+	History history.ID
+	// Revision orders the versions of the targets within the history, and those of the
+	// configuration over all histories; 0 means that the host has none.
 	Revision uint64
 	// Digest is equal for versions with the same content.
 	Digest uint32
@@ -72,6 +76,11 @@
 	Age       time.Duration
 }
 
+// reading returns the reading of the store that last confirmed the copy.
+func (s Stamp) reading() history.Reading {
+	return history.Reading{History: s.History, Revision: s.Revision, At: s.Confirmed}
+}
+
 // Report is what a host sends about itself to the others.
 type Report struct {
 	Host        Hash
--- a/fleet/push.go
+++ b/fleet/push.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/crocushinge/crocushinge/history"
 )
 
 const (
@@ -19,30 +21,31 @@
 // targetsPush is the state of a reader of the store that tells the other hosts what has changed in
 // the targets. In a large fleet, a fetch by each host for each change would cost far more.
 type targetsPush struct {
-	// since is the revision from which changes are still to be pushed; 0 if there are none.
-	since uint64
+	// since is the reading from which changes are still to be pushed; its revision is 0 if
+	// there are none.
+	since history.Reading
 	next  time.Time
 }
 
-// begin notes that the targets have changed since a revision.
-func (p *targetsPush) begin(since uint64) {
-	if p.since == 0 {
+// begin notes that the targets have changed since a reading.
+func (p *targetsPush) begin(since history.Reading) {
+	if p.since.Revision == 0 {
 		p.since = since
 	}
 }
 
 // pushChanges sends the changes that are due.
 func (c *Core) pushChanges(now time.Time) {
-	if c.push.since == 0 || now.Before(c.push.next) {
+	if c.push.since.Revision == 0 || now.Before(c.push.next) {
 		return
 	}
-	changes, ok := c.registry.ChangesSince(c.push.since)
+	changes, ok := c.registry.ChangesSince(c.push.since.History, c.push.since.Revision)
 	c.push = targetsPush{next: now.Add(pushInterval)}
 	if !ok || len(changes.Updated)+len(changes.Removed) > maxPushedTargets {
 		return
 	}
 	stamp := c.targetsCopy.stamp(now)
-	changes.Revision, changes.At = stamp.Revision, stamp.Confirmed
+	changes.Reading = stamp.reading()
 	d := Datagram{From: c.hash, Hop: ToRelay, Changes: changes, ChangesStamp: stamp}
 	if c.relayOf(c.cfg.Self.Zone, now) == c.self {
 		c.forwardChanges(now, d)
@@ -55,10 +58,11 @@
 // they apply to, or they do not lead to the announced one, it fetches the targets later.
 func (c *Core) receiveChanges(now time.Time, d Datagram) {
 	known := c.registry.Known()
-	if known == nil || d.Changes.Revision <= known.Revision {
-		return // applied and forwarded before
+	if known == nil || d.Changes.History.Before(known.History) ||
+		d.Changes.History.Comparable(known.History) && d.Changes.Revision <= known.Revision {
+		return // applied and forwarded before, or from before a restore of the store
 	}
-	if known.Revision >= d.Changes.Since {
+	if d.Changes.AppliesTo(known.Reading) {
 		if targets, err := known.Apply(d.Changes); err == nil {
 			c.mergeTargets(now, targets, now.Add(-d.ChangesStamp.Age), "pushed by a peer")
 		}
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crocushinge/crocushinge/discovery"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/pool"
 	"github.com/crocushinge/crocushinge/zone"
 )
@@ -20,6 +21,8 @@
 	// Configuration is nil until the host knows one.
 	Configuration *discovery.Configuration
 	Services      map[string]*pool.Routing
+	// StoreHistory is the latest history of the store that this host knows of.
+	StoreHistory history.ID
 	// LiveHosts is the number of live hosts, this one included.
 	LiveHosts int
 	// RetryBudgetShare is this host's share, 0 to 1, of the budget that all hosts share.
@@ -59,6 +62,8 @@
 		Directory: c.directory(),
 		Zones:     c.cfg.Zones,
 
+		StoreHistory: c.history,
+
 		RetryBudgetShare: c.retryBudgetShare(),
 	}
 	if c.document != nil {
--- a/fleet/store_reads.go
+++ b/fleet/store_reads.go
@@ -42,11 +42,11 @@
 	rank := c.rank()
 	if c.readDue(&c.targetsCopy, now, rank, c.cfg.Timing.TargetsPollTimeout) {
 		c.targetsCopy.reading = true
-		c.emit(ReadTargets{Wait: c.cfg.Timing.TargetsPollTimeout})
+		c.emit(ReadTargets{Known: c.history, Wait: c.cfg.Timing.TargetsPollTimeout})
 	}
 	if c.readDue(&c.configCopy, now, rank, c.cfg.Timing.ConfigurationPollTimeout) {
 		c.configCopy.reading = true
-		c.emit(ReadConfiguration{Wait: c.cfg.Timing.ConfigurationPollTimeout})
+		c.emit(ReadConfiguration{Known: c.history, Wait: c.cfg.Timing.ConfigurationPollTimeout})
 	}
 }
 
--- a/gateway/effects.go
+++ b/gateway/effects.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/fleet"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/timeline"
 	sharev1 "github.com/crocushinge/crocushinge/wire/gen/crocushinge/share/v1"
 	"github.com/crocushinge/crocushinge/wire/gen/crocushinge/share/v1/sharev1connect"
@@ -79,7 +80,7 @@
 		ctx, cancel := context.WithTimeout(ctx, e.Wait+firstReadTimeout)
 		defer cancel()
 		began := time.Now()
-		targets, err := g.store.Targets(ctx, e.Wait)
+		targets, err := g.store.Targets(ctx, e.Known, e.Wait)
 		g.metrics.recordStoreCall("targets", began, err)
 		return fleet.TargetsRead{Targets: targets, Err: err}
 	})
@@ -91,9 +92,9 @@
 		ctx, cancel := context.WithTimeout(ctx, e.Wait+firstReadTimeout)
 		defer cancel()
 		began := time.Now()
-		document, at, err := g.store.Configuration(ctx, e.Wait)
+		document, read, err := g.store.Configuration(ctx, e.Known, e.Wait)
 		g.metrics.recordStoreCall("configuration", began, err)
-		return fleet.ConfigurationRead{Document: document, At: at, Err: err}
+		return fleet.ConfigurationRead{Document: document, Reading: read, Err: err}
 	})
 }
 
@@ -149,7 +150,7 @@
 		defer cancel()
 		client := sharev1connect.NewShareServiceClient(g.peers, "http://"+e.From)
 		resp, err := client.Fetch(ctx, connect.NewRequest(&sharev1.FetchRequest{
-			Hosts: e.Peers, Targets: e.Targets, TargetsSince: e.TargetsSince, Configuration: e.Configuration,
+			Hosts: e.Peers, Targets: e.Targets, TargetsHistory: uint64(e.TargetsHistory), TargetsSince: e.TargetsSince, Configuration: e.Configuration,
 		}))
 		if err != nil {
 			return fleet.Fetched{Err: errors.Wrapf(err, "fetch from %s", e.From)}
@@ -171,8 +172,8 @@
 		if err != nil {
 			return fleet.Fetched{Err: err}
 		}
-		fetched.Document = &fleet.Document{Bytes: c.GetDocument(), Configuration: configuration}
 		fetched.DocumentStamp = share.StampFromProto(c.GetStamp())
+		fetched.Document = &fleet.Document{Bytes: c.GetDocument(), Configuration: configuration, History: fetched.DocumentStamp.History}
 	}
 	return fetched
 }
@@ -183,7 +184,9 @@
 // Fetch implements sharev1connect.ShareServiceHandler.
 func (s *documentServer) Fetch(ctx context.Context, req *connect.Request[sharev1.FetchRequest]) (*connect.Response[sharev1.FetchResponse], error) {
 	var documents fleet.Fetched
-	if err := s.control.Call(ctx, func(core *fleet.Core) { documents = core.Documents(time.Now(), req.Msg.GetTargetsSince()) }); err != nil {
+	if err := s.control.Call(ctx, func(core *fleet.Core) {
+		documents = core.Documents(time.Now(), history.ID(req.Msg.GetTargetsHistory()), req.Msg.GetTargetsSince())
+	}); err != nil {
 		return nil, err
 	}
 	resp := &sharev1.FetchResponse{Notices: share.NoticesToProto(documents.Notices)}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/crocushinge/crocushinge/discovery"
 	"github.com/crocushinge/crocushinge/fleet"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/traffic"
 	"github.com/crocushinge/crocushinge/zone"
@@ -70,24 +71,24 @@
 	return nil
 }
 
-func (s *memoryStore) Targets(ctx context.Context, wait time.Duration) (*discovery.Targets, error) {
+func (s *memoryStore) Targets(ctx context.Context, _ history.ID, wait time.Duration) (*discovery.Targets, error) {
 	if err := s.wait(ctx, wait); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return discovery.NewTargets(s.revision, time.Now().UnixMilli(), append([]discovery.Target(nil), s.targets...)), nil
+	return discovery.NewTargets(history.Reading{Revision: s.revision, At: time.Now().UnixMilli()}, append([]discovery.Target(nil), s.targets...)), nil
 }
 
-func (s *memoryStore) Configuration(ctx context.Context, wait time.Duration) (*fleet.Document, int64, error) {
+func (s *memoryStore) Configuration(ctx context.Context, _ history.ID, wait time.Duration) (*fleet.Document, history.Reading, error) {
 	if err := s.wait(ctx, wait); err != nil {
-		return nil, 0, err
+		return nil, history.Reading{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	document := []byte(fmt.Sprint(s.version))
 	c, err := testProtocol{}.ParseConfiguration(document)
-	return &fleet.Document{Bytes: document, Configuration: c}, time.Now().UnixMilli(), err
+	return &fleet.Document{Bytes: document, Configuration: c}, history.Reading{Revision: s.revision, At: time.Now().UnixMilli()}, err
 }
 
 func (s *memoryStore) Hosts(context.Context) ([][]byte, error) {
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -7,18 +7,20 @@
 
 	"github.com/crocushinge/crocushinge/discovery"
 	"github.com/crocushinge/crocushinge/fleet"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/zone"
 )
 
 // Store reads and writes the metadata store. Its methods are safe for concurrent use.
 type Store interface {
 	// Targets returns the registered targets. It waits up to the given time for a change
-	// since the last call returned.
-	Targets(ctx context.Context, wait time.Duration) (*discovery.Targets, error)
-	// Configuration returns a configuration that it has not returned before. It waits
-	// up to the given time for one; the document is nil when there is none. at is the
-	// reading of the store's clock, in milliseconds.
-	Configuration(ctx context.Context, wait time.Duration) (document *fleet.Document, at int64, err error)
+	// since the last call returned. It fails if the store answers from an earlier history than
+	// the known one.
+	Targets(ctx context.Context, known history.ID, wait time.Duration) (*discovery.Targets, error)
+	// Configuration returns a configuration that it has not returned before, or not of the
+	// present history. It waits up to the given time for one; the document is nil when there is
+	// none. It fails like Targets.
+	Configuration(ctx context.Context, known history.ID, wait time.Duration) (document *fleet.Document, read history.Reading, err error)
 	// Hosts returns the rows of the fleet's hosts.
 	Hosts(ctx context.Context) ([][]byte, error)
 	// PutHosts writes the rows of up to 100 hosts, by id, all or none.
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -38,8 +38,13 @@
 	// no more requests.
 	OperatorDrained   Kind = "operator-drained"
 	OperatorUndrained Kind = "operator-undrained"
-	StoreLost         Kind = "store-lost"
-	StoreBack         Kind = "store-back"
+	// ConfigurationIgnored records that a restored store has an older configuration than the one
+	// in force.
+	ConfigurationIgnored Kind = "configuration-ignored"
+	// StoreRestored records that this host learned of a later history of the store.
+	StoreRestored Kind = "store-restored"
+	StoreLost     Kind = "store-lost"
+	StoreBack     Kind = "store-back"
 )
 
 // Event is one change of state on one host.
--- a/wire/share/share.go
+++ b/wire/share/share.go
@@ -11,6 +11,7 @@
 
 	"github.com/crocushinge/crocushinge/discovery"
 	"github.com/crocushinge/crocushinge/fleet"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/pool"
 	"github.com/crocushinge/crocushinge/target"
@@ -149,12 +150,12 @@
 	if s.Revision == 0 {
 		return nil
 	}
-	return &sharev1.Stamp{Revision: s.Revision, Digest: s.Digest, AgeMs: toMillis(s.Age), ConfirmedMs: s.Confirmed}
+	return &sharev1.Stamp{History: uint64(s.History), Revision: s.Revision, Digest: s.Digest, AgeMs: toMillis(s.Age), ConfirmedMs: s.Confirmed}
 }
 
 // StampFromProto decodes the version and age of a document.
 func StampFromProto(s *sharev1.Stamp) fleet.Stamp {
-	return fleet.Stamp{Revision: s.GetRevision(), Digest: s.GetDigest(), Age: fromMillis(s.GetAgeMs()), Confirmed: s.GetConfirmedMs()}
+	return fleet.Stamp{History: history.ID(s.GetHistory()), Revision: s.GetRevision(), Digest: s.GetDigest(), Age: fromMillis(s.GetAgeMs()), Confirmed: s.GetConfirmedMs()}
 }
 
 // PeerToProto encodes the description of a host.
@@ -258,11 +259,12 @@
 			Revision: entry.GetRevision(),
 		})
 	}
+	reading := history.Reading{History: stamp.History, Revision: stamp.Revision, At: stamp.Confirmed}
 	if in.GetSince() == 0 {
-		return discovery.NewTargets(stamp.Revision, stamp.Confirmed, list), nil, stamp
+		return discovery.NewTargets(reading, list), nil, stamp
 	}
 	return nil, &discovery.Changes{
 		Since: in.GetSince(), Updated: list, Removed: in.GetRemoved(),
-		Revision: stamp.Revision, At: stamp.Confirmed, Digest: stamp.Digest,
+		Reading: reading, Digest: stamp.Digest,
 	}, stamp
 }
--- a/wire/share/share_test.go
+++ b/wire/share/share_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocushinge/crocushinge/discovery"
 	"github.com/crocushinge/crocushinge/fleet"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/pool"
 	"github.com/crocushinge/crocushinge/target"
@@ -38,8 +39,8 @@
 func TestDatagramsAreDecodedAsEncoded(t *testing.T) {
 	is := is.New(t)
 	hello := fleet.Peer{ID: "h", Incarnation: 3, Zone: "a", Address: "10.0.0.1:1", DatagramAddress: "10.0.0.1:2", RPCAddress: "10.0.0.1:3", Capacity: 16}
-	changes := &discovery.Changes{Since: 5, Updated: []discovery.Target{{ID: "t", Revision: 8}}, Removed: []string{"u"}, Revision: 9, At: 77, Digest: 4}
-	pushed := fleet.Datagram{From: 1, Hop: fleet.ToZone, Changes: changes, ChangesStamp: fleet.Stamp{Revision: 9, Digest: 4, Confirmed: 77}}
+	changes := &discovery.Changes{Since: 5, Updated: []discovery.Target{{ID: "t", Revision: 8}}, Removed: []string{"u"}, Reading: history.Reading{History: 3, Revision: 9, At: 77}, Digest: 4}
+	pushed := fleet.Datagram{From: 1, Hop: fleet.ToZone, Changes: changes, ChangesStamp: fleet.Stamp{History: 3, Revision: 9, Digest: 4, Confirmed: 77}}
 	noticed := datagram()
 	noticed.Reports = noticed.Reports[:1]
 	for i := range 40 {
@@ -74,13 +75,13 @@
 func TestTargetsAndChangesAreDecodedAsEncoded(t *testing.T) {
 	is := is.New(t)
 	list := []discovery.Target{{ID: "t", Born: 4, Service: "s", Address: "10.0.0.1:80", Zone: "a", Slots: 4, Leaving: true, Warming: true, Revision: 8}}
-	targets := discovery.NewTargets(9, 77, list)
-	stamp := fleet.Stamp{Revision: 9, Digest: targets.Digest, Confirmed: 77}
+	targets := discovery.NewTargets(history.Reading{History: 3, Revision: 9, At: 77}, list)
+	stamp := fleet.Stamp{History: 3, Revision: 9, Digest: targets.Digest, Confirmed: 77}
 	got, changes, gotStamp := TargetsFromProto(TargetsToProto(targets, nil, stamp))
 	is.Equal(got, targets)
 	is.True(changes == nil)
 	is.Equal(gotStamp, stamp)
-	want := &discovery.Changes{Since: 5, Updated: list, Removed: []string{"u"}, Revision: 9, At: 77, Digest: targets.Digest}
+	want := &discovery.Changes{Since: 5, Updated: list, Removed: []string{"u"}, Reading: history.Reading{History: 3, Revision: 9, At: 77}, Digest: targets.Digest}
 	got, changes, _ = TargetsFromProto(TargetsToProto(nil, want, stamp))
 	is.True(got == nil)
 	is.Equal(changes, want)
