fleet: a relay that was silent is not lost for want of a full report

Seen while hosts were made to ask their peers at a start: a relay of which only heartbeats arrive was taken for lost after 1.1 s and replaced by a small host for 3 s, since its last full report had been sent before it could be heard. Why this works: a host asks a relay of its zone of which it has no report for one, at most every 0.3 s; a relay that hears from another zone's relay again forwards full reports there.

--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -89,3 +89,14 @@
 	p.reportReceived = now
 	return true
 }
+
+// requestReport asks a relay of which this host has no report, or that it took for lost, for a full
+// one. Its next one may come only after it counts as lost.
+func (c *Core) requestReport(now time.Time, from Hash) {
+	p := c.peers[from]
+	if p == nil || p.alive && p.reported || now.Before(p.reportRequested.Add(helloInterval)) {
+		return
+	}
+	p.reportRequested = now
+	c.sendHello(p.DatagramAddress, true)
+}
--- a/fleet/joining_test.go
+++ b/fleet/joining_test.go
@@ -94,3 +94,34 @@
 	c.run(800 * time.Millisecond)
 	c.forEachUp(func(n *node) { is.True(large[n.core.relayOf(n.config.Self.Zone, c.now).Address]) })
 }
+
+// TestRelayOfWhichOnlyHeartbeatsArriveIsNotLost starts all hosts anew and lets the largest host of
+// each zone be heard from at different moments: its full reports may have been sent before.
+func TestRelayOfWhichOnlyHeartbeatsArriveIsNotLost(t *testing.T) {
+	for heal := 150 * time.Millisecond; heal < 900*time.Millisecond; heal += 50 * time.Millisecond {
+		is := is.New(t)
+		c := newCluster(43, 20)
+		large := map[string]bool{"10.0.0.5:7000": true, "10.1.0.5:7000": true, "10.2.0.5:7000": true}
+		c.capacity = func(address string) int {
+			if large[address] {
+				return 80
+			}
+			return 16
+		}
+		c.run(6 * time.Second)
+		for _, address := range c.addresses {
+			c.kill(address)
+		}
+		c.run(time.Second)
+		c.partition = func(a, b string) bool { return large[a] || large[b] }
+		restarted := c.now
+		for _, address := range c.addresses {
+			c.restart(address)
+		}
+		c.run(heal)
+		c.partition = nil
+		c.run(1500*time.Millisecond - heal)
+		is.Equal(lostSince(c, restarted), 0)
+		c.forEachUp(func(n *node) { is.True(large[n.core.relayOf(n.config.Self.Zone, c.now).Address]) })
+	}
+}
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -139,6 +139,8 @@
 	// datagramReceived is when the latest datagram from the host itself arrived.
 	reportReceived, datagramReceived time.Time
 	lastReport                       Report
+	// reportRequested is when this host last asked the host for a full report.
+	reportRequested time.Time
 	// loads are the loads of the latest report at targets that this host knows.
 	loads []Load
 	// relayExcludedUntil is the time until which the host is not chosen as a relay.
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -135,12 +135,18 @@
 		c.joining.registered = true
 	}
 	if p := c.peers[d.From]; p != nil {
+		if d.Hop == ToZone && now.Sub(p.datagramReceived) > hostTimeout {
+			c.forwarded = newForwardedReports() // the zone of a relay that was silent lacks the full reports
+		}
 		p.datagramReceived = now
 	}
 	for _, r := range d.Reports {
 		if c.peers[r.Host] == nil && r.Host != c.hash {
 			c.joining.wantPeers, c.joining.peersFrom = true, d.From
 		}
+		if d.From == r.Host && r.isHeartbeat() {
+			c.requestReport(now, r.Host)
+		}
 		if c.receiveReport(now, r) && d.Hop != ToHost {
 			c.relayReport(now, r, d.Hop)
 		}
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -27,4 +27,3 @@
 }
 
 func historyText(h history.ID) string { return fmt.Sprintf("history %d", h) }
-
