--- a/fleet/core.go
+++ b/fleet/core.go
@@ -83,6 +83,7 @@
 	registry    discovery.Registry
 	configCopy  copyState
 	document    *Document
+	storeOffer  storeOffer
 	services    map[string]*pool.Service
 	byHash      map[pool.Hash]targetRef
 	// servicesByHash holds the services by the hashes that identify them in reports.
@@ -217,6 +218,7 @@
 	c.expirePeers(now)
 	c.openRetryBudget(now)
 	c.readStore(now)
+	c.reviewStoreOffer(now)
 	c.pushChanges(now)
 	c.renewDocuments(now)
 	c.fetchWanted(now)
--- a/fleet/documents.go
+++ b/fleet/documents.go
@@ -54,7 +54,7 @@
 	c.learnHistory(now, ev.Reading.History, "from the store")
 	if ev.Document != nil {
 		reason := fmt.Sprintf("read from the store, last confirmed %s ago", c.configCopy.age(now).Round(time.Millisecond))
-		c.putInForce(now, ev.Document, reason)
+		c.believeStore(now, ev.Document, reason)
 	}
 	c.configCopy.confirm(now, ev.Reading)
 }
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -156,6 +156,29 @@
 	is.True(c.allUp(func(n *node) bool { return string(n.core.document.Bytes) == "after" }))
 }
 
+// TestHostThatStartsAfterARestoreAsksItsPeers covers a host that starts while the restored store
+// still has the older configuration.
+func TestHostThatStartsAfterARestoreAsksItsPeers(t *testing.T) {
+	for i := range hostCount {
+		is := is.New(t)
+		c := newSettledCluster(t, 9)
+		saved := c.copyStore()
+		c.configure(4)
+		c.run(applyBound)
+		c.restoreAfterOutage(saved)
+		c.run(500 * time.Millisecond)
+		address := c.addresses[i]
+		c.kill(address)
+		c.run(100 * time.Millisecond)
+		n := c.restart(address)
+		for range 300 {
+			c.run(10 * time.Millisecond)
+			is.True(!n.snapshot.Ready || inForce(4)(n))
+		}
+		is.True(n.snapshot.Ready)
+	}
+}
+
 // TestAllHostsRestartAfterARestore covers a fleet of which nothing is left that remembers what the
 // store has lost: the store's copy counts then.
 func TestAllHostsRestartAfterARestore(t *testing.T) {
