fleet: rows of hosts that a restore has lost are written again

What would be seen: a host whose row was written after the copy is unknown to hosts that start, and one that was replaced is back. TestRowsOfHostsLostInARestoreAreWrittenAgain checks that one host does it, once.

--- a/fleet/joining.go
+++ b/fleet/joining.go
@@ -66,6 +66,8 @@
 	// for any host.
 	peersFrom     Hash
 	nextPeerFetch time.Time
+	// checkRows is set after a restore of the store, until the rows of the hosts were read again.
+	checkRows bool
 }
 
 func (j *joinState) begin(c *Core, now time.Time) {
@@ -83,13 +85,14 @@
 func (j *joinState) tick(c *Core, now time.Time) {
 	j.sendHellos(c, now)
 	j.scheduleReread(c, now)
+	c.checkRowsOfHosts()
 	j.registerZone(c, now)
 	if !j.registered && !j.registering && !now.Before(j.registerAt) && (j.peersRead || now.After(j.joinDeadline)) {
 		j.registering = true
 		c.emit(Register{Peers: []Peer{c.cfg.Self}})
 	}
 	if !j.peersRead && !j.readingPeers && !now.Before(j.readPeersAt) {
-		if c.cfg.Bootstrap && c.hasLivePeer() {
+		if c.cfg.Bootstrap && c.hasLivePeer() && !j.checkRows {
 			j.peersRead = true
 			return
 		}
@@ -191,6 +194,9 @@
 		return p == c.cfg.Self
 	})
 	c.addPeers(now, ev.Peers)
+	if c.joining.checkRows {
+		c.restoreRows(ev.Peers)
+	}
 }
 
 // markMembershipKnown records that this host has learned of all hosts.
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -2,13 +2,15 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/timeline"
 )
 
-// learnHistory records that this host has learned of a history of the store.
+// learnHistory records that this host has learned of a history of the store, and lets the rows of
+// the hosts be checked if it is a later one: those written since the copy are lost.
 func (c *Core) learnHistory(now time.Time, h history.ID, source string) {
 	if h <= c.history {
 		return
@@ -19,6 +21,7 @@
 	if before == 0 {
 		return
 	}
+	c.joining.checkRows = true
 	c.record(now, timeline.Event{
 		Kind: timeline.StoreRestored, From: historyText(before), To: historyText(h),
 		Reason: fmt.Sprintf("%s; targets at revision %d of history %d, configuration %d", source,
@@ -28,6 +31,35 @@
 
 func historyText(h history.ID) string { return fmt.Sprintf("history %d", h) }
 
+// checkRowsOfHosts reads the rows of the hosts after a restore of the store. One host does that for
+// the fleet: the first in rank order.
+func (c *Core) checkRowsOfHosts() {
+	j := &c.joining
+	if !j.checkRows || j.readingPeers || j.registering || c.rank() != 0 {
+		return
+	}
+	j.peersRead = false
+}
+
+// restoreRows writes the rows of the live hosts that a read of the rows lacks, or has of an earlier
+// incarnation.
+func (c *Core) restoreRows(read []Peer) {
+	c.joining.checkRows = false
+	if c.rank() != 0 {
+		return
+	}
+	var missing []Peer
+	for _, p := range c.liveHosts() {
+		if (p == c.self || p.reported) && !slices.Contains(read, p.Peer) {
+			missing = append(missing, p.Peer)
+		}
+	}
+	for chunk := range slices.Chunk(missing, maxRowsPerWrite) {
+		c.joining.registering = true
+		c.emit(Register{Peers: chunk})
+	}
+}
+
 const (
 	// believeStoreAfter is how long a starting host waits for what its peers have before it believes
 	// the store: a restored store has an older configuration until the operator writes again.
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -179,6 +179,21 @@
 	}
 }
 
+// TestRowsOfHostsLostInARestoreAreWrittenAgain covers a host whose row was written after the copy.
+func TestRowsOfHostsLostInARestoreAreWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	c := newSettledCluster(t, 10)
+	c.run(10 * time.Second)
+	saved := c.copyStore()
+	lost := ID(c.hosts[c.addresses[4]].config.Self.ID)
+	saved.removed[lost] = true // as if its row had been written after the copy
+	c.registrations = 0
+	c.restoreAfterOutage(saved)
+	c.run(5 * time.Second)
+	is.True(!c.removed[lost])
+	is.Equal(c.registrations, 1) // by one host, not by each
+}
+
 // TestAllHostsRestartAfterARestore covers a fleet of which nothing is left that remembers what the
 // store has lost: the store's copy counts then.
 func TestAllHostsRestartAfterARestore(t *testing.T) {
