platform, discovery, wire: an odd entry of another writer costs one log line

Reported by other operators: an entry that is very deeply nested, has a number out of range or an impossible port made the readers end or stop following the list. Looked for here: nesting ends no process (the decoder has a limit), but of 25 kinds of entries 16 were taken for targets, among them ports 0 and 99999, a capacity near 2^62, which is the cheapest target for every request, and a start in the far future, which hides all that the target says later. Odd counts in reports of hosts overflowed the load of a target. Changes with long names are fetched, not pushed in a datagram.

--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -6,9 +6,11 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/discovery"
 	"github.com/crocushinge/crocushinge/history"
@@ -42,6 +44,24 @@
 	Capacity int
 }
 
+// maxIDBytes limits the id of a host. The store's keys are no longer.
+const maxIDBytes = 200
+
+// Check returns an error that names the field if the row of a host cannot be used.
+func (p Peer) Check() error {
+	if p.ID == "" || len(p.ID) > maxIDBytes {
+		return errors.Errorf("id: has %d bytes, must have 1 to %d", len(p.ID), maxIDBytes)
+	}
+	for _, f := range []struct{ name, value string }{
+		{"address", p.Address}, {"datagram address", p.DatagramAddress}, {"RPC address", p.RPCAddress},
+	} {
+		if a, err := netip.ParseAddrPort(f.value); err != nil || a.Port() == 0 {
+			return errors.Errorf("%s: %.200q is not an address and port", f.name, f.value)
+		}
+	}
+	return nil
+}
+
 // Load is the number of a host's requests in flight at a target.
 type Load struct {
 	Target   pool.Hash
--- a/fleet/push.go
+++ b/fleet/push.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/crocushinge/crocushinge/discovery"
 	"github.com/crocushinge/crocushinge/history"
 )
 
@@ -41,7 +42,7 @@
 	}
 	changes, ok := c.registry.ChangesSince(c.push.since.History, c.push.since.Revision)
 	c.push = targetsPush{next: now.Add(pushInterval)}
-	if !ok || len(changes.Updated)+len(changes.Removed) > maxPushedTargets {
+	if !ok || len(changes.Updated)+len(changes.Removed) > maxPushedTargets || changesBytes(changes) > maxDatagramBytes {
 		return
 	}
 	stamp := c.targetsCopy.stamp(now)
@@ -54,6 +55,21 @@
 	c.emit(Send{To: c.relayAddresses(c.cfg.Self.Zone, now), Datagram: d})
 }
 
+// targetBytes is the size of a target in a datagram without its names.
+const targetBytes = 40
+
+// changesBytes returns the approximate size of changes in a datagram, in bytes.
+func changesBytes(c *discovery.Changes) int {
+	n := reportBaseBytes
+	for _, t := range c.Updated {
+		n += targetBytes + len(t.ID) + len(t.Service) + len(t.Address) + len(t.Zone)
+	}
+	for _, id := range c.Removed {
+		n += len(id)
+	}
+	return n
+}
+
 // receiveChanges applies pushed changes and forwards them. If this host lacks the version that
 // they apply to, or they do not lead to the announced one, it fetches the targets later.
 func (c *Core) receiveChanges(now time.Time, d Datagram) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -91,6 +91,8 @@
 	return &fleet.Document{Bytes: document, Configuration: c}, history.Reading{Revision: s.revision, At: time.Now().UnixMilli()}, err
 }
 
+func (s *memoryStore) SkippedEntries() int64 { return 0 }
+
 func (s *memoryStore) Hosts(context.Context) ([][]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -155,6 +155,7 @@
 		{name: "crocushinge.hosts", unit: "{host}", description: "Live hosts, this one included.", gauge: true, collect: singleValue(func() int64 { return int64(g.control.snapshot.Load().LiveHosts) })},
 		{name: "crocushinge.configuration.version", unit: "1", description: "Version in force; 0 for none.", gauge: true, collect: singleValue(version)},
 		{name: "crocushinge.store.history", unit: "1", description: "Latest known history of the store; it rises when the store comes back from a copy.", gauge: true, collect: singleValue(func() int64 { return int64(g.control.snapshot.Load().StoreHistory) })},
+		{name: "crocushinge.store.skipped", unit: "{entry}", description: "Entries of the store that could not be used.", collect: singleValue(g.store.SkippedEntries)},
 		{name: "crocushinge.store.calls", unit: "{call}", description: "Calls to the metadata store.", collect: singleValue(c.storeCalls.Load)},
 		{name: "crocushinge.fetches", unit: "{call}", description: "Documents asked of other hosts.", collect: singleValue(c.fetches.Load)},
 		{name: "crocushinge.datagrams.sent", unit: "{datagram}", description: "Datagrams sent to other hosts.", collect: singleValue(c.datagramsSent.Load)},
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -21,6 +21,8 @@
 	// present history. It waits up to the given time for one; the document is nil when there is
 	// none. It fails like Targets.
 	Configuration(ctx context.Context, known history.ID, wait time.Duration) (document *fleet.Document, read history.Reading, err error)
+	// SkippedEntries returns how many versions of entries could not be used so far.
+	SkippedEntries() int64
 	// Hosts returns the rows of the fleet's hosts.
 	Hosts(ctx context.Context) ([][]byte, error)
 	// PutHosts writes the rows of up to 100 hosts, by id, all or none.
--- a/wire/share/share.go
+++ b/wire/share/share.go
@@ -27,6 +27,12 @@
 
 func fromMillis(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
+// maxRequests limits the requests that one report states for a target or a service, so that a
+// faulty host cannot overflow the sums.
+const maxRequests = 1 << 20
+
+func requests(n uint32) int { return int(min(n, maxRequests)) }
+
 // EncodeDatagram encodes a datagram for other hosts.
 func EncodeDatagram(d fleet.Datagram) ([]byte, error) {
 	out := &sharev1.Datagram{From: uint32(d.From), Hop: uint32(d.Hop), Answer: d.WantsHello, Registered: d.Registered}
@@ -104,7 +110,7 @@
 	loads := min(len(r.GetLoadTargets()), len(r.GetLoadRequests()))
 	out.Loads = make([]fleet.Load, 0, loads)
 	for i := range loads {
-		out.Loads = append(out.Loads, fleet.Load{Target: pool.Hash(r.GetLoadTargets()[i]), Requests: int(r.GetLoadRequests()[i])})
+		out.Loads = append(out.Loads, fleet.Load{Target: pool.Hash(r.GetLoadTargets()[i]), Requests: requests(r.GetLoadRequests()[i])})
 	}
 	endings := min(len(r.GetEndingTargets()), len(r.GetEndingOutcomes()), len(r.GetEndingLatenciesMs()))
 	for i := range endings {
@@ -119,7 +125,7 @@
 	}
 	unserved := min(len(r.GetUnservedServices()), len(r.GetUnservedRequests()))
 	for i := range unserved {
-		out.Unserved = append(out.Unserved, fleet.Unserved{Service: pool.ServiceHash(r.GetUnservedServices()[i]), Requests: int(r.GetUnservedRequests()[i])})
+		out.Unserved = append(out.Unserved, fleet.Unserved{Service: pool.ServiceHash(r.GetUnservedServices()[i]), Requests: requests(r.GetUnservedRequests()[i])})
 	}
 	return out
 }
@@ -191,17 +197,14 @@
 }
 
 // DecodePeer decodes the row of a host in the metadata store. It fails when the
-// id or an address is missing.
+// host that it names cannot be used.
 func DecodePeer(data []byte) (fleet.Peer, error) {
 	var in sharev1.Host
 	if err := proto.Unmarshal(data, &in); err != nil {
 		return fleet.Peer{}, errors.Wrap(err, "decode host")
 	}
 	p := PeerFromProto(&in)
-	if p.ID == "" || p.Address == "" || p.DatagramAddress == "" || p.RPCAddress == "" {
-		return fleet.Peer{}, errors.New("decode host: the id or an address is missing")
-	}
-	return p, nil
+	return p, errors.Wrap(p.Check(), "decode host")
 }
 
 // TargetsToProto encodes the list of registered targets, or the changes in it, with the
@@ -253,7 +256,7 @@
 			Service:  entry.GetService(),
 			Address:  entry.GetAddress(),
 			Zone:     zone.ID(entry.GetZone()),
-			Slots:    int(entry.GetSlots()),
+			Slots:    int(min(entry.GetSlots(), discovery.MaxSlots)),
 			Leaving:  entry.GetDraining(),
 			Warming:  entry.GetWarming(),
 			Revision: entry.GetRevision(),
