--- a/fleet/report.go
+++ b/fleet/report.go
@@ -134,12 +134,7 @@
 	if d.Registered {
 		c.joining.registered = true
 	}
-	if p := c.peers[d.From]; p != nil {
-		if d.Hop == ToZone && now.Sub(p.datagramReceived) > hostTimeout {
-			c.forwarded = newForwardedReports() // the zone of a relay that was silent lacks the full reports
-		}
-		p.datagramReceived = now
-	}
+	c.markDatagramReceived(now, d)
 	for _, r := range d.Reports {
 		if c.peers[r.Host] == nil && r.Host != c.hash {
 			c.joining.wantPeers, c.joining.peersFrom = true, d.From
@@ -153,6 +148,18 @@
 	}
 }
 
+// markDatagramReceived records that a host was heard from.
+func (c *Core) markDatagramReceived(now time.Time, d Datagram) {
+	p := c.peers[d.From]
+	if p == nil {
+		return
+	}
+	if d.Hop == ToZone && now.Sub(p.datagramReceived) > hostTimeout {
+		c.forwarded = newForwardedReports() // the zone of a relay that was silent lacks the full reports
+	}
+	p.datagramReceived = now
+}
+
 // receiveReport processes the report of a host and returns whether it is to be forwarded. A report
 // is not forwarded if its host is this one or unknown, or if it is no newer than the latest report
 // of its host.
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -28,7 +28,7 @@
 	return func(n *node) bool { return n.snapshot.Configuration != nil && n.snapshot.Configuration.Version == v }
 }
 
-// watchVersions fails the test if the version in force ever falls on a host.
+// neverOlder fails the test if the version in force falls on a host within the given time.
 func (c *cluster) neverOlder(is *is.I, d time.Duration) {
 	newest := make(map[*node]discovery.Version)
 	for range d / (10 * time.Millisecond) {
@@ -185,7 +185,7 @@
 	c := newSettledCluster(t, 10)
 	c.run(10 * time.Second)
 	saved := c.copyStore()
-	lost := ID(c.hosts[c.addresses[4]].config.Self.ID)
+	lost := c.hosts[c.addresses[4]].config.Self.ID
 	saved.removed[lost] = true // as if its row had been written after the copy
 	c.registrations = 0
 	c.restoreAfterOutage(saved)
--- a/pool/floor_states_test.go
+++ b/pool/floor_states_test.go
@@ -178,7 +178,7 @@
 	}
 	var i int
 	fmt.Sscanf(got.Key.Name, "t%d", &i) //nolint:errcheck // the names are this test's own
-	e, notice := p.outcome(now, i, retryable, trouble)
+	e, notice := p.outcome(now, i, trouble)
 	e.Host = fmt.Sprint(host)
 	p.arrivals = append(p.arrivals, arrival{at: now, target: i})
 	for h, s := range p.fleet {
@@ -234,7 +234,7 @@
 }
 
 // outcome returns how a target ends an attempt, and what it says about itself.
-func (p *floorPlay) outcome(now time.Time, i int, retryable, trouble bool) (e Ending, n target.Notice) {
+func (p *floorPlay) outcome(now time.Time, i int, trouble bool) (e Ending, n target.Notice) {
 	mean := p.latency
 	if mean == 0 {
 		mean = testLatency / 2
