publish, host: revisions order changes within one history of the table

Cause: the fleet-wide revision was taken to rise over all time. Why this works: the table names no history, so that the host that first reads a lower revision than it knows writes the number of a new one beside the revision, on a condition. Hosts tell each other position and history, and read all subjects in a later history. A document that was in force and is not in the table stays in force until its subject is published again, with the table's version, so that operators can publish; hosts that start get it from their peers. Not covered: a restore whose revisions pass the old ones before any host reads; claims of callers' keys that the restore has lost.

--- a/bench/capacity/control.go
+++ b/bench/capacity/control.go
@@ -277,7 +277,7 @@
 			host.SendReportsEnded{From: e.To.ID, LeaveSignalsOf: e.LeaveSignalsOf})
 	case host.ReadConfiguration:
 		d.usage.reads++
-		d.queue = append(d.queue, host.ConfigurationRead{Revision: e.After, FromStore: true, Err: d.scenario.storeErr()})
+		d.queue = append(d.queue, host.ConfigurationRead{Revision: e.After.Revision, FromStore: true, Err: d.scenario.storeErr()})
 	case host.ReadHostList:
 		d.usage.hostLists++
 		d.queue = append(d.queue, host.HostListRead{Err: d.scenario.storeErr()})
--- a/bench/capacity/gossip.go
+++ b/bench/capacity/gossip.go
@@ -247,7 +247,7 @@
 			f.send(k, host.SyncSucceeded{Message: f.exchangeMessages(i, e.Message), Members: f.cores[i%simulatedPeers].Members()})
 		}
 	case host.ReadConfiguration:
-		f.send(k, host.ConfigurationRead{Revision: e.After, FromStore: true, Err: f.scenario.storeErr()})
+		f.send(k, host.ConfigurationRead{Revision: e.After.Revision, FromStore: true, Err: f.scenario.storeErr()})
 	case host.ReadHostList:
 		f.send(k, host.HostListRead{Err: f.scenario.storeErr()})
 	}
--- a/daemon/accounts_test.go
+++ b/daemon/accounts_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/publish"
 	"github.com/crocushinge/crocushinge/storage/memory"
@@ -34,7 +35,7 @@
 		})
 		is.NoErr(err)
 		is.Equal(result.Status, publish.Accepted)
-		d.readConfiguration(host.ReadConfiguration{After: revision - 1})
+		d.readConfiguration(host.ReadConfiguration{After: history.Position{Revision: revision - 1}})
 		eventually(t, "the change in force", func() bool { return d.control.snapshot.Load().Revision == revision })
 	}
 	accountsDocument := func(names ...string) []byte {
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -26,7 +26,7 @@
 func (d *Daemon) inForce(ctx context.Context) (publish.View, error) {
 	var view publish.View
 	err := d.control.Call(ctx, func(core *host.Core) {
-		view = publish.View{Revision: core.Revision(), Changes: core.ChangesAfter(0)}
+		view = publish.View{Position: core.Position(), Changes: core.ChangesAfter(0)}
 	})
 	return view, err
 }
@@ -36,7 +36,7 @@
 func (d *Daemon) Propose(ctx context.Context, p publish.Proposal) (publish.Result, error) {
 	result, err := d.store.Propose(ctx, p)
 	if err == nil && result.Status == publish.Accepted {
-		d.readConfiguration(host.ReadConfiguration{After: d.Snapshot().Revision})
+		d.readConfiguration(host.ReadConfiguration{After: d.Snapshot().Position()})
 	}
 	return result, err
 }
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -5,6 +5,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/timeline"
 	"github.com/crocushinge/crocushinge/wire"
@@ -24,22 +25,22 @@
 
 func (d *Daemon) readConfiguration(e host.ReadConfiguration) {
 	d.runEffect(func(ctx context.Context) {
-		changes, revision, err := d.store.ChangesAfter(ctx, e.After)
+		changes, read, err := d.store.ChangesAfter(ctx, e.After)
 		d.control.Send(d.ctx, host.ConfigurationRead{
-			Changes: changes, Revision: revision, FromStore: true, Err: err,
+			Changes: changes, Revision: read.Revision, History: read.History, FromStore: true, Err: err,
 		})
 	})
 }
 
 func (d *Daemon) fetchChanges(e host.FetchChanges) {
 	d.runEffect(func(ctx context.Context) {
-		req := connect.NewRequest(&fleetv1.ChangesRequest{After: e.After})
+		req := connect.NewRequest(&fleetv1.ChangesRequest{After: e.After.Revision, History: uint64(e.After.History)})
 		resp, err := d.peers.clientFor(e.Peer.FleetAddress).Changes(ctx, req)
 		if err != nil {
 			d.control.Send(d.ctx, host.ConfigurationRead{Err: err})
 			return
 		}
-		ev := host.ConfigurationRead{Revision: resp.Msg.GetRevision()}
+		ev := host.ConfigurationRead{Revision: resp.Msg.GetRevision(), History: history.ID(resp.Msg.GetHistory())}
 		for _, p := range resp.Msg.GetChanges() {
 			// When this host can't parse the document, the decoded change has no
 			// contract. The core still stores the change for peers that can parse
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/credential"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/timeline"
 	"github.com/crocushinge/crocushinge/wire"
@@ -122,8 +123,9 @@
 func (s *fleetServer) Changes(ctx context.Context, req *connect.Request[fleetv1.ChangesRequest]) (*connect.Response[fleetv1.ChangesResponse], error) {
 	resp := &fleetv1.ChangesResponse{}
 	err := s.control.Call(ctx, func(core *host.Core) {
-		resp.Revision = core.Revision()
-		for _, change := range core.ChangesAfter(req.Msg.GetAfter()) {
+		resp.Revision, resp.History = core.Revision(), uint64(core.Position().History)
+		after := history.Position{History: history.ID(req.Msg.GetHistory()), Revision: req.Msg.GetAfter()}
+		for _, change := range core.ChangesFrom(after) {
 			resp.Changes = append(resp.Changes, wire.ChangeToProto(change))
 		}
 	})
--- a/history/history.go
+++ b/history/history.go
@@ -15,6 +15,20 @@
 // neither is known to be earlier.
 func (h ID) Comparable(other ID) bool { return !h.Before(other) && !other.Before(h) }
 
+// Position is up to where the changes of a log were read.
+type Position struct {
+	History  ID
+	Revision uint64
+}
+
+// Before reports whether a position is earlier than another.
+func (p Position) Before(other Position) bool {
+	if !p.History.Comparable(other.History) {
+		return p.History.Before(other.History)
+	}
+	return p.Revision < other.Revision
+}
+
 // Reading identifies one reading of a store.
 type Reading struct {
 	History ID
--- a/host/cluster_test.go
+++ b/host/cluster_test.go
@@ -4,12 +4,14 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/history"
 )
 
 const (
@@ -70,6 +72,7 @@
 	// store holds the changes in the metadata store; storeUnavailable makes
 	// reads of it fail.
 	store            []contract.Change
+	history          history.ID
 	storeUnavailable bool
 	storeReads       int
 	// probers holds, for each target, the hosts that probed it.
@@ -79,7 +82,7 @@
 func newCluster(t *testing.T, n int) *cluster {
 	c := &cluster{
 		t: t, now: time.UnixMilli(1_000_000), nodes: make(map[string]*node), probers: make(map[string][]string),
-		dropsMessage: func(string, string) bool { return false },
+		dropsMessage: func(string, string) bool { return false }, history: firstHistory,
 	}
 	for i := range n {
 		c.start(fmt.Sprintf("h%02d", i), i)
@@ -160,7 +163,7 @@
 		}, nil, time.Second)
 	case FetchChanges:
 		c.call(name, e.Peer.FleetAddress, func(to *node) Event {
-			return ConfigurationRead{Changes: to.core.ChangesAfter(e.After), Revision: to.core.Revision()}
+			return ConfigurationRead{Changes: to.core.ChangesFrom(e.After), Revision: to.core.Revision(), History: to.core.Position().History}
 		}, func() Event { return ConfigurationRead{Err: errors.New("no response")} }, time.Second)
 	case SendReports:
 		n.sent++
@@ -238,15 +241,20 @@
 	}, time.Second)
 }
 
-func (c *cluster) readStore(after uint64) Event {
+// restoreStore makes the store hold its first changes only, in a later history.
+func (c *cluster) restoreStore(changes int) {
+	c.store = slices.Clone(c.store[:changes])
+	c.history++
+}
+
+func (c *cluster) readStore(after history.Position) Event {
 	if c.storeUnavailable {
 		return ConfigurationRead{FromStore: true, Err: errors.New("store unavailable")}
 	}
-	ev := ConfigurationRead{FromStore: true, Revision: after}
+	ev := ConfigurationRead{FromStore: true, Revision: uint64(len(c.store)), History: c.history}
 	for _, ch := range c.store {
-		if ch.Revision > after {
+		if ch.Revision > after.Revision || after.History.Before(c.history) {
 			ev.Changes = append(ev.Changes, ch)
-			ev.Revision = ch.Revision
 		}
 	}
 	return ev
@@ -255,7 +263,7 @@
 // publishContract appends a change of a service to the store.
 func (c *cluster) publishContract(service *contract.Contract) {
 	revision := uint64(len(c.store) + 1)
-	c.store = append(c.store, contract.Change{Revision: revision, Subject: service.Service, Contract: service})
+	c.store = append(c.store, contract.Change{Revision: revision, Subject: service.Service, Contract: service, At: c.now})
 }
 
 // state returns the state of one host in the view of another; unknown hosts
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -27,8 +27,18 @@
 	if ev.FromStore {
 		c.becomeReady()
 	}
-	if ev.Revision > c.revision {
+	if c.history == 0 {
+		c.history = ev.History
+	}
+	switch {
+	case ev.History.Before(c.history):
+	case c.history.Before(ev.History):
+		c.adoptHistory(now, ev)
+	case ev.Revision > c.revision:
+		c.adoptKept(now, ev)
 		c.applyChanges(now, ev)
+	case ev.Revision == c.revision && !ev.FromStore:
+		c.adoptKept(now, ev)
 	}
 	c.fetchNewest(now)
 }
@@ -42,6 +52,11 @@
 		}
 	}
 	c.revision = ev.Revision
+	c.refreshConfiguration(now, ev)
+}
+
+// refreshConfiguration rebuilds what follows from the changes.
+func (c *Core) refreshConfiguration(now time.Time, ev ConfigurationRead) {
 	c.sortServices()
 	c.rebuildRoutes()
 	if slices.ContainsFunc(ev.Changes, isAccounts) {
@@ -94,11 +109,10 @@
 }
 
 func (c *Core) applyChange(now time.Time, ch contract.Change) {
+	delete(c.kept, ch.Subject)
 	ch = c.substituteUnreadable(now, ch)
 	c.changes = append(withoutSubject(c.changes, ch.Subject), ch)
-	sort.Slice(c.changes, func(i, j int) bool {
-		return c.changes[i].Revision < c.changes[j].Revision
-	})
+	c.sortChanges()
 	if isAccounts(ch) || isDrain(ch) {
 		return
 	}
@@ -116,6 +130,12 @@
 	c.services[ch.Subject] = service.New(ch.Contract, location, now)
 }
 
+func (c *Core) sortChanges() {
+	sort.SliceStable(c.changes, func(i, j int) bool {
+		return c.changes[i].Revision < c.changes[j].Revision
+	})
+}
+
 // substituteUnreadable replaces the content of a change that could not be read
 // with the earlier content of the same subject. The document itself is kept for
 // peers that can read it.
--- a/host/core.go
+++ b/host/core.go
@@ -6,6 +6,7 @@
 
 	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/route"
 	"github.com/crocushinge/crocushinge/service"
@@ -41,6 +42,10 @@
 	effects []Effect
 
 	revision uint64
+	// history is the history of the table that the revision belongs to. kept are the subjects
+	// whose documents in force the table has lost in a restore.
+	history  history.ID
+	kept     map[string]bool
 	ready    bool
 	services map[string]*service.Service
 	// serviceNames are the names of the services, sorted; sortedServices holds
@@ -144,6 +149,22 @@
 // Revision returns the configuration revision in force on this host.
 func (c *Core) Revision() uint64 { return c.revision }
 
+func (c *Core) position() history.Position {
+	return history.Position{History: c.history, Revision: c.revision}
+}
+
+// Position returns the position in force on this host.
+func (c *Core) Position() history.Position { return c.position() }
+
+// ChangesFrom returns the changes that lead a peer from its position to this host's: all, if the
+// peer is in another history or lacks documents that the table has lost.
+func (c *Core) ChangesFrom(after history.Position) []contract.Change {
+	if !after.History.Comparable(c.history) || len(c.kept) > 0 {
+		return c.ChangesAfter(0)
+	}
+	return c.ChangesAfter(after.Revision)
+}
+
 // ChangesAfter returns the latest change of each subject if it is newer than
 // the given revision, sorted by revision.
 func (c *Core) ChangesAfter(after uint64) []contract.Change {
--- a/host/effect.go
+++ b/host/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/service"
 	"github.com/crocushinge/crocushinge/target"
 	"github.com/crocushinge/crocushinge/timeline"
@@ -18,12 +19,12 @@
 
 	// ReadConfiguration reads the changes after a revision from the metadata
 	// store.
-	ReadConfiguration struct{ After uint64 }
+	ReadConfiguration struct{ After history.Position }
 
 	// FetchChanges requests the changes after a revision from a peer.
 	FetchChanges struct {
 		Peer  Identity
-		After uint64
+		After history.Position
 	}
 
 	// SendPing sends a message to a peer and waits for its response.
--- a/host/event.go
+++ b/host/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/crocushinge/crocushinge/caller"
 	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/service"
 	"github.com/crocushinge/crocushinge/storage"
@@ -28,8 +29,11 @@
 		// change with a document but without parsed content could not be read
 		// by this host.
 		Changes []contract.Change
-		// Revision is the revision that the changes lead to.
+		// Revision is the revision that the changes lead to, and History the history of the
+		// table that it belongs to. In a later history than this host's, Changes are the
+		// newest ones of all subjects.
 		Revision uint64
+		History  history.ID
 		// FromStore is set when the changes come from the metadata store rather
 		// than from a peer.
 		FromStore bool
--- a/host/example_test.go
+++ b/host/example_test.go
@@ -27,7 +27,7 @@
 			case host.Publish:
 				snapshot = e.Snapshot
 			case host.ReadConfiguration:
-				fmt.Println("read the configuration after revision", e.After)
+				fmt.Println("read the configuration after revision", e.After.Revision)
 			}
 		}
 	}
--- a/host/freshness.go
+++ b/host/freshness.go
@@ -1,6 +1,10 @@
 package host
 
-import "time"
+import (
+	"time"
+
+	"github.com/crocushinge/crocushinge/history"
+)
 
 const (
 	// fetchTimeout is the timeout of one fetch of changes from a peer, after
@@ -22,9 +26,10 @@
 type fetchState struct {
 	// deadline is when the current fetch times out; zero while there is none.
 	deadline time.Time
-	// newest is the greatest revision that a peer has announced. peer is a host
-	// that announced it.
-	newest uint64
+	// newest is the latest position that a peer has announced, and kept the number of
+	// documents that it has and the table has lost. peer is a host that announced it.
+	newest history.Position
+	kept   int
 	peer   Identity
 }
 
@@ -36,7 +41,7 @@
 	lastFleetContact time.Time
 	// joinRevisions holds the revisions of the peers that have sent a message
 	// since this host started; nil once this host is ready.
-	joinRevisions map[ID]uint64
+	joinRevisions map[ID]history.Position
 	// anyPeerReady is set once one of these peers was ready.
 	anyPeerReady bool
 	stale        bool
@@ -45,26 +50,31 @@
 // recordRevision records the sender's revision. If it is newer than this
 // host's, it fetches the changes.
 func (c *Core) recordRevision(now time.Time, m Message) {
+	announced := history.Position{History: m.History, Revision: m.Revision}
+	if m.History == 0 && c.history > firstHistory {
+		return // of an earlier version: its revision may be from before the restore
+	}
 	if !c.ready {
 		if c.freshness.joinRevisions == nil {
-			c.freshness.joinRevisions = make(map[ID]uint64)
+			c.freshness.joinRevisions = make(map[ID]history.Position)
 		}
-		c.freshness.joinRevisions[m.From.ID] = m.Revision
+		c.freshness.joinRevisions[m.From.ID] = announced
 		c.freshness.anyPeerReady = c.freshness.anyPeerReady || m.Ready
 	}
-	if m.Revision >= c.fetch.newest {
-		c.fetch.newest, c.fetch.peer = m.Revision, m.From
+	if !announced.Before(c.fetch.newest) {
+		c.fetch.newest, c.fetch.kept, c.fetch.peer = announced, m.Kept, m.From
 	}
 	c.fetchNewest(now)
 }
 
 // fetchNewest requests the changes up to the newest revision received.
 func (c *Core) fetchNewest(now time.Time) {
-	if c.fetch.newest <= c.revision || now.Before(c.fetch.deadline) {
+	newer := c.position().Before(c.fetch.newest) || c.fetch.newest == c.position() && c.fetch.kept > len(c.kept)
+	if !newer || now.Before(c.fetch.deadline) {
 		return
 	}
 	c.fetch.deadline = now.Add(fetchTimeout)
-	c.emit(FetchChanges{Peer: c.fetch.peer, After: c.revision})
+	c.emit(FetchChanges{Peer: c.fetch.peer, After: c.position()})
 }
 
 // endFetch allows the next fetch. If the fetch failed or did not return the
@@ -72,8 +82,9 @@
 // message that announces a newer revision.
 func (c *Core) endFetch(ev ConfigurationRead) {
 	c.fetch.deadline = time.Time{}
-	if ev.Err != nil || ev.Revision < c.fetch.newest {
-		c.fetch.newest = 0
+	got := history.Position{History: ev.History, Revision: ev.Revision}
+	if ev.Err != nil || got.Before(c.fetch.newest) || c.fetch.kept > 0 {
+		c.fetch.newest, c.fetch.kept = history.Position{}, 0
 	}
 }
 
@@ -106,7 +117,7 @@
 		}
 		alive++
 		revision, ok := c.freshness.joinRevisions[id]
-		if revision > c.revision {
+		if c.position().Before(revision) {
 			return false
 		}
 		if ok {
--- a/host/freshness_test.go
+++ b/host/freshness_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/history"
 )
 
 func (c *cluster) allHaveRevision(revision uint64) bool {
@@ -20,7 +21,7 @@
 	c.run(20 * time.Second)
 	for i := range 20 {
 		c.publishContract(testContract("catalogue", 3, float64(i)))
-		c.handle("h17", c.readStore(c.nodes["h17"].core.Revision()))
+		c.handle("h17", c.readStore(c.nodes["h17"].core.Position()))
 		c.run(2 * time.Second)
 		is.True(c.allHaveRevision(uint64(i + 1)))
 	}
@@ -131,7 +132,7 @@
 	is := is.New(t)
 	c := newCluster(t, 3)
 	c.publishContract(testContract("catalogue", 3, 1))
-	older := c.readStore(0)
+	older := c.readStore(history.Position{})
 	c.publishContract(testContract("checkout", 3, 1))
 	c.run(10 * time.Second)
 	is.True(c.allHaveRevision(2))
--- a/host/message.go
+++ b/host/message.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/timeline"
 )
 
@@ -25,8 +26,12 @@
 // Message is the content of every ping, sync and response between hosts.
 type Message struct {
 	From Identity
-	// Revision is the configuration revision in force on the sender.
+	// Revision is the configuration revision in force on the sender, and History the history of
+	// the table that it belongs to.
 	Revision uint64
+	History  history.ID
+	// Kept is the number of documents in force on the sender that the table has lost in a restore.
+	Kept int
 	// Ready is set when the sender knows the configuration.
 	Ready bool
 	Stamp timeline.Stamp
@@ -83,6 +88,8 @@
 	m := Message{
 		From:     c.self,
 		Revision: c.revision,
+		History:  c.history,
+		Kept:     len(c.kept),
 		Ready:    c.ready,
 		Stamp:    c.clock.Now(now),
 		Digest:   c.memberDigest(),
--- a/host/periodic.go
+++ b/host/periodic.go
@@ -66,7 +66,7 @@
 		c.recontact(now)
 	}
 	if c.due(now, &c.nextPoll, pollPeriod(timing.PollInterval, hosts)) {
-		c.emit(ReadConfiguration{After: c.revision})
+		c.emit(ReadConfiguration{After: c.position()})
 	}
 	if c.due(now, &c.nextHostList, pollPeriod(timing.HostListPollInterval, hosts)) {
 		c.emit(ReadHostList{})
--- a/host/snapshot.go
+++ b/host/snapshot.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/route"
 	"github.com/crocushinge/crocushinge/service"
 	"github.com/crocushinge/crocushinge/zone"
@@ -13,7 +14,9 @@
 type Snapshot struct {
 	Self     Identity
 	Revision uint64
-	Routes   *route.Table
+	// History is the history of the table that the revision belongs to.
+	History history.ID
+	Routes  *route.Table
 	// Accounts are the client accounts in force.
 	Accounts *caller.Accounts
 	Services map[string]*service.Routing
@@ -35,6 +38,11 @@
 	leaveSignals map[string]leaveSignalValidity
 }
 
+// Position returns the position of the configuration in force.
+func (s *Snapshot) Position() history.Position {
+	return history.Position{History: s.History, Revision: s.Revision}
+}
+
 // snapshotPart is a set of parts of the snapshot.
 type snapshotPart uint8
 
@@ -73,6 +81,7 @@
 	return &Snapshot{
 		Self:         c.self,
 		Revision:     c.revision,
+		History:      c.history,
 		Routes:       c.routes,
 		Accounts:     c.accounts,
 		Services:     c.routings,
--- a/layout_test.go
+++ b/layout_test.go
@@ -13,7 +13,7 @@
 // of messages, so that another front end can use them.
 var decisionPackages = []string{
 	"./zone", "./contract", "./target", "./link", "./service", "./route", "./caller", "./host", "./timeline", "./finding",
-	"./discovery", "./pool", "./fleet",
+	"./discovery", "./pool", "./fleet", "./history",
 }
 
 // encodingPackages are prefixes of the import paths that decision packages must
@@ -45,7 +45,7 @@
 // platformNames are texts from the interface of the users' platform.
 var platformNames = []string{
 	"X-Crocushinge-", "/v1/rows-", "/v1/resolve", "/v1/ready", "CROCUSHINGE_CONFIG", "max_attempts", "warmup_left_ms",
-	"traffic_split", "internal_ports", "config_apply_ms",
+	"traffic_split", "internal_ports", "Store-Era", "config_apply_ms",
 }
 
 // platformProgram is the only program that runs on the users' platform.
--- a/publish/bench_test.go
+++ b/publish/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/history"
 )
 
 // writeConfiguration writes 380 contracts with 20 targets and 15 routes each,
@@ -55,7 +56,7 @@
 	writeConfiguration(b, s)
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, _, err := s.ChangesAfter(context.Background(), 0); err != nil {
+		if _, _, err := s.ChangesAfter(context.Background(), history.Position{}); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -67,11 +68,11 @@
 	s, _ := newStore()
 	writeConfiguration(b, s)
 	ctx := context.Background()
-	changes, revision, err := s.ChangesAfter(ctx, 0)
+	changes, position, err := s.ChangesAfter(ctx, history.Position{})
 	if err != nil {
 		b.Fatal(err)
 	}
-	view := View{Revision: revision, Changes: changes}
+	view := View{Position: position, Changes: changes}
 	s.InForce = func(context.Context) (View, error) { return view, nil }
 	version := uint64(1)
 	b.ReportAllocs()
@@ -84,10 +85,10 @@
 			b.Fatal(r, err)
 		}
 		version++
-		newer, last, err := s.ChangesAfter(ctx, view.Revision)
+		newer, last, err := s.ChangesAfter(ctx, view.Position)
 		if err != nil {
 			b.Fatal(err)
 		}
-		view = View{Revision: last, Changes: mergeChanges(view.Changes, newer)}
+		view = View{Position: last, Changes: mergeChanges(view.Changes, newer)}
 	}
 }
--- a/publish/cross_check.go
+++ b/publish/cross_check.go
@@ -57,12 +57,18 @@
 			return View{}, err
 		}
 	}
+	if view.Revision > revision {
+		view = View{} // the table was restored, or has changed since the revision was read
+	}
 	if view.Revision < revision {
-		changes, last, err := s.ChangesAfter(ctx, view.Revision)
+		changes, last, err := s.ChangesAfter(ctx, view.Position)
 		if err != nil {
 			return View{}, err
 		}
-		view = View{Revision: last, Changes: mergeChanges(view.Changes, changes)}
+		if view.History.Before(last.History) {
+			view.Changes = nil // the changes are all there are
+		}
+		view = View{Position: last, Changes: mergeChanges(view.Changes, changes)}
 	}
 	if view.Revision != revision {
 		return View{}, errors.Wrapf(storage.ErrConflict, "configuration needed at revision %d, read at %d", revision, view.Revision)
--- a/publish/propose_test.go
+++ b/publish/propose_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/storage"
 	"github.com/crocushinge/crocushinge/zone"
 )
@@ -104,9 +105,9 @@
 	s, table := newStore()
 	ctx := context.Background()
 	mustAccept(t, s, proposal("p1", "other", 0))
-	changes, revision, err := s.ChangesAfter(ctx, 0)
+	changes, position, err := s.ChangesAfter(ctx, history.Position{})
 	is.NoErr(err)
-	s.InForce = func(context.Context) (View, error) { return View{Revision: revision, Changes: changes}, nil }
+	s.InForce = func(context.Context) (View, error) { return View{Position: position, Changes: changes}, nil }
 	mustAccept(t, s, proposal("p2", "a", 0))
 	s.Table = gapTable{table, changeKey(2)}
 	p := proposal("p3", "b", 0)
@@ -246,7 +247,7 @@
 	table.Faults.SetDown(true)
 	_, err := s.Propose(context.Background(), proposal("p1", "a", 0))
 	is.True(errors.Is(err, storage.ErrUnavailable))
-	_, _, err = s.ChangesAfter(context.Background(), 0)
+	_, _, err = s.ChangesAfter(context.Background(), history.Position{})
 	is.True(errors.Is(err, storage.ErrUnavailable))
 	table.Faults.Reset()
 	is.Equal(countChanges(t, table), 0)
--- a/publish/read.go
+++ b/publish/read.go
@@ -9,25 +9,34 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/storage"
 	"github.com/crocushinge/crocushinge/wire"
 )
 
-// ChangesAfter reads the changes after a revision, in order, and returns them
-// with the revision up to which it has read. For revision 0 it reads the newest
-// change of each subject instead. The result is consistent with the returned
-// revision even if changes are written concurrently. A row that cannot be
+// ChangesAfter reads the changes after a position, in order, and returns them with the position up
+// to which it has read. For revision 0, or if the table was restored from a copy since, it reads
+// the newest change of each subject instead. The result is consistent with the returned
+// position even if changes are written concurrently. A row that cannot be
 // decoded is passed to OnCorruptRow and omitted; if only its document cannot be
 // parsed, the change is returned without its contract.
-func (s *Store) ChangesAfter(ctx context.Context, after uint64) ([]contract.Change, uint64, error) {
-	revision, err := s.Revision(ctx)
-	if err != nil || revision <= after {
+func (s *Store) ChangesAfter(ctx context.Context, after history.Position) ([]contract.Change, history.Position, error) {
+	present, err := s.presentPosition(ctx, after)
+	if err != nil {
 		return nil, after, err
 	}
-	if after > 0 {
-		return s.readLog(ctx, after)
+	var changes []contract.Change
+	revision := present.Revision
+	switch {
+	case after.History.Before(present.History) || after.Revision == 0 && revision > 0:
+		changes, revision, err = s.readNewest(ctx, present.Revision)
+	case revision > after.Revision:
+		changes, revision, err = s.readLog(ctx, after.Revision)
+	}
+	if err != nil {
+		return nil, after, err
 	}
-	return s.readNewest(ctx, revision)
+	return changes, history.Position{History: present.History, Revision: revision}, nil
 }
 
 // readLog reads the changes after a revision, up to the first gap. A query is not
--- a/publish/read_test.go
+++ b/publish/read_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/storage"
 )
 
@@ -42,9 +43,9 @@
 		mustAccept(t, other, proposal("n2", last, 1))
 		mustAccept(t, other, proposal("n3", first, 2))
 	}
-	changes, revision, err := s.ChangesAfter(context.Background(), 0)
+	changes, position, err := s.ChangesAfter(context.Background(), history.Position{})
 	is.NoErr(err)
-	is.Equal(revision, uint64(pageSize+4))
+	is.Equal(position.Revision, uint64(pageSize+4))
 	is.Equal(len(changes), pageSize+1)
 	got := formatChanges(changes)
 	is.Equal(got[len(got)-2:], []string{fmt.Sprintf("%s@%d", last, pageSize+3), fmt.Sprintf("%s@%d", first, pageSize+4)})
@@ -57,10 +58,10 @@
 	for i := range uint64(4) {
 		mustAccept(t, s, proposal(fmt.Sprintf("p%d", i), "a", i))
 	}
-	changes, revision, err := (&Store{Table: gapTable{table, changeKey(3)}}).ChangesAfter(context.Background(), 1)
+	changes, position, err := (&Store{Table: gapTable{table, changeKey(3)}}).ChangesAfter(context.Background(), history.Position{Revision: 1})
 	is.NoErr(err)
 	is.Equal(formatChanges(changes), []string{"a@2"})
-	is.Equal(revision, uint64(2))
+	is.Equal(position.Revision, uint64(2))
 }
 
 // gapTable omits one row from the results of queries.
@@ -93,20 +94,20 @@
 	var reported []storage.Key
 	s.OnCorruptRow = func(key storage.Key, _ error) { reported = append(reported, key) }
 
-	changes, revision, err := s.ChangesAfter(ctx, 0)
+	changes, position, err := s.ChangesAfter(ctx, history.Position{})
 	is.NoErr(err)
-	is.Equal(revision, uint64(3))
+	is.Equal(position.Revision, uint64(3))
 	is.Equal(formatChanges(changes), []string{"a@1", "b@2", "c@3"})
 	is.True(changes[1].Contract == nil) // the document is kept for hosts that can parse it
 	is.Equal(string(changes[1].Document), "floor: [")
-	changes, revision, err = s.ChangesAfter(ctx, 1)
+	changes, position, err = s.ChangesAfter(ctx, history.Position{Revision: 1})
 	is.NoErr(err)
-	is.Equal(revision, uint64(3))
+	is.Equal(position.Revision, uint64(3))
 	is.Equal(formatChanges(changes), []string{"c@3"})
 	is.Equal(reported, []storage.Key{contractKey("b"), changeKey(2)})
 
 	mustAccept(t, s, proposal("p4", "b", 2)) // publishing the document again repairs it
-	changes, _, err = s.ChangesAfter(ctx, 0)
+	changes, _, err = s.ChangesAfter(ctx, history.Position{})
 	is.NoErr(err)
 	is.Equal(formatChanges(changes), []string{"a@1", "c@3", "b@4"})
 }
--- a/publish/store.go
+++ b/publish/store.go
@@ -27,6 +27,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/storage"
 	"github.com/crocushinge/crocushinge/zone"
 )
@@ -47,9 +48,9 @@
 // pageSize is the maximum number of rows that one query reads.
 const pageSize = 500
 
-// View is the configuration in force at one revision.
+// View is the configuration in force at one position.
 type View struct {
-	Revision uint64
+	history.Position
 	// Changes holds the newest change of each subject.
 	Changes []contract.Change
 }
--- a/storage/memory/memory.go
+++ b/storage/memory/memory.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -110,6 +111,23 @@
 	return nil
 }
 
+// TableCopy is what the table held at a moment.
+type TableCopy struct{ items map[storage.Key]storage.Item }
+
+// CopyTable returns a copy of what the table holds.
+func (p *Platform) CopyTable() TableCopy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return TableCopy{items: maps.Clone(p.items)}
+}
+
+// RestoreTable makes the table hold a copy again. All that was written since is lost.
+func (p *Platform) RestoreTable(c TableCopy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.items = maps.Clone(c.items)
+}
+
 // PutObject implements storage.Objects.
 func (p *Platform) PutObject(ctx context.Context, name string, data []byte) error {
 	if err := storage.CheckObject(name, data); err != nil {
--- a/wire/fleet.go
+++ b/wire/fleet.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crocushinge/crocushinge/contract"
+	"github.com/crocushinge/crocushinge/history"
 	"github.com/crocushinge/crocushinge/host"
 	"github.com/crocushinge/crocushinge/timeline"
 	fleetv1 "github.com/crocushinge/crocushinge/wire/gen/crocushinge/fleet/v1"
@@ -81,6 +82,8 @@
 	return &fleetv1.Message{
 		From:     PeerToProto(m.From),
 		Revision: m.Revision,
+		History:  uint64(m.History),
+		Kept:     uint32(m.Kept),
 		Ready:    m.Ready,
 		Stamp:    StampToProto(m.Stamp),
 		Updates:  UpdatesToProto(m.Updates),
@@ -93,6 +96,8 @@
 	return host.Message{
 		From:     PeerFromProto(m.GetFrom()),
 		Revision: m.GetRevision(),
+		History:  history.ID(m.GetHistory()),
+		Kept:     int(m.GetKept()),
 		Ready:    m.GetReady(),
 		Stamp:    StampFromProto(m.GetStamp()),
 		Updates:  UpdatesFromProto(m.GetUpdates()),
