--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -69,6 +69,8 @@
 	fullReports, heartbeats int
 	// capacity returns the capacity of a host; nil stands for the same one everywhere.
 	capacity func(address string) int
+	// older reports whether a host is of a version that knows no history of the store.
+	older func(address string) bool
 	// partition reports whether two hosts cannot reach each other.
 	partition func(a, b string) bool
 }
@@ -225,11 +227,11 @@
 				list = append(list, t)
 			}
 			slices.SortFunc(list, func(a, b discovery.Target) int { return cmp.Compare(a.ID, b.ID) })
-			return TargetsRead{Targets: discovery.NewTargets(c.reading(), list)}
+			return TargetsRead{Targets: discovery.NewTargets(c.reading(n), list)}
 		}, func(err error) Event { return TargetsRead{Err: err} })
 	case ReadConfiguration:
 		c.longPollStore(n, "config", e.Wait, func() Event {
-			return ConfigurationRead{Document: c.document(), Reading: c.reading()}
+			return ConfigurationRead{Document: c.document(n), Reading: c.reading(n)}
 		}, func(err error) Event { return ConfigurationRead{Err: err} })
 	case ReadPeers:
 		c.callStore(n, func() Event {
@@ -282,7 +284,7 @@
 	c.schedule(networkDelay, func() {
 		if n := c.hosts[to]; n != nil {
 			c.received[to]++
-			c.deliver(n, DatagramReceived{Datagram: d})
+			c.deliver(n, DatagramReceived{Datagram: c.asUnderstood(n.address, d)})
 		}
 	})
 }
@@ -307,10 +309,33 @@
 		if documents.TargetChanges != nil {
 			c.fetchedTargets += len(documents.TargetChanges.Updated)
 		}
+		if c.older != nil && c.older(n.address) {
+			dropHistory(&documents)
+		}
 		c.schedule(networkDelay, func() { c.deliver(n, documents) })
 	})
 }
 
+// dropHistory removes from documents what a host of an older version does not know.
+func dropHistory(f *Fetched) {
+	f.TargetsStamp.History, f.DocumentStamp.History = 0, 0
+	if f.Targets != nil {
+		targets := *f.Targets
+		targets.History = 0
+		f.Targets = &targets
+	}
+	if f.TargetChanges != nil {
+		changes := *f.TargetChanges
+		changes.History = 0
+		f.TargetChanges = &changes
+	}
+	if f.Document != nil {
+		document := *f.Document
+		document.History = 0
+		f.Document = &document
+	}
+}
+
 func (c *cluster) callStore(n *node, respond func() Event, respondError func(error) Event) {
 	c.storeCalls++
 	c.schedule(storeDelay, func() {
@@ -345,14 +370,42 @@
 	c.schedule(storeDelay, poll)
 }
 
-// reading returns a reading of the store at present.
-func (c *cluster) reading() history.Reading {
-	return history.Reading{History: c.history, Revision: c.revision, At: c.now.UnixMilli()}
+// historyFor returns the history of the store as a host knows it.
+func (c *cluster) historyFor(n *node) history.ID {
+	if c.older != nil && c.older(n.address) {
+		return 0
+	}
+	return c.history
+}
+
+// reading returns a reading of the store by a host at present.
+func (c *cluster) reading(n *node) history.Reading {
+	return history.Reading{History: c.historyFor(n), Revision: c.revision, At: c.now.UnixMilli()}
+}
+
+// document returns the configuration as a host reads it from the store.
+func (c *cluster) document(n *node) *Document {
+	return &Document{Configuration: c.config, Bytes: []byte(c.contents), History: c.historyFor(n)}
 }
 
-// document returns the configuration as read from the store.
-func (c *cluster) document() *Document {
-	return &Document{Configuration: c.config, Bytes: []byte(c.contents), History: c.history}
+// asUnderstood returns a datagram as a host understands it: one of an older version drops what it
+// does not know.
+func (c *cluster) asUnderstood(to string, d Datagram) Datagram {
+	if c.older == nil || !c.older(to) {
+		return d
+	}
+	d.Reports = slices.Clone(d.Reports)
+	for i := range d.Reports {
+		d.Reports[i].Targets.History, d.Reports[i].Configuration.History = 0, 0
+		d.Reports[i].Configuration.Digest = 0
+	}
+	d.ChangesStamp.History = 0
+	if d.Changes != nil {
+		changes := *d.Changes
+		changes.History = 0
+		d.Changes = &changes
+	}
+	return d
 }
 
 // storeCopy is what the store held at a moment.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -147,7 +147,7 @@
 	c.run(500 * time.Millisecond)
 	old := &Document{Configuration: discovery.NewConfiguration(4, nil, nil, discovery.Limits{})}
 	c.forEachUp(func(n *node) {
-		c.deliver(n, ConfigurationRead{Document: old, Reading: c.reading()})
+		c.deliver(n, ConfigurationRead{Document: old, Reading: c.reading(n)})
 		c.deliver(n, Fetched{Document: old})
 	})
 	is.True(c.allUp(func(n *node) bool { return n.snapshot.Configuration.Version == 5 }))
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -236,3 +236,36 @@
 	is.True(c.allUp(inForce(7)))
 	is.True(c.allUp(func(n *node) bool { return n.snapshot.StoreHistory == 2 }))
 }
+
+// TestRestoreBesideHostsOfAnOlderVersion covers a fleet that is being upgraded: hosts that know no
+// history must not hold up the others, whoever reads the store.
+func TestRestoreBesideHostsOfAnOlderVersion(t *testing.T) {
+	for _, olderReads := range []bool{false, true} {
+		is := is.New(t)
+		c := newSettledCluster(t, 14)
+		reader := c.rankOrder()[0]
+		c.older = func(address string) bool {
+			if address == reader {
+				return olderReads
+			}
+			return address[len(address)-len("0:7000")]%2 == 0
+		}
+		c.forEachUp(func(n *node) {
+			if c.older(n.address) {
+				c.restart(n.address)
+			}
+		})
+		c.run(5 * time.Second)
+		saved := c.copyStore()
+		c.configure(4)
+		drain(c, "t-10.2.0.3:7000")
+		c.run(applyBound)
+		c.restoreAfterOutage(saved)
+		c.run(time.Second)
+		drain(c, "t-10.2.0.3:7000") // written again
+		c.configure(7)
+		drain(c, "t-10.1.0.3:7000")
+		c.neverOlder(is, 2*applyBound)
+		is.True(c.allUp(func(n *node) bool { return c.older(n.address) || inForce(7)(n) && !routesTo(n, "t-10.1.0.3:7000") }))
+	}
+}
