host, wire, cmd: what a restored table has lost is handed over by publishing it again

What an operator would have seen: after a restore of the table, publish took a document that is in force and no longer in the table for unchanged, and it was never written again. Hosts that learned of the new history from a peer did not know which documents the table lacks, and fetched from it again and again. Why this works: hosts tell each other which subjects they keep; the list of documents names them, and publish hands them over, based on the table's version.

--- a/cmd/crocushinge/publish.go
+++ b/cmd/crocushinge/publish.go
@@ -92,14 +92,14 @@
 	}
 }
 
-// plan returns the documents that differ from those in force, and records the
-// others as unchanged.
+// plan returns the documents that differ from those in force or that the table has lost, and
+// records the others as unchanged.
 func (p *publication) plan(files []*contractfile.File, config *configuration) []plannedChange {
 	var changes []plannedChange
 	for _, file := range files {
 		subject := file.Document.Subject()
 		current := config.bySubject[subject]
-		if current.Text == string(file.Data) {
+		if current.Text == string(file.Data) && !current.Kept {
 			p.Unchanged = append(p.Unchanged, subject)
 			continue
 		}
--- a/daemon/api_documents.go
+++ b/daemon/api_documents.go
@@ -35,6 +35,7 @@
 	out := wire.Documents{Revision: view.Revision, KnownAccounts: d.store.KnownAccounts, Documents: []wire.Document{}}
 	for _, change := range view.Changes {
 		doc := wire.NewDocument(change)
+		doc.Kept = view.Kept[change.Subject]
 		if ctx.URLParam("text") != "1" {
 			doc.Text = ""
 		}
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -26,7 +26,7 @@
 func (d *Daemon) inForce(ctx context.Context) (publish.View, error) {
 	var view publish.View
 	err := d.control.Call(ctx, func(core *host.Core) {
-		view = publish.View{Position: core.Position(), Changes: core.ChangesAfter(0)}
+		view = publish.View{Position: core.Position(), Changes: core.ChangesAfter(0), Kept: core.Kept()}
 	})
 	return view, err
 }
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -41,6 +41,10 @@
 			return
 		}
 		ev := host.ConfigurationRead{Revision: resp.Msg.GetRevision(), History: history.ID(resp.Msg.GetHistory())}
+		ev.Kept = make(map[string]bool, len(resp.Msg.GetKept()))
+		for _, subject := range resp.Msg.GetKept() {
+			ev.Kept[subject] = true
+		}
 		for _, p := range resp.Msg.GetChanges() {
 			// When this host can't parse the document, the decoded change has no
 			// contract. The core still stores the change for peers that can parse
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -124,6 +126,7 @@
 	resp := &fleetv1.ChangesResponse{}
 	err := s.control.Call(ctx, func(core *host.Core) {
 		resp.Revision, resp.History = core.Revision(), uint64(core.Position().History)
+		resp.Kept = slices.Sorted(maps.Keys(core.Kept()))
 		after := history.Position{History: history.ID(req.Msg.GetHistory()), Revision: req.Msg.GetAfter()}
 		for _, change := range core.ChangesFrom(after) {
 			resp.Changes = append(resp.Changes, wire.ChangeToProto(change))
--- a/host/cluster_test.go
+++ b/host/cluster_test.go
@@ -163,7 +163,7 @@
 		}, nil, time.Second)
 	case FetchChanges:
 		c.call(name, e.Peer.FleetAddress, func(to *node) Event {
-			return ConfigurationRead{Changes: to.core.ChangesFrom(e.After), Revision: to.core.Revision(), History: to.core.Position().History}
+			return ConfigurationRead{Changes: to.core.ChangesFrom(e.After), Revision: to.core.Revision(), History: to.core.Position().History, Kept: to.core.Kept()}
 		}, func() Event { return ConfigurationRead{Err: errors.New("no response")} }, time.Second)
 	case SendReports:
 		n.sent++
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -37,7 +37,7 @@
 	case ev.Revision > c.revision:
 		c.adoptKept(now, ev)
 		c.applyChanges(now, ev)
-	case ev.Revision == c.revision && !ev.FromStore:
+	case ev.Revision == c.revision:
 		c.adoptKept(now, ev)
 	}
 	c.fetchNewest(now)
--- a/host/core.go
+++ b/host/core.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -156,6 +157,9 @@
 // Position returns the position in force on this host.
 func (c *Core) Position() history.Position { return c.position() }
 
+// Kept returns the subjects whose documents in force the table has lost in a restore.
+func (c *Core) Kept() map[string]bool { return maps.Clone(c.kept) }
+
 // ChangesFrom returns the changes that lead a peer from its position to this host's: all, if the
 // peer is in another history or lacks documents that the table has lost.
 func (c *Core) ChangesFrom(after history.Position) []contract.Change {
--- a/host/event.go
+++ b/host/event.go
@@ -34,6 +34,8 @@
 		// newest ones of all subjects.
 		Revision uint64
 		History  history.ID
+		// Kept are the subjects whose documents the peer keeps though the table has lost them.
+		Kept map[string]bool
 		// FromStore is set when the changes come from the metadata store rather
 		// than from a peer.
 		FromStore bool
--- a/host/restore.go
+++ b/host/restore.go
@@ -46,40 +46,47 @@
 	for _, ch := range ev.Changes {
 		if _, ok := read[ch.Subject]; ok {
 			c.applyChange(now, ch)
+			c.keep(ch.Subject, ev.Kept[ch.Subject])
 		}
 	}
 	c.refreshConfiguration(now, ev)
 }
 
-// adoptKept takes over documents of a peer that the table has lost: those that were accepted later
-// than this host's, though the table's position is no later.
+// adoptKept takes over the documents that a peer in the same history keeps.
 func (c *Core) adoptKept(now time.Time, ev ConfigurationRead) {
-	if ev.FromStore || c.history <= firstHistory {
-		return
-	}
 	adopted := false
 	for _, ch := range ev.Changes {
-		if ch.Revision > c.revision || !c.isNewer(ch) {
+		if !ev.Kept[ch.Subject] || c.acceptedAt(ch.Subject).After(ch.At) {
 			continue
 		}
-		c.applyChange(now, ch)
-		if c.kept == nil {
-			c.kept = make(map[string]bool)
+		if c.acceptedAt(ch.Subject).Before(ch.At) {
+			c.applyChange(now, ch)
+			adopted = true
 		}
-		c.kept[ch.Subject] = true
-		adopted = true
+		c.keep(ch.Subject, true)
 	}
 	if adopted {
 		c.refreshConfiguration(now, ev)
 	}
 }
 
-// isNewer reports whether a change was accepted later than this host's of the same subject.
-func (c *Core) isNewer(ch contract.Change) bool {
+func (c *Core) keep(subject string, kept bool) {
+	if !kept {
+		return
+	}
+	if c.kept == nil {
+		c.kept = make(map[string]bool)
+	}
+	c.kept[subject] = true
+}
+
+// acceptedAt returns when this host's change of a subject was accepted; the zero time if it has
+// none.
+func (c *Core) acceptedAt(subject string) time.Time {
 	for _, own := range c.changes {
-		if own.Subject == ch.Subject {
-			return ch.At.After(own.At)
+		if own.Subject == subject {
+			return own.At
 		}
 	}
-	return true
+	return time.Time{}
 }
--- a/host/restore_test.go
+++ b/host/restore_test.go
@@ -31,10 +31,13 @@
 		is.True(inForce(3, 4))
 	}
 	is.True(c.allHaveRevision(1))
+	is.True(c.allRunning(func(_ string, n *node) bool { return len(n.core.Kept()) == 2 }))
 	c.publishContract(testContract("a", 5, 1)) // its revision was given out before
 	c.run(10 * time.Second)
 	is.True(inForce(5, 4))
+	is.True(c.allRunning(func(_ string, n *node) bool { return len(n.core.Kept()) == 1 }))
 	c.start("h03", 3) // a new incarnation
 	c.run(10 * time.Second)
 	is.True(inForce(5, 4))
+	is.True(c.allRunning(func(_ string, n *node) bool { return len(n.core.Kept()) == 1 }))
 }
--- a/publish/store.go
+++ b/publish/store.go
@@ -53,6 +53,8 @@
 	history.Position
 	// Changes holds the newest change of each subject.
 	Changes []contract.Change
+	// Kept are the subjects whose documents the table has lost in a restore.
+	Kept map[string]bool
 }
 
 // Change returns the newest change of a subject, if there is one.
--- a/wire/api.go
+++ b/wire/api.go
@@ -92,6 +92,9 @@
 	Proposal string    `json:"proposal"`
 	// Removed is set when the change removed the document.
 	Removed bool `json:"removed,omitempty"`
+	// Kept is set when the table has lost the document in a restore: it is in force until its
+	// subject is published again. Version is then the table's.
+	Kept bool `json:"kept,omitempty"`
 	// Text is the document in YAML. It is empty in lists and in the history.
 	Text string `json:"text,omitempty"`
 }
