fleet: rows of hosts are read again after a failed write; one host records the floor

A failed write of the rows that a restore had lost was not repeated (TestRowsOfHostsAreWrittenAgainAfterAFailure). The line targets-in-use is written by the first host in rank order, not by each.

--- a/fleet/joining.go
+++ b/fleet/joining.go
@@ -162,6 +162,8 @@
 	c.joining.registering = false
 	c.joining.registerAt = now.Add(rowRetryDelay)
 	if ev.Err != nil {
+		// Others wait for their rows: they are read again, to see which are missing.
+		c.joining.checkRows = c.joining.checkRows || len(ev.Peers) > 1 || ev.Peers[0] != c.cfg.Self
 		return
 	}
 	var others []string
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -194,6 +194,19 @@
 	is.Equal(c.registrations, 1) // by one host, not by each
 }
 
+// TestRowsOfHostsAreWrittenAgainAfterAFailure covers a write of rows that fails.
+func TestRowsOfHostsAreWrittenAgainAfterAFailure(t *testing.T) {
+	is := is.New(t)
+	c := newSettledCluster(t, 13)
+	c.run(10 * time.Second)
+	first := c.hosts[c.rankOrder()[0]]
+	lost := c.hosts[c.rankOrder()[5]].config.Self
+	c.removed[lost.ID] = true
+	c.deliver(first, Registered{Peers: []Peer{lost}, Err: errUnavailable})
+	c.run(5 * time.Second)
+	is.True(!c.removed[lost.ID])
+}
+
 // TestAllHostsRestartAfterARestore covers a fleet of which nothing is left that remembers what the
 // store has lost: the store's copy counts then.
 func TestAllHostsRestartAfterARestore(t *testing.T) {
--- a/fleet/unserved.go
+++ b/fleet/unserved.go
@@ -29,9 +29,10 @@
 	}
 }
 
-// recordFloor records that a service begins or ceases to keep all its targets in use.
+// recordFloor records that a service begins or ceases to keep all its targets in use. All hosts come
+// to that at about the same time, and the first in rank order records it.
 func (c *Core) recordFloor(now time.Time, s *pool.Service, before, after pool.Usage) {
-	if before.KeepAllInUse == after.KeepAllInUse {
+	if before.KeepAllInUse == after.KeepAllInUse || c.rank() != 0 {
 		return
 	}
 	from, to := "by cost", "all"
