--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -70,6 +70,7 @@
 		len(r.Endings) == 0 && len(r.Notices) == 0 && len(r.Unserved) == 0 &&
 		len(r.Loads) == 0 && len(last.Loads) == 0 &&
 		last.Targets.Digest == r.Targets.Digest && last.Configuration.Revision == r.Configuration.Revision &&
+		last.Configuration.Digest == r.Configuration.Digest &&
 		!confirmsLater(r.Targets, f.targetsConfirmed) && !confirmsLater(r.Configuration, f.configConfirmed)
 }
 
