pool: an overdue attempt counts as failing before its request is late

Cause: an overdue attempt was an ended one in the rate of attempts, and no failing one. TestFloorIsInUseWhileRequestsAreOverdue plays 100.

--- a/pool/floor.go
+++ b/pool/floor.go
@@ -37,7 +37,8 @@
 type demand struct {
 	counts struct{ attempts, failed, failedTrials, served, unserved int }
 	// attempts is the rate of attempts that end, failures that of attempts that fail at
-	// trusted targets, and trialFailures that of failed trial requests, in attempts a second.
+	// trusted targets or are overdue, and trialFailures that of failed trial requests, in
+	// attempts a second.
 	attempts, failures, trialFailures movingAverage
 	// served and unserved are the rates of requests whose callers were and were not served, in
 	// requests a second.
@@ -48,11 +49,12 @@
 
 // countAttempt counts the end of an attempt of any host.
 func (d *demand) countAttempt(o link.Outcome, trial bool) {
-	if o == link.Overdue {
-		return // the attempt goes on
-	}
-	d.counts.attempts++
 	switch {
+	case o == link.Overdue:
+		// The attempt goes on, but its caller is likely to be served late or not at all, which
+		// is known only seconds later.
+		d.counts.failed++
+		return
 	case o == link.Succeeded:
 		d.counts.served++
 	case o != link.Failed && o != link.Broken && o != link.TimedOut:
@@ -61,6 +63,7 @@
 	default:
 		d.counts.failed++
 	}
+	d.counts.attempts++
 }
 
 // average turns the counts of the given time into rates.
@@ -87,8 +90,8 @@
 // manyUnserved reports whether so many callers are not served that the floor may be owed.
 func (d *demand) manyUnserved() bool { return d.unserved.value > keepAllInUseShare*d.requests() }
 
-// manyFail reports whether many attempts fail. A failed attempt is known before the end of its
-// request, and from hosts of versions that report no unserved requests. Failed trial requests
+// manyFail reports whether many attempts fail or are overdue. That is known before the end of their
+// requests, and from hosts of versions that report no unserved requests. Failed trial requests
 // count only while few targets are in use.
 func (d *demand) manyFail(fewInUse bool) bool {
 	failures := d.failures.value
--- a/pool/floor_states_test.go
+++ b/pool/floor_states_test.go
@@ -189,6 +189,7 @@
 		}
 	}
 	e.Latency += p.waitForSlot(now, i, e)
+	p.watchOverdue(now, got, p.fleet[host].Routing(testFloor).TypicalLatency(), e.Latency)
 	after := now.Sub(epoch).Milliseconds() + 1 + e.Latency.Milliseconds()
 	p.ends[after] = append(p.ends[after], func() {
 		at := epoch.Add(time.Duration(after) * time.Millisecond)
@@ -216,6 +217,23 @@
 	})
 }
 
+// overdueFactor is the multiple of the typical latency after which an attempt is overdue.
+const overdueFactor = 4
+
+// watchOverdue tells all hosts of an attempt that is overdue.
+func (p *floorPlay) watchOverdue(now time.Time, t *Target, typical, latency time.Duration) {
+	limit := overdueFactor * typical
+	if typical == 0 || latency <= limit {
+		return
+	}
+	at := now.Sub(epoch).Milliseconds() + 1 + limit.Milliseconds()
+	p.ends[at] = append(p.ends[at], func() {
+		for _, s := range p.fleet {
+			s.Observe(s.All()[t.Registration], Ending{Host: "any", Outcome: link.Overdue, Latency: limit}, epoch.Add(time.Duration(at)*time.Millisecond))
+		}
+	})
+}
+
 // waitForSlot returns how long an attempt waits for a slot of its target. A refused one does not.
 func (p *floorPlay) waitForSlot(now time.Time, i int, e Ending) time.Duration {
 	if e.Outcome == link.Refused {
@@ -455,3 +473,10 @@
 	l.slots, l.perSecond, l.latency, l.objective, l.share = 8, 40, 1700*time.Millisecond, 4*time.Second, 0.5
 	is.True(checkFloor(t, l, 10).owed > 0)
 }
+
+// TestFloorIsInUseWhileRequestsAreOverdue covers requests that are known to be unserved only when
+// their time has passed.
+func TestFloorIsInUseWhileRequestsAreOverdue(t *testing.T) {
+	is := is.New(t)
+	is.True(checkFloor(t, stateLoad(full), 100).owed > 0)
+}
