discovery: a target that came back before a restore of the store stays in use

Found by reading: a target whose row had lapsed and was written again before the copy was made was taken for one that had left, and was out of use for 6 s after a restore; after two restores, one that was held for 6 s was held for good. TestTargetThatCameBackBeforeARestoreStaysInUse and TestTwoRestoresHoldARemovedTargetForALimitedTime were red.

--- a/discovery/restore.go
+++ b/discovery/restore.go
@@ -50,19 +50,24 @@
 	from history.Reading
 }
 
-// begin begins a history with its first reading.
+// begin begins a history with its first reading. A target that was removed and has come back since
+// is not gone.
 func (r *revived) begin(known *Targets, gone departures, from history.Reading) {
+	held := r.removed
 	*r = revived{leaving: make(map[Key]bool), removed: make(map[Key]bool), from: from}
-	for _, t := range known.List {
-		if t.Leaving {
-			r.leaving[t.Key()] = true
-		}
-	}
 	for key, at := range gone {
 		if from.At-at <= departureMemory.Milliseconds() {
 			r.removed[key] = true
 		}
 	}
+	for _, t := range known.List {
+		switch key := t.Key(); {
+		case !t.Leaving:
+			delete(r.removed, key)
+		case !held[key]:
+			r.leaving[key] = true
+		}
+	}
 }
 
 // apply marks the revived targets of a read as leaving.
--- a/discovery/restore_test.go
+++ b/discovery/restore_test.go
@@ -105,3 +105,30 @@
 	is.Equal(ids(r.Known(), ready), []string{"a", "b"}) // b is kept for the grace period
 	is.True(time.Duration(r.graceUntil)*time.Millisecond == 1200*time.Millisecond+ReRegistrationGrace)
 }
+
+// TestTargetThatCameBackBeforeARestoreStaysInUse covers a target whose row had lapsed and was
+// written again before the copy was made.
+func TestTargetThatCameBackBeforeARestoreStaysInUse(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	r.Merge(NewTargets(at(1, 20, 1000), []Target{registered("a", 10, false), registered("b", 11, false)}))
+	r.Merge(NewTargets(at(1, 25, 1500), []Target{registered("a", 10, false)}))
+	r.Merge(NewTargets(at(1, 30, 2000), []Target{registered("a", 10, false), registered("b", 30, false)}))
+	r.Merge(NewTargets(at(2, 30, 3000), []Target{registered("a", 10, false), registered("b", 30, false)}))
+	is.Equal(ids(r.Known(), ready), []string{"a", "b"})
+}
+
+// TestTwoRestoresHoldARemovedTargetForALimitedTime covers a target that counts as leaving after the
+// first restore only because it had been removed.
+func TestTwoRestoresHoldARemovedTargetForALimitedTime(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	both := []Target{registered("a", 10, false), registered("b", 11, false)}
+	r.Merge(NewTargets(at(1, 20, 1000), both))
+	r.Merge(NewTargets(at(1, 25, 1500), both[:1]))
+	r.Merge(NewTargets(at(2, 20, 2000), append([]Target(nil), both...)))
+	r.Merge(NewTargets(at(3, 20, 3000), append([]Target(nil), both...)))
+	is.Equal(ids(r.Known(), ready), []string{"a"})
+	r.Merge(NewTargets(at(3, 20, 3000+revivedHold.Milliseconds()), append([]Target(nil), both...)))
+	is.Equal(ids(r.Known(), ready), []string{"a", "b"})
+}
