--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -299,6 +299,10 @@
 	Work time.Duration
 	// Refused is set when the server has not run the request.
 	Refused bool
+	// Raw is sent in place of the answer if it is not empty.
+	Raw string
+	// Extra is sent after the answer, late: when the next request has come on the connection.
+	Extra string
 }
 
 // Server is a stand-in for an instance that registers itself in the store.
@@ -387,11 +391,18 @@
 func (s *Server) serve(conn net.Conn) {
 	defer conn.Close()
 	in := bufio.NewReader(conn)
+	extra := ""
 	for {
 		r, err := http.ReadRequest(in)
 		if err != nil {
 			return
 		}
+		if extra != "" {
+			s.c.Note("server %s sends %d additional bytes", s.ID, len(extra))
+			if _, err := io.WriteString(conn, extra); err != nil {
+				return
+			}
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
@@ -412,9 +423,17 @@
 			s.c.Note("server %s runs %s %s %s", s.ID, id, r.Method, r.URL.RequestURI())
 		}
 		time.Sleep(a.Work)
+		if a.Raw != "" {
+			s.c.Note("server %s sends %d bytes that are no answer to %s", s.ID, len(a.Raw), id)
+			if _, err := io.WriteString(conn, a.Raw); err != nil {
+				return
+			}
+			continue
+		}
 		if s.write(conn, id, a) != nil {
 			return
 		}
+		extra = a.Extra
 		s.c.Note("server %s has answered %s with %d, %d bytes", s.ID, id, a.Status, len(a.Body))
 	}
 }
@@ -434,6 +453,63 @@
 	return err
 }
 
+// Request is a request of a client.
+type Request struct {
+	ID, Method, Path, Body string
+	// Deadline is how long the client waits.
+	Deadline time.Duration
+}
+
+// Result is what a client got for a request.
+type Result struct {
+	Request
+	Sent, Ended time.Time
+	// Status is 0 if there was no answer.
+	Status                    int
+	AnswerID, Signature, Body string
+	// Close is set when the answer ends the connection.
+	Close bool
+	Err   error
+}
+
+// Send sends a request on a connection.
+func (c *Case) Send(conn net.Conn, r Request) error {
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Crocushinge-Request-Id: %s\r\nX-Crocushinge-Deadline-Ms: %d\r\n",
+		r.Method, r.Path, Authority, r.ID, r.Deadline.Milliseconds())
+	if r.Method != http.MethodGet {
+		head += fmt.Sprintf("Content-Length: %d\r\n", len(r.Body))
+	}
+	_, err := io.WriteString(conn, head+"\r\n"+r.Body)
+	c.Note("client sends %s %s %s (%v)", r.ID, r.Method, r.Path, err)
+	return err
+}
+
+// Receive reads the answer to a request.
+func (c *Case) Receive(conn net.Conn, in *bufio.Reader, r Request, sent time.Time) Result {
+	result := Result{Request: r, Sent: sent}
+	_ = conn.SetReadDeadline(sent.Add(r.Deadline + time.Second))
+	resp, err := http.ReadResponse(in, &http.Request{Method: r.Method})
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(resp.Body)
+		result.Status, result.Close, result.Body = resp.StatusCode, resp.Close, string(body)
+		result.AnswerID = resp.Header.Get("X-Crocushinge-Request-Id")
+		result.Signature = resp.Header.Get("X-Crocushinge-Response-Signature")
+	}
+	result.Err, result.Ended = err, time.Now()
+	c.Note("client got %s: %d, signature %q, %d bytes (%v)", r.ID, result.Status, result.Signature, len(body), err)
+	return result
+}
+
+// Exchange sends a request and reads its answer.
+func (c *Case) Exchange(conn net.Conn, in *bufio.Reader, r Request) Result {
+	sent := time.Now()
+	if err := c.Send(conn, r); err != nil {
+		return Result{Request: r, Sent: sent, Ended: time.Now(), Err: err}
+	}
+	return c.Receive(conn, in, r, sent)
+}
+
 // Signature returns the signature of an answer.
 func Signature(id string, status int, body string) string {
 	sum := uint64(14695981039346656037)
