--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -152,7 +152,9 @@
 // Host is a process of the gateway.
 type Host struct {
 	platformtest.Host
-	c        *Case
+	c *Case
+	// CPUShare is the host's share of a core.
+	CPUShare float64
 	settings string
 	mu       sync.Mutex
 	cmd      *exec.Cmd
@@ -162,9 +164,14 @@
 // StartHosts starts n hosts for the first time and waits until all are ready. storeFor gives the
 // address by which a host reaches the store; nil for the store's own.
 func (c *Case) StartHosts(n int, storeFor func(i int) string) error {
+	return c.StartUnequalHosts(n, storeFor, func(int) float64 { return 0.32 })
+}
+
+// StartUnequalHosts is like StartHosts; cpuShare gives the share of a core of a host.
+func (c *Case) StartUnequalHosts(n int, storeFor func(i int) string, cpuShare func(i int) float64) error {
 	ip := func(i int) string { return fmt.Sprintf("127.%d.%d.%d", 20+c.network%200, (c.network/200)%250, 1+i) }
 	for i := range n {
-		h := &Host{c: c, settings: filepath.Join(c.dir, fmt.Sprintf("host-%d.toml", i))}
+		h := &Host{c: c, CPUShare: cpuShare(i), settings: filepath.Join(c.dir, fmt.Sprintf("host-%d.toml", i))}
 		h.Host = platformtest.Host{
 			Name: fmt.Sprintf("edge-%d", i), IP: ip(i), Zone: zones[i%len(zones)], Zones: zones,
 			Store: c.StoreAddress, Ports: Ports, Bounds: Bounds,
@@ -194,7 +201,8 @@
 // Start writes the settings and starts the process.
 func (h *Host) Start(first bool) error {
 	h.Bootstrap = first
-	if err := os.WriteFile(h.settings, []byte(h.SettingsFile()), 0o600); err != nil {
+	text := strings.Replace(h.SettingsFile(), "cpu_share = 0.32", fmt.Sprintf("cpu_share = %g", h.CPUShare), 1)
+	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
 	cmd := exec.Command(h.c.program, "--metrics", "9464/metrics")
@@ -251,6 +259,13 @@
 	_ = h.cmd.Process.Signal(s)
 }
 
+// Pid returns the id of the process.
+func (h *Host) Pid() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cmd.Process.Pid
+}
+
 // Done is closed when the process has ended.
 func (h *Host) Done() <-chan struct{} {
 	h.mu.Lock()
@@ -283,6 +298,90 @@
 	return nil
 }
 
+// Link is a proxy between a host and the store that can be cut: then it passes nothing on, in either
+// direction, until it is healed.
+type Link struct {
+	listen net.Listener
+	to     string
+	mu     sync.Mutex
+	// open is closed while the link is not cut.
+	open chan struct{}
+}
+
+// NewLink opens a link to an address.
+func NewLink(to string) (*Link, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	link := &Link{listen: l, to: to, open: make(chan struct{})}
+	close(link.open)
+	go link.accept()
+	return link, nil
+}
+
+// Address returns the address of the link.
+func (l *Link) Address() string { return l.listen.Addr().String() }
+
+// Cut cuts the link.
+func (l *Link) Cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open = make(chan struct{})
+}
+
+// Heal ends the cut.
+func (l *Link) Heal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.open)
+}
+
+func (l *Link) await() {
+	l.mu.Lock()
+	open := l.open
+	l.mu.Unlock()
+	<-open
+}
+
+func (l *Link) accept() {
+	for {
+		conn, err := l.listen.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			l.await()
+			upstream, err := net.Dial("tcp4", l.to)
+			if err != nil {
+				_ = conn.Close()
+				return
+			}
+			go l.forward(upstream, conn)
+			l.forward(conn, upstream)
+		}()
+	}
+}
+
+// forward copies one direction of a connection until it ends, and closes both sides then.
+func (l *Link) forward(to, from net.Conn) {
+	defer to.Close()
+	defer from.Close()
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buf)
+		l.await()
+		if n > 0 {
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
 // Run is a request that a server has begun to work on.
 type Run struct {
 	Request, Server, Service, Method, Path, Body string
