--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -58,15 +58,14 @@
 	// StoreAddress is where the store listens.
 	StoreAddress string
 	Hosts        []*Host
-	// ReadyWithin is the time that the processes took to be ready.
-	began   time.Time
-	program string
-	dir     string
-	network int
-	mu      sync.Mutex
-	record  *bufio.Writer
-	file    *os.File
-	broken  []string
+	began        time.Time
+	program      string
+	dir          string
+	network      int
+	mu           sync.Mutex
+	record       *bufio.Writer
+	file         *os.File
+	broken       []string
 }
 
 // Main runs a case in the folder given as the first argument and exits with its result.
@@ -259,13 +258,6 @@
 	_ = h.cmd.Process.Signal(s)
 }
 
-// Pid returns the id of the process.
-func (h *Host) Pid() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.cmd.Process.Pid
-}
-
 // Done is closed when the process has ended.
 func (h *Host) Done() <-chan struct{} {
 	h.mu.Lock()
