traffic: the text of an error no longer means that a request was not run

What callers saw: an order ran twice (TWICE) after a faulty target had run it and sent the line REFUSED_STREAM in place of its response. Without a second target it would have been answered 503, as not run.

Cause: isRefusedStream looked for two texts anywhere in an error of the transport, and net/http's errors quote what the target sent. HTTP/1.1 errors were judged like those of HTTP/2, which has refused streams alone.

Why this works: the protocol is asked first; the stream error is taken by its type and code. The two errors without a type must match as a whole, and the transport writes no byte of a peer into them.

--- a/traffic/attempt.go
+++ b/traffic/attempt.go
@@ -5,12 +5,12 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/crocushinge/crocushinge/caller"
+	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/link"
 )
 
@@ -65,7 +65,7 @@
 		}
 	}
 	if err != nil {
-		a.outcome = classifyTransportError(ctx, err, trace)
+		a.outcome = classifyTransportError(ctx, err, trace, req.routing.Contract.Protocol)
 		a.finish()
 		return a, errors.Wrapf(err, "target %s", l.Target)
 	}
@@ -130,15 +130,16 @@
 	return !trace.respondedBeforeSend()
 }
 
-// classifyTransportError returns the outcome for an error of the transport.
-func classifyTransportError(ctx context.Context, err error, trace *connTrace) link.Outcome {
-	var op *net.OpError
+// classifyTransportError returns the outcome for an error of the transport. The outcomes that
+// mean "not run" follow from what this host has written and from frames of HTTP/2. They never
+// follow from the text of an error: it may quote the target.
+func classifyTransportError(ctx context.Context, err error, trace *connTrace, protocol contract.Protocol) link.Outcome {
 	switch {
 	case isCallerError(err):
 		return link.Canceled
-	case errors.As(err, &op) && op.Op == "dial", trace.nothingSent():
+	case isDialError(err), trace.nothingSent():
 		return link.ConnectFailed
-	case isRefusedStream(err):
+	case isRefusedStream(err, protocol):
 		return link.Refused
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return link.TimedOut
@@ -149,14 +150,10 @@
 	}
 }
 
-// isRefusedStream reports whether an HTTP/2 error guarantees that the request was
-// not processed (RFC 9113, 8.7): the stream was refused, or its id is higher than
-// the last stream id of a GOAWAY frame. The errors are matched by their text
-// because the transport exports no types for them.
-func isRefusedStream(err error) bool {
-	text := err.Error()
-	return strings.Contains(text, "REFUSED_STREAM") ||
-		strings.Contains(text, "http2: Transport received Server's graceful shutdown GOAWAY")
+// isDialError reports whether a connection could not be opened.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
 }
 
 // wasShed reports whether the target rejected the request because of its load.
--- a/traffic/gateway_attempt.go
+++ b/traffic/gateway_attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/fleet"
 	"github.com/crocushinge/crocushinge/link"
 	"github.com/crocushinge/crocushinge/pool"
@@ -100,7 +101,7 @@
 // that breaks after the request was sent is Broken, to distinguish it from a
 // failure of the target itself.
 func classifyRoundTripError(ctx context.Context, err error, trace *connTrace) link.Outcome {
-	if o := classifyTransportError(ctx, err, trace); o != link.Failed {
+	if o := classifyTransportError(ctx, err, trace, contract.HTTP1); o != link.Failed {
 		return o
 	}
 	return link.Broken
--- a/traffic/refused_stream_test.go
+++ b/traffic/refused_stream_test.go
@@ -76,6 +76,9 @@
 		{"internal error", func(f *http2.Framer, streamID uint32) error {
 			return f.WriteRSTStream(streamID, http2.ErrCodeInternal)
 		}, "unknown"},
+		{"protocol error", func(f *http2.Framer, streamID uint32) error {
+			return f.WriteRSTStream(streamID, http2.ErrCodeProtocol)
+		}, "unknown"},
 		{"canceled", func(f *http2.Framer, streamID uint32) error {
 			return f.WriteRSTStream(streamID, http2.ErrCodeCancel)
 		}, "unknown"},
