traffic: a failed dial after a sent copy no longer means that a request was not run

What callers saw: the result not-run for an idempotent request that its target had received. net/http sends a GET again by itself when a kept connection breaks; if the new connection can't be opened, its error is that of the dial.

Cause: an error of a dial counted as certain, whatever had been sent before.

Evidence: TestDialErrorAfterASentRequestDoesNotMeanNotRun failed on the untouched code: the target received the request and the result was not-run.

Why this works: the dial counts only if no connection had been obtained before; otherwise the writes on that connection decide (connTrace.nothingSent).

Measured: the test passes, with all others of the package.

--- a/traffic/attempt.go
+++ b/traffic/attempt.go
@@ -137,7 +137,7 @@
 	switch {
 	case isCallerError(err):
 		return link.Canceled
-	case isDialError(err), trace.nothingSent():
+	case isDialError(err) && !trace.acquired, trace.nothingSent():
 		return link.ConnectFailed
 	case isRefusedStream(err, protocol):
 		return link.Refused
--- a/traffic/harness_test.go
+++ b/traffic/harness_test.go
@@ -210,12 +210,19 @@
 // the request on its connection, starting at 1. It closes the connection if script
 // returns false. It returns the address.
 func newRawTarget(t *testing.T, script func(conn net.Conn, n int, r *http.Request) bool) string {
+	t.Helper()
+	return newRawTargetOn(t, func(net.Listener) {}, script)
+}
+
+// newRawTargetOn is like newRawTarget; use receives the listener before the first connection.
+func newRawTargetOn(t *testing.T, use func(net.Listener), script func(conn net.Conn, n int, r *http.Request) bool) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
+	use(listener)
 	go func() {
 		for {
 			conn, err := listener.Accept()
--- a/traffic/nonidempotent_test.go
+++ b/traffic/nonidempotent_test.go
@@ -251,3 +251,25 @@
 	is.Equal(r.result, "unknown")
 	is.Equal(r.body, "the home host gave no result\n")
 }
+
+// TestDialErrorAfterASentRequestDoesNotMeanNotRun guards against a request that is said not to
+// have run because net/http sent it again on a connection that could not be opened: the first
+// copy had been sent.
+func TestDialErrorAfterASentRequestDoesNotMeanNotRun(t *testing.T) {
+	is := is.New(t)
+	var listener net.Listener
+	var ran atomic.Int64
+	address := newRawTargetOn(t, func(l net.Listener) { listener = l }, func(conn net.Conn, n int, r *http.Request) bool {
+		if n == 1 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			return true
+		}
+		ran.Add(1)
+		_ = listener.Close() // the next connection is refused
+		return false
+	})
+	h := newTestHost(t, "a", address)
+	is.Equal(h.send(t.Context(), http.MethodGet, "/prices", "", "").result, "completed")
+	is.Equal(h.send(t.Context(), http.MethodGet, "/prices", "", "").result, "unknown")
+	is.Equal(ran.Load(), int64(1))
+}
