traffic: a response of a discovered target counts only with proof

Cause: a response counted as the target's until something spoke against it. One without an id was accepted, and the signature was not looked at.

Why this works: a response must name the request, once; a success must be signed, once; a status that means not run needs the target's statement. Anything else is 502 for an order, another target for a lookup, and says nothing of the target. Its connection is closed and takes no further byte, also when the transport has already assigned it to the next request: that assignment waits for the check. Interim responses need the id as well. The fuzz target found that a half head merges with the target's own; a head with two status lines does not count.

TestConnectionReuseKeepsReceivedStateOfPreviousRequest settles the first request before the second one gets the connection, as the code now requires; its assertions are the same.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -119,9 +119,13 @@
 			observe(c.Attempts[o].Load(), attribute.String("outcome", o.String()))
 		}
 	}
+	unproven := func(observe func(int64, ...attribute.KeyValue)) {
+		c.UnprovenByReason(func(reason string, count int64) { observe(count, attribute.String("reason", reason)) })
+	}
 	return []observable{
 		{name: "crocushinge.requests", unit: "{request}", description: "Requests of callers, by whose answer they got.", collect: responses},
 		{name: "crocushinge.attempts", unit: "{attempt}", description: "Requests sent to targets, by outcome.", collect: attempts},
+		{name: "crocushinge.responses.unproven", unit: "{response}", description: "Responses that were not taken for their target's, by reason.", collect: unproven},
 		{name: "crocushinge.refused.overload", unit: "{request}", description: "Requests refused because the targets' queues are too long.", collect: singleValue(c.RefusedOverload.Load)},
 		{name: "crocushinge.retries", unit: "{attempt}", description: "Requests sent to a further target.", collect: singleValue(c.Retries.Load)},
 		{name: "crocushinge.retries.withheld", unit: "{attempt}", description: "Retries withheld because the budget was spent.", collect: singleValue(c.RetriesWithheld.Load)},
--- a/traffic/attempt.go
+++ b/traffic/attempt.go
@@ -18,8 +18,6 @@
 var (
 	// errDeadlinePassed means that the deadline passed before the request was sent.
 	errDeadlinePassed = errors.New("the deadline passed before the request was sent")
-	// errResponseMismatch means that the response belongs to another request.
-	errResponseMismatch = errors.New("the answer belongs to another request")
 	// errProtocolSwitched means that the target responded with status 101 to a
 	// request without Upgrade.
 	errProtocolSwitched = errors.New("the target switched to another protocol")
@@ -64,6 +62,7 @@
 			_ = resp.Body.Close()
 		}
 	}
+	trace.settle(err == nil)
 	if err != nil {
 		a.outcome = classifyTransportError(ctx, err, trace, req.routing.Contract.Protocol)
 		a.finish()
@@ -110,24 +109,25 @@
 // checkResponse checks the status and header of a response. It returns an error if
 // the response must not be forwarded.
 func (req *request) checkResponse(resp *http.Response, trace *connTrace) error {
-	switch {
-	case !req.isOwnResponse(resp, trace):
-		return errResponseMismatch
-	case resp.StatusCode < http.StatusOK:
+	if trace.respondedBeforeSend() {
+		return errEarlyResponse
+	}
+	if err := req.echoError(resp); err != nil {
+		return err
+	}
+	if resp.StatusCode < http.StatusOK {
 		return errProtocolSwitched
-	default:
-		return nil
 	}
+	return nil
 }
 
-// isOwnResponse reports whether the response can belong to this request. It does not if
-// it echoes the id of another request, or if it was received before the request was
-// sent.
-func (req *request) isOwnResponse(resp *http.Response, trace *connTrace) bool {
-	if echo := resp.Header.Get(HeaderRequestID); echo != "" && echo != req.id.String() {
-		return false
+// echoError returns nil unless the response names another request. Targets need not echo the id.
+func (req *request) echoError(resp *http.Response) error {
+	err := echoError(resp.Header, HeaderRequestID, req.id.String())
+	if errors.Is(err, errNoResponseID) {
+		return nil
 	}
-	return !trace.respondedBeforeSend()
+	return err
 }
 
 // classifyTransportError returns the outcome for an error of the transport. The outcomes that
--- a/traffic/conn.go
+++ b/traffic/conn.go
@@ -17,6 +17,9 @@
 // writing.
 var errWritesBlocked = errors.New("connection blocked for writing: the request was abandoned")
 
+// errOutOfStep is returned by a write after a response that did not belong to its request.
+var errOutOfStep = errors.New("connection out of step: an earlier answer on it was not that of its request")
+
 // writesBlocked is the write count of a connection on which all further writes
 // fail.
 const writesBlocked = -1
@@ -56,6 +59,8 @@
 	closed bool
 	// writes counts the calls of Write, or is writesBlocked.
 	writes atomic.Int64
+	// outOfStep is set once a response did not belong to its request. All further writes fail.
+	outOfStep atomic.Bool
 	// exchange records the I/O of the request that uses the connection. If the
 	// connection is idle, it is that of the last request.
 	exchange atomic.Pointer[connExchange]
@@ -69,10 +74,28 @@
 	sent atomic.Bool
 	// received is set when bytes are read after the first write.
 	received atomic.Bool
+	// settled is closed once the response has been checked or the request has failed. inStep
+	// is set before that if the response belongs to the request.
+	settled chan struct{}
+	inStep  bool
+}
+
+func newConnExchange() *connExchange { return &connExchange{settled: make(chan struct{})} }
+
+// awaitInStep waits until the exchange is settled and reports whether its response belonged to
+// its request. The transport may assign a connection to the next request before the response of
+// this one has been checked; the check follows at once.
+func (e *connExchange) awaitInStep() bool {
+	<-e.settled
+	return e.inStep
 }
 
-// assign marks the connection as used by a request.
+// assign marks the connection as used by a request. If the response of the previous request did
+// not belong to that request, the connection is out of step: nothing is written to it any more.
 func (c *trackedConn) assign(e *connExchange) {
+	if previous := c.exchange.Load(); previous != nil && !previous.awaitInStep() {
+		c.outOfStep.Store(true)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.exchange.Store(e)
@@ -128,6 +151,9 @@
 
 // Write implements net.Conn.
 func (c *trackedConn) Write(p []byte) (int, error) {
+	if c.outOfStep.Load() {
+		return 0, errOutOfStep
+	}
 	for {
 		n := c.writes.Load()
 		if n == writesBlocked {
@@ -197,15 +223,16 @@
 			if t.acquired && !t.nothingSent() {
 				t.mayBeResent = true
 			}
+			t.settle(false) // the previous connection has failed
 			t.acquired = true
 			t.conn, _ = info.Conn.(*trackedConn)
 			if t.conn == nil {
 				return
 			}
-			t.writesBefore = t.conn.writes.Load()
-			t.exchange = &connExchange{}
+			t.exchange = newConnExchange()
 			t.idleTime = info.IdleTime
 			t.conn.assign(t.exchange)
+			t.writesBefore = t.conn.writes.Load()
 		},
 	}
 }
@@ -232,10 +259,31 @@
 	return t.exchange != nil && !t.exchange.received.Load()
 }
 
+// settle records whether the response on the connection belongs to the request. If it does not,
+// or if there is none, the connection is closed: further bytes on it may belong to any request.
+// Only the first call for a connection has an effect.
+func (t *connTrace) settle(inStep bool) {
+	if t.exchange == nil {
+		return
+	}
+	select {
+	case <-t.exchange.settled:
+		return
+	default:
+	}
+	t.exchange.inStep = inStep
+	if !inStep {
+		t.conn.outOfStep.Store(true)
+		_ = t.conn.Close() // the error of a connection that is given up
+	}
+	close(t.exchange.settled)
+}
+
 // finish updates the idle state of the connection when a request ends. elapsed is
-// the duration of the request; resp is nil if there was no response.
+// the duration of the request; resp is nil if there was no response. A response that does not
+// belong to the request says nothing about the connection.
 func (t *connTrace) finish(elapsed time.Duration, resp *http.Response) {
-	if t.conn == nil {
+	if t.conn == nil || resp != nil && !t.exchange.inStep {
 		return
 	}
 	now := time.Now()
--- a/traffic/conn_test.go
+++ b/traffic/conn_test.go
@@ -28,9 +28,8 @@
 	}
 }
 
-// TestConnectionReuseKeepsReceivedStateOfPreviousRequest covers a transport that
-// assigns a connection to the next request before the previous one checks its
-// response. The response of the previous request must not count as early.
+// TestConnectionReuseKeepsReceivedStateOfPreviousRequest covers a connection that is assigned to
+// the next request. The response of the previous request must not count as early.
 func TestConnectionReuseKeepsReceivedStateOfPreviousRequest(t *testing.T) {
 	is := is.New(t)
 	client, server := net.Pipe()
@@ -40,6 +39,7 @@
 	first, second := &connTrace{}, &connTrace{}
 	first.clientTrace(nil).GotConn(httptrace.GotConnInfo{Conn: conn})
 	sendAndReceive(t, conn, server)
+	first.settle(true)
 	second.clientTrace(nil).GotConn(httptrace.GotConnInfo{Conn: conn, Reused: true})
 	is.True(!first.respondedBeforeSend())
 	is.True(second.respondedBeforeSend()) // nothing was received for the second request
--- a/traffic/endless_test.go
+++ b/traffic/endless_test.go
@@ -107,7 +107,7 @@
 	for name, test := range endlessResponses {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			endless := newEndlessTarget(test.begin, test.repeat)
+			endless := newEndlessTarget(prove(test.begin, "id-/write/x"), test.repeat)
 			g := newTestGateway(t)
 			g.addConnTarget("bad", func(conn net.Conn) {
 				defer conn.Close()
@@ -130,7 +130,7 @@
 // response. The response counts, and its connection is not used again.
 func TestGatewayBytesAfterResponseEndTheConnection(t *testing.T) {
 	is := is.New(t)
-	endless := newEndlessTarget("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "more")
+	endless := newEndlessTarget(prove("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "id-/write/x"), "more")
 	var connections atomic.Int64
 	g := newTestGateway(t)
 	g.addConnTarget("bad", func(conn net.Conn) {
--- a/traffic/gateway.go
+++ b/traffic/gateway.go
@@ -19,8 +19,12 @@
 // GatewayHeaders are the names of the headers that a deployment's callers and
 // targets use.
 type GatewayHeaders struct {
-	// RequestID carries the caller's id of the attempt, in requests and responses.
+	// RequestID carries the caller's id of the attempt, in requests and responses. A response
+	// that does not repeat it, once, is not taken for the target's.
 	RequestID string
+	// Signature is set by targets in their responses. A success without it, or with several, is
+	// not taken for the target's. Empty if the targets set none.
+	Signature string
 	// Deadline carries the time left for the request, in milliseconds.
 	Deadline string
 	// ExpectedTarget names the target that a request is sent to. Any other target
--- a/traffic/gateway_attempt.go
+++ b/traffic/gateway_attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,10 +22,6 @@
 // errNotRun means that the target responded that it did not run the request.
 var errNotRun = errors.New("the target refused the request unprocessed")
 
-// errForeignRefusal means that a response refuses a request without naming this one. It may be
-// the repeated refusal of an earlier request on the connection, while the target runs this one.
-var errForeignRefusal = errors.New("the refusal does not name this request")
-
 // errOtherTarget means that another target now has the address.
 var errOtherTarget = errors.New("another target answers at this address")
 
@@ -37,7 +34,9 @@
 	outcome   link.Outcome
 	err       error
 	response  *http.Response
-	trace     *connTrace
+	// proven is set when the response is proven to be the target's response to this request.
+	proven bool
+	trace  *connTrace
 	// buffered is the start of the response body, or all of it when complete is
 	// set.
 	buffered []byte
@@ -56,18 +55,27 @@
 	defer stopWatch()
 	trace := &connTrace{}
 	a.trace = trace
-	out := newOutboundRequest(httptrace.WithClientTrace(ctx, trace.clientTrace(req.writeInterim)), req.inbound, t.Address)
+	out := newOutboundRequest(httptrace.WithClientTrace(ctx, trace.clientTrace(g.interimWriter(req))), req.inbound, t.Address)
 	out.Header.Set(g.cfg.Headers.ExpectedTarget, t.Key.Name)
 	setTimeLeft(out.Header, g.cfg.Headers.Deadline, req.deadline, a.startedAt)
 	req.body.setNonRetryable(out)
 	resp, err := g.cfg.Transport.RoundTrip(out)
 	if err != nil {
+		trace.settle(false)
 		g.finishAttempt(a, classifyRoundTripError(ctx, err, trace), err)
 		return a
 	}
 	a.response = resp
+	err = g.proofError(req, resp, trace)
+	a.proven = err == nil
+	trace.settle(a.proven)
+	if err != nil {
+		_ = resp.Body.Close()
+		g.finishAttempt(a, link.Broken, err)
+		return a
+	}
 	g.observeNotice(req, a)
-	if outcome, err := g.checkResponse(req, resp, trace); err != nil {
+	if outcome, err := g.checkResponse(resp); err != nil {
 		_ = resp.Body.Close()
 		g.finishAttempt(a, outcome, err)
 		return a
@@ -119,20 +127,21 @@
 	}
 }
 
-// checkResponse checks the status and header of a response. It returns the outcome
+// checkResponse checks the status and header of a proven response. It returns the outcome
 // and an error if the response must not be forwarded.
-func (g *Gateway) checkResponse(req *gatewayRequest, resp *http.Response, trace *connTrace) (link.Outcome, error) {
+func (g *Gateway) checkResponse(resp *http.Response) (link.Outcome, error) {
+	refused := resp.Header.Get(g.cfg.Headers.NotRun) != ""
 	switch {
-	case !g.isOwnResponse(req, resp, trace):
-		return link.Failed, errResponseMismatch
 	case resp.StatusCode < http.StatusOK:
-		return link.Failed, errProtocolSwitched
-	case g.refuses(resp) && resp.Header.Get(g.cfg.Headers.RequestID) != req.id:
-		return link.Failed, errForeignRefusal
+		return link.Broken, errProtocolSwitched
+	case refused && resp.StatusCode < http.StatusBadRequest:
+		return link.Broken, errRefusedSuccess
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		return link.ConnectFailed, errOtherTarget
-	case resp.Header.Get(g.cfg.Headers.NotRun) != "":
+	case refused:
 		return link.Refused, errNotRun
+	case meansNotRun(resp.StatusCode):
+		return link.Failed, errUnstatedRefusal
 	case resp.Header.Get("Content-Encoding") != "":
 		return link.Failed, errEncoded
 	default:
@@ -140,10 +149,10 @@
 	}
 }
 
-// observeNotice keeps to what the target says about itself in its response. What another
-// target says, or what belongs to another request, does not count.
+// observeNotice keeps to what the target says about itself in a proven response. What another
+// target says does not count.
 func (g *Gateway) observeNotice(req *gatewayRequest, a *gatewayAttempt) {
-	if !g.isOwnResponse(req, a.response, a.trace) || a.response.StatusCode == http.StatusMisdirectedRequest {
+	if a.response.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
 	now := time.Now()
@@ -156,15 +165,15 @@
 	}
 }
 
-// isOwnResponse reports whether a response can belong to this request.
-func (g *Gateway) isOwnResponse(req *gatewayRequest, resp *http.Response, trace *connTrace) bool {
-	echo := resp.Header.Get(g.cfg.Headers.RequestID)
-	return (echo == "" || echo == req.id) && !trace.respondedBeforeSend()
-}
-
-// refuses reports whether a response says that a request was not run.
-func (g *Gateway) refuses(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(g.cfg.Headers.NotRun) != ""
+// interimWriter returns a function that forwards the interim responses (1xx) that name the
+// request. Others may be bytes of any kind and are dropped.
+func (g *Gateway) interimWriter(req *gatewayRequest) func(int, textproto.MIMEHeader) error {
+	return func(status int, fields textproto.MIMEHeader) error {
+		if echoError(http.Header(fields), g.cfg.Headers.RequestID, req.id) != nil || hasTwoHeads("", http.Header(fields)) {
+			return nil
+		}
+		return req.writeInterim(status, fields)
+	}
 }
 
 // finishAttempt sets the outcome of an attempt, counts it and reports it to the
@@ -177,6 +186,7 @@
 	a.outcome, a.err = o, err
 	now := time.Now()
 	a.trace.finish(now.Sub(a.startedAt), a.response)
+	g.counters.countUnproven(err)
 	a.target.End()
 	a.target.ObserveReachability(o, now)
 	g.counters.countAttempt(o)
--- a/traffic/gateway_harness_test.go
+++ b/traffic/gateway_harness_test.go
@@ -20,14 +20,14 @@
 	"github.com/crocushinge/crocushinge/zone"
 )
 
-var testHeaders = GatewayHeaders{RequestID: "X-Id", Deadline: "X-Left-Ms", ExpectedTarget: "X-For", NotRun: "X-Not-Run", Leaving: "X-Leaving", RateLimit: "X-Rate-Limit"}
+var testHeaders = GatewayHeaders{RequestID: "X-Id", Signature: signatureHeader, Deadline: "X-Left-Ms", ExpectedTarget: "X-For", NotRun: "X-Not-Run", Leaving: "X-Leaving", RateLimit: "X-Rate-Limit"}
 
-// signatureHeader is set by targets to their name.
+// signatureHeader is set by targets to their name in all responses.
 const signatureHeader = "X-Signature"
 
 // testGateway is a gateway with its HTTP server and fake targets.
 type testGateway struct {
-	t       *testing.T
+	t       testing.TB
 	service *pool.Service
 	routes  []discovery.Route
 	limits  discovery.Limits
@@ -52,7 +52,7 @@
 
 // newTestGateway returns a gateway that is not yet started. Its route for "/read/"
 // is idempotent, those for "/write/" and "/short/" are not.
-func newTestGateway(t *testing.T) *testGateway {
+func newTestGateway(t testing.TB) *testGateway {
 	g := &testGateway{t: t, budget: RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, MinRetries: 50}}
 	g.service = pool.NewService("orders", pool.Location{Zone: "a", Zones: zone.NewMap([]zone.Zone{{ID: "a", Region: "r"}}, nil)})
 	g.service.HasRetryable = true
@@ -156,8 +156,8 @@
 	return f.received
 }
 
-// addTarget adds a target that reads the request, echoes its id and calls the
-// handler. Without a handler it responds with its name.
+// addTarget adds a target that reads the request, echoes its id, signs the response and calls
+// the handler. Without a handler it responds with its name.
 func (g *testGateway) addTarget(name string, h http.HandlerFunc) *fakeTarget {
 	f := &fakeTarget{name: name}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -168,11 +168,11 @@
 		f.bodies = append(f.bodies, string(body))
 		f.mu.Unlock()
 		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set(signatureHeader, name)
 		if h != nil {
 			h(w, r)
 			return
 		}
-		w.Header().Set(signatureHeader, name)
 		_, _ = io.WriteString(w, "from "+name)
 	}))
 	g.t.Cleanup(server.Close)
@@ -185,6 +185,11 @@
 	g.targets = append(g.targets, discovery.Target{ID: name, Service: "orders", Address: address, Zone: "a", Slots: 4})
 }
 
+// prove adds the id and a signature to the head of a response.
+func prove(response, id string) string {
+	return strings.Replace(response, "\r\n", "\r\nX-Id: "+id+"\r\n"+signatureHeader+": raw\r\n", 1)
+}
+
 // addRawTarget adds a target that responds to each request with the bytes that respond
 // returns. If closes is set, it closes the connection after the first response. It
 // returns the counter of the requests received.
--- a/traffic/gateway_record.go
+++ b/traffic/gateway_record.go
@@ -24,6 +24,9 @@
 	// RefusedOverload counts requests that were refused because the targets' queues
 	// were too long.
 	RefusedOverload atomic.Int64
+	// Unproven counts the responses that were not taken for their target's, by reason; see
+	// UnprovenByReason.
+	Unproven [len(unprovenReasons)]atomic.Int64
 	// Retries counts attempts beyond the first of a request. RetriesWithheld counts
 	// those that were not sent because the retry budget was spent.
 	Retries, RetriesWithheld atomic.Int64
--- a/traffic/gateway_test.go
+++ b/traffic/gateway_test.go
@@ -207,22 +207,22 @@
 // must not be sent to a second target.
 func TestGatewaySendsNonIdempotentRequestOnce(t *testing.T) {
 	for name, response := range map[string]string{
-		"no response":      "",
-		"half a header":    "HTTP/1.1 200 OK\r\nContent-",
-		"half a body":      "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
-		"half a chunk":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nhalf",
-		"no last chunk":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
-		"not HTTP":         "garbage\r\n\r\n",
-		"encoded":          "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nhalf",
-		"wrong request id": "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 4\r\n\r\nhalf",
-		"other protocol":   "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
-		"negative length":  "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+		"no response":     "",
+		"half a header":   "HTTP/1.1 200 OK\r\nContent-",
+		"half a body":     "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+		"half a chunk":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nhalf",
+		"no last chunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"not HTTP":        "garbage\r\n\r\n",
+		"encoded":         "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nhalf",
+		"other protocol":  "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
+		"negative length": "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			g := newTestGateway(t)
-			first := g.addRawTarget("t1", func(string) string { return response }, true)
-			second := g.addRawTarget("t2", func(string) string { return response }, true)
+			respond := func(id string) string { return prove(response, id) }
+			first := g.addRawTarget("t1", respond, true)
+			second := g.addRawTarget("t2", respond, true)
 			g.start()
 			got := g.send(http.MethodPost, "/write/x", "order")
 			is.NoErr(got.err)
@@ -235,7 +235,7 @@
 func TestGatewayRetriesBrokenIdempotentRequest(t *testing.T) {
 	is := is.New(t)
 	g := newTestGateway(t)
-	g.addRawTarget("broken", func(string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf" }, true)
+	g.addRawTarget("broken", func(id string) string { return prove("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", id) }, true)
 	g.addTarget("good", nil)
 	g.start()
 	for range 10 {
@@ -248,7 +248,7 @@
 func TestGatewayForwardsResponseDelimitedByClose(t *testing.T) {
 	is := is.New(t)
 	g := newTestGateway(t)
-	g.addRawTarget("t1", func(id string) string { return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\n\r\nall of it" }, true)
+	g.addRawTarget("t1", func(id string) string { return prove("HTTP/1.1 200 OK\r\n\r\nall of it", id) }, true)
 	g.start()
 	got := g.send(http.MethodPost, "/write/x", "")
 	is.NoErr(got.err)
@@ -263,7 +263,7 @@
 	g := newTestGateway(t)
 	g.addRawTarget("t1", func(id string) string {
 		response := func(body string) string {
-			return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+			return prove(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body), id)
 		}
 		return response("own "+id) + response("extra "+id)
 	}, false)
@@ -370,7 +370,7 @@
 	is := is.New(t)
 	g := newTestGateway(t)
 	g.addRawTarget("t1", func(id string) string {
-		return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 200_000)
+		return prove("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 200_000), id)
 	}, true)
 	g.start()
 	got := g.send(http.MethodPost, "/write/x", "")
--- a/traffic/target_text_test.go
+++ b/traffic/target_text_test.go
@@ -50,8 +50,9 @@
 			is := is.New(t)
 			for _, text := range targetTexts {
 				g := newTestGateway(t)
-				runs := g.addRawTarget("a", func(string) string { return respond(text) }, true)
-				other := g.addRawTarget("b", func(string) string { return respond(text) }, true)
+				proven := func(id string) string { return prove(respond(text), id) }
+				runs := g.addRawTarget("a", proven, true)
+				other := g.addRawTarget("b", proven, true)
 				g.start()
 				is.Equal(g.send(http.MethodPut, "/write/x", "ten sheets").status, http.StatusBadGateway)
 				is.Equal(runs.Load()+other.Load(), int64(1))
