contract: echoes-id, for services whose targets echo the request id

What callers could see on the product's own interface: a foreign response without an id as the result of their request. Ordinary servers echo no id, so that this can't be told there.

Change: a contract can declare that its targets echo the id. A response without it is then not taken for the target's, and a probe fails. The default is off.

--- a/contract/contract.go
+++ b/contract/contract.go
@@ -122,7 +122,11 @@
 	// RateLimit declares how a target limits the requests from all hosts.
 	RateLimit RateLimit
 	Health    Health
-	Weight    Weight
+	// EchoesID declares that the targets repeat the request id in all of their responses, those
+	// to probes included. A response without it is then not taken for the target's: the request
+	// may have run, and a probe fails.
+	EchoesID bool
+	Weight   Weight
 	// Protocol is spoken to every target of the service.
 	Protocol Protocol
 	Queue    Queue
--- a/contract/contractfile/document.go
+++ b/contract/contractfile/document.go
@@ -38,6 +38,7 @@
 	Leaving   leaving       `yaml:"leaving"`
 	RateLimit rateLimit     `yaml:"rate-limit"`
 	Health    health        `yaml:"health"`
+	EchoesID  bool          `yaml:"echoes-id"`
 	Weight    string        `yaml:"weight"`
 	Queue     queue         `yaml:"queue"`
 	Load      float64       `yaml:"load"`
@@ -114,6 +115,7 @@
 		Leaving:   contract.Leaving(d.Leaving),
 		RateLimit: contract.RateLimit(d.RateLimit),
 		Health:    contract.Health(d.Health),
+		EchoesID:  d.EchoesID,
 		Weight:    contract.Weight(d.Weight),
 		Queue:     contract.Queue(d.Queue),
 		Load:      d.Load,
--- a/contract/contractfile/parse_test.go
+++ b/contract/contractfile/parse_test.go
@@ -46,6 +46,14 @@
 	is.Equal(c.Leaving.Grace, defaultGrace)
 	is.Equal(c.Queue.Length, defaultQueueLength)
 	is.Equal(c.Weight, contract.WeightBalanced)
+	is.Equal(c.EchoesID, false)
+}
+
+func TestEchoesIDIsRead(t *testing.T) {
+	is := is.New(t)
+	f, findings := Parse("checkout.yaml", []byte(validContract+"echoes-id: true\n"))
+	is.Equal(len(findings), 0)
+	is.Equal(f.Document.Contract.EchoesID, true)
 }
 
 func TestSingleMistakes(t *testing.T) {
@@ -56,6 +64,7 @@
 		{"floor above 100%", "floor: 50%", "floor: 101%", `checkout.yaml:7:8: floor "101%"`},
 		{"deadline without unit", "deadline: 3s", "deadline: 3", `checkout.yaml:6:50: routes[0].deadline is "3", a time without a unit (write 3s or 3ms)`},
 		{"size without unit", "2MiB", "2", `checkout.yaml:8:11: max-body is "2", a size without a unit`},
+		{"switch that is neither", "max-body: 2MiB", "max-body: 2MiB\nechoes-id: always", "checkout.yaml:9:12: echoes-id"},
 		{"tab", "floor", "\tfloor", "checkout.yaml:7:"},
 		{"alias", "floor: 50%", "floor: &f 50%", "checkout.yaml:7:8: floor uses an anchor, alias or tag"},
 		{"two documents", "floor: 50%", "floor: 50%\n---\nservice: x", "more than one YAML document"},
--- a/daemon/probe.go
+++ b/daemon/probe.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/crocushinge/crocushinge/contract"
 	"github.com/crocushinge/crocushinge/host"
+	"github.com/crocushinge/crocushinge/wire"
 )
 
 const (
@@ -40,27 +43,32 @@
 }
 
 // probe sends one probe. It succeeds only with a 2xx response whose body could be
-// read.
+// read. A response that does not repeat the probe's id says nothing if the targets echo ids.
 func (p *prober) probe(ctx context.Context, e host.SendProbe) host.ProbeEnded {
 	result := host.ProbeEnded{Target: e.Target}
 	start := time.Now()
-	resp, err := p.get(ctx, e)
+	id := rand.Text()
+	resp, err := p.get(ctx, e, id)
 	result.Latency = time.Since(start)
 	if err != nil {
 		return result
 	}
 	defer resp.Body.Close()
+	if e.EchoesID && !slices.Equal(resp.Header.Values(wire.HeaderRequestID), []string{id}) {
+		return result
+	}
 	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBodyBytes))
 	result.OK = err == nil && resp.StatusCode >= 200 && resp.StatusCode < 300
 	result.Leaving = e.LeavingHeader != "" && resp.Header.Get(e.LeavingHeader) != ""
 	return result
 }
 
-func (p *prober) get(ctx context.Context, e host.SendProbe) (*http.Response, error) {
+func (p *prober) get(ctx context.Context, e host.SendProbe, id string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+e.Path, nil)
 	if err != nil {
 		return nil, err
 	}
+	req.Header.Set(wire.HeaderRequestID, id)
 	if e.Protocol == contract.H2C {
 		return p.h2c.Do(req)
 	}
--- a/host/effect.go
+++ b/host/effect.go
@@ -68,7 +68,9 @@
 		// LeavingHeader is the response header that a leaving target sets;
 		// empty if there is none.
 		LeavingHeader string
-		Protocol      contract.Protocol
+		// EchoesID is set when only a response counts that repeats the id of the probe.
+		EchoesID bool
+		Protocol contract.Protocol
 	}
 
 	// Record adds an event to the timeline.
--- a/host/probe.go
+++ b/host/probe.go
@@ -15,6 +15,7 @@
 			Address:       s.Link(key.Name).Address,
 			Path:          s.Contract.Health.Path,
 			LeavingHeader: s.Contract.Leaving.Header,
+			EchoesID:      s.Contract.EchoesID,
 			Protocol:      s.Contract.Protocol,
 		})
 	}
--- a/traffic/attempt.go
+++ b/traffic/attempt.go
@@ -121,10 +121,11 @@
 	return nil
 }
 
-// echoError returns nil unless the response names another request. Targets need not echo the id.
+// echoError returns nil if the response names this request. Targets need not do that unless
+// their contract says so, but a response that names another request is not theirs.
 func (req *request) echoError(resp *http.Response) error {
 	err := echoError(resp.Header, HeaderRequestID, req.id.String())
-	if errors.Is(err, errNoResponseID) {
+	if errors.Is(err, errNoResponseID) && !req.routing.Contract.EchoesID {
 		return nil
 	}
 	return err
--- a/traffic/response_proof_test.go
+++ b/traffic/response_proof_test.go
@@ -253,3 +253,42 @@
 		})
 	}
 }
+
+// TestContractWithEchoedIDs guards against foreign responses on the product's own interface, for
+// services whose targets echo the id.
+func TestContractWithEchoedIDs(t *testing.T) {
+	for name, test := range map[string]struct {
+		line           string
+		echoes, counts bool
+	}{
+		"right":               {"Crocushinge-Request-Id: %s\r\n", true, true},
+		"missing":             {"", true, false},
+		"wrong":               {"Crocushinge-Request-Id: other\r\n", true, false},
+		"doubled":             {"Crocushinge-Request-Id: %[1]s\r\nCrocushinge-Request-Id: %[1]s\r\n", true, false},
+		"ordinary, missing":   {"", false, true},
+		"ordinary, wrong":     {"Crocushinge-Request-Id: other\r\n", false, false},
+		"ordinary, two right": {"Crocushinge-Request-Id: %[1]s\r\nCrocushinge-Request-Id: %[1]s\r\n", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var runs atomic.Int64
+			target := newRawTarget(t, func(conn net.Conn, _ int, r *http.Request) bool {
+				runs.Add(1)
+				line := test.line
+				if strings.Contains(line, "%") {
+					line = fmt.Sprintf(line, r.Header.Get(HeaderRequestID))
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+line+"\r\n")
+				return true
+			})
+			h := newTestHost(t, "a", target)
+			h.snapshot.Load().Services["shop"].Contract.EchoesID = test.echoes
+			want := "unknown"
+			if test.counts {
+				want = "completed"
+			}
+			is.Equal(h.sendOrder("", "ten sheets").result, want)
+			is.Equal(runs.Load(), int64(1))
+		})
+	}
+}
