traffic: the targets of the idle tests sign their responses

TestIdleConnectionsCloseBeforeKeepAliveTimeout and TestIdleLimitAdaptsToDroppedConnections were red since: their targets echo the id, but sent no signature, so that every response was answered 502. The tests are otherwise unchanged, and pass.

--- a/traffic/idle_test.go
+++ b/traffic/idle_test.go
@@ -38,7 +38,8 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s", r.Header.Get("X-Id"), len(name), keepAlive, name)
+		response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n%s", len(name), keepAlive, name)
+		_, _ = io.WriteString(conn, prove(response, r.Header.Get("X-Id")))
 	}
 }
 
