--- a/traffic/gateway_attempt.go
+++ b/traffic/gateway_attempt.go
@@ -53,7 +53,7 @@
 	g.cfg.AttemptStarted()
 	stopWatch := g.watchOverdue(a, req)
 	defer stopWatch()
-	trace := &connTrace{}
+	trace := &connTrace{held: req.held}
 	a.trace = trace
 	out := newOutboundRequest(httptrace.WithClientTrace(ctx, trace.clientTrace(g.interimWriter(req))), req.inbound, t.Address)
 	out.Header.Set(g.cfg.Headers.ExpectedTarget, t.Key.Name)
@@ -80,7 +80,7 @@
 		g.finishAttempt(a, outcome, err)
 		return a
 	}
-	a.buffered, a.complete, err = bufferResponse(resp)
+	a.buffered, a.complete, err = bufferResponse(resp, req.held)
 	if err != nil {
 		_ = resp.Body.Close()
 		g.finishAttempt(a, classifyBodyError(ctx), err)
@@ -169,10 +169,12 @@
 // request. Others may be bytes of any kind and are dropped.
 func (g *Gateway) interimWriter(req *gatewayRequest) func(int, textproto.MIMEHeader) error {
 	return func(status int, fields textproto.MIMEHeader) error {
-		if echoError(http.Header(fields), g.cfg.Headers.RequestID, req.id) != nil || hasTwoHeads("", http.Header(fields)) {
-			return nil
+		header := http.Header(fields)
+		proven := echoError(header, g.cfg.Headers.RequestID, req.id) == nil && !hasTwoHeads("", header)
+		if proven {
+			return req.writeInterim(status, fields)
 		}
-		return req.writeInterim(status, fields)
+		return nil
 	}
 }
 
--- a/traffic/nonidempotent_test.go
+++ b/traffic/nonidempotent_test.go
@@ -259,7 +259,7 @@
 	is := is.New(t)
 	var listener net.Listener
 	var ran atomic.Int64
-	address := newRawTargetOn(t, func(l net.Listener) { listener = l }, func(conn net.Conn, n int, r *http.Request) bool {
+	address := newRawTargetOn(t, func(l net.Listener) { listener = l }, func(conn net.Conn, n int, _ *http.Request) bool {
 		if n == 1 {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 			return true
