traffic: the memory for heads and responses is bounded for the whole process

Cause: heads were limited by their bytes, a parsed line takes some twenty times as many, and nothing bounded what all requests in flight held together.

A request reserves the memory of an ordinary response before it is sent, so that sound responses don't depend on what others hold; without it, it is refused at once as not run.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -139,6 +139,11 @@
 	servers[apiServer].http.Handler = api
 	servers[fleetAPIServer].http.Handler = d.fleetHandler()
 	d.enableTLS()
+	var heads *caller.Memory // below TLS, heads can't be measured
+	if !servers[callerServer].usesTLS {
+		heads = caller.NewMemory(maxHeadMemory)
+	}
+	servers[callerServer].listener = traffic.NewCallerListener(servers[callerServer].listener, heads)
 	return d, nil
 }
 
--- a/daemon/probe.go
+++ b/daemon/probe.go
@@ -18,6 +18,8 @@
 	probeTimeout = 2 * time.Second
 	// maxProbeBodyBytes limits how much of a response body is read.
 	maxProbeBodyBytes = 16 << 10
+	// maxProbeHeaderBytes limits the head of a response.
+	maxProbeHeaderBytes = 16 << 10
 )
 
 // prober sends probes to the health endpoints of targets.
@@ -25,7 +27,7 @@
 
 func newProber(network Network) *prober {
 	newClient := func() (*http.Client, *http.Transport) {
-		transport := &http.Transport{DialContext: network.DialContext, DisableKeepAlives: true}
+		transport := &http.Transport{DialContext: network.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxProbeHeaderBytes}
 		return &http.Client{
 			Transport: transport,
 			Timeout:   probeTimeout,
--- a/daemon/probe_test.go
+++ b/daemon/probe_test.go
@@ -19,7 +19,9 @@
 		echoes  bool
 		want    bool
 	}{
-		"right":    {func(w http.ResponseWriter, r *http.Request) { w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID)) }, true, true},
+		"right": {func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
+		}, true, true},
 		"missing":  {func(http.ResponseWriter, *http.Request) {}, true, false},
 		"wrong":    {func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(wire.HeaderRequestID, "other") }, true, false},
 		"ordinary": {func(http.ResponseWriter, *http.Request) {}, false, true},
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -14,6 +14,10 @@
 	// maxBodyMemory is the maximum total size of the request bodies held in memory,
 	// in bytes.
 	maxBodyMemory = 48 << 20
+	// maxResponseMemory is the maximum total size of the responses of targets held in
+	// memory, and maxHeadMemory that of the heads of callers' requests, in bytes.
+	maxResponseMemory = 32 << 20
+	maxHeadMemory     = 16 << 20
 	// ledgerSweepInterval is the time between two removals of expired records.
 	ledgerSweepInterval = 5 * time.Second
 )
@@ -26,6 +30,7 @@
 		Ledger:              d.ledger,
 		Claims:              d.claims,
 		Bodies:              d.bodyBudget,
+		Responses:           caller.NewMemory(maxResponseMemory),
 		Observe:             d.control.Observe,
 		ReportEnded:         d.control.recordRequestEnd,
 		RequestLeaveSignals: d.control.requestLeaveSignals,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,13 +57,17 @@
 	listener net.Listener
 }
 
-// bodyMemoryDivisor divides the memory limit of the process; the result is the limit of
-// the memory for request bodies.
-const bodyMemoryDivisor = 4
+// Shares of the process's memory that what others send may take: the bodies and the heads of
+// requests, and the responses of targets. The rest is for connections, control and the garbage
+// collector.
+const (
+	bodyMemoryShare     = 0.25
+	responseMemoryShare = 0.2
+	headMemoryShare     = 0.1
+)
 
-// defaultBodyMemory bounds the memory for request bodies, in bytes, when the settings
-// state no limit for the process.
-const defaultBodyMemory = 256 << 20
+// defaultMemory is the memory of the process, in bytes, when the settings state no limit.
+const defaultMemory = 1 << 30
 
 // New builds a gateway and opens its sockets.
 func New(s Settings, store Store, protocol Protocol, log zerolog.Logger) (*Gateway, error) {
@@ -95,10 +99,6 @@
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, now)
 	g.control = newControl(core, g)
-	bodyMemory := int64(defaultBodyMemory)
-	if s.MemoryLimit > 0 {
-		bodyMemory = s.MemoryLimit / bodyMemoryDivisor
-	}
 	g.handler = traffic.NewGateway(traffic.GatewayConfig{
 		Snapshot:       g.control.snapshot.Load,
 		Observe:        g.control.Observe,
@@ -108,7 +108,8 @@
 		Accepts:        g.accepts,
 		ControlStalled: g.control.stalled,
 		Transport:      traffic.NewTargetTransport(dial),
-		Bodies:         caller.NewMemory(bodyMemory),
+		Bodies:         s.memory(bodyMemoryShare),
+		Responses:      s.memory(responseMemoryShare),
 		Headers:        s.Headers,
 		Budget:         s.RetryBudget,
 		Log:            g.logDecision,
@@ -124,6 +125,15 @@
 	return g, nil
 }
 
+// memory returns the limit for a share of the process's memory.
+func (s *Settings) memory(share float64) *caller.Memory {
+	limit := s.MemoryLimit
+	if limit <= 0 {
+		limit = defaultMemory
+	}
+	return caller.NewMemory(int64(share * float64(limit)))
+}
+
 // connectTimeout bounds the opening of a connection. TCP resends a lost first packet
 // only after one second, so trying another target is faster. The one-way delay between
 // two regions is at most about 60 ms.
@@ -169,7 +179,7 @@
 		switch s.name {
 		case "callers":
 			listener := &deadlineListener{Listener: s.listener, limits: g.callerLimits}
-			s.listener = listener
+			s.listener = traffic.NewCallerListener(listener, g.settings.Load().memory(headMemoryShare))
 			s.http = listener.server(g.handler)
 		case "ready":
 			s.http = traffic.NewServer(g.protocol.ReadyHandler(g.Ready))
--- a/traffic/attempt.go
+++ b/traffic/attempt.go
@@ -52,7 +52,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{handler: h, link: l, service: req.match.Service, slot: slot, startedAt: time.Now(), cancel: cancel}
-	trace := &connTrace{}
+	trace := &connTrace{held: req.held}
 	a.trace = trace
 	out := newTargetRequest(httptrace.WithClientTrace(ctx, trace.clientTrace(req.writeInterim)), req, l.Address)
 	req.prepareOutbound(ctx, out)
--- a/traffic/conn.go
+++ b/traffic/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/crocushinge/crocushinge/caller"
 )
 
 // errWritesBlocked is returned by a write after the connection was blocked for
@@ -78,9 +80,14 @@
 	// is set before that if the response belongs to the request.
 	settled chan struct{}
 	inStep  bool
+	// head measures the head of the response. The transport's reader alone uses it.
+	head headMeter
 }
 
-func newConnExchange() *connExchange { return &connExchange{settled: make(chan struct{})} }
+// newConnExchange returns the exchange of a request. The head of its response grows held.
+func newConnExchange(held *caller.Reservation) *connExchange {
+	return &connExchange{settled: make(chan struct{}), head: headMeter{held: held, interims: true}}
+}
 
 // awaitInStep waits until the exchange is settled and reports whether its response belonged to
 // its request. The transport may assign a connection to the next request before the response of
@@ -174,6 +181,9 @@
 	n, err := c.Conn.Read(p)
 	if e := c.exchange.Load(); e != nil && n > 0 && e.sent.Load() {
 		e.received.Store(true)
+		if headErr := e.head.scan(p[:n]); headErr != nil {
+			return 0, headErr
+		}
 	}
 	return n, err
 }
@@ -199,6 +209,8 @@
 	mayBeResent bool
 	// interimResponses counts the responses with status 1xx.
 	interimResponses int
+	// held is the memory that the request holds for its responses; nil for no limit.
+	held *caller.Reservation
 }
 
 // maxInterimResponses limits the responses with status 1xx to one request. Without a limit, a
@@ -229,7 +241,7 @@
 			if t.conn == nil {
 				return
 			}
-			t.exchange = newConnExchange()
+			t.exchange = newConnExchange(t.held)
 			t.idleTime = info.IdleTime
 			t.conn.assign(t.exchange)
 			t.writesBefore = t.conn.writes.Load()
--- a/traffic/gateway.go
+++ b/traffic/gateway.go
@@ -72,10 +72,11 @@
 	ControlStalled func() bool
 	// Transport sends requests to targets.
 	Transport http.RoundTripper
-	// Bodies limits the memory for request bodies.
-	Bodies  *caller.Memory
-	Headers GatewayHeaders
-	Budget  RetryBudgetConfig
+	// Bodies limits the memory for request bodies, and Responses that for the responses of
+	// targets. A nil Responses sets no limit.
+	Bodies, Responses *caller.Memory
+	Headers           GatewayHeaders
+	Budget            RetryBudgetConfig
 	// Log records a decision about a request. It does not block.
 	Log func(Decision)
 }
@@ -102,9 +103,11 @@
 
 // gatewayRequest is a caller's request to a Gateway.
 type gatewayRequest struct {
-	id            string
-	inbound       *http.Request
-	body          *body
+	id      string
+	inbound *http.Request
+	body    *body
+	// held is the memory for the responses of targets.
+	held          *caller.Reservation
 	receivedAt    time.Time
 	route         *discovery.Route
 	service       string
@@ -138,6 +141,14 @@
 	}
 	req.writeInterim = out.writeInterim
 	out.setBodyDeadline(req.deadline)
+	var reserved bool
+	if req.held, reserved = g.cfg.Responses.NewReservation(responseAllowance); !reserved {
+		refused := refuseFor(req.retryAfter(), errResponseMemory.Error())
+		g.countRefusal(req, refused)
+		g.writeRefusal(out, req, refused)
+		return
+	}
+	defer req.held.Free()
 	if refused := g.readBody(snap, req); refused != nil {
 		g.countRefusal(req, refused)
 		g.writeRefusal(out, req, refused)
--- a/traffic/handler.go
+++ b/traffic/handler.go
@@ -45,8 +45,9 @@
 	Home   *caller.HomeHost
 	Ledger *caller.Ledger
 	Claims Claims
-	// Bodies limits the memory for request bodies.
-	Bodies *caller.Memory
+	// Bodies limits the memory for request bodies, and Responses that for the responses of
+	// targets. A nil Responses sets no limit.
+	Bodies, Responses *caller.Memory
 	// Observe reports the end of an attempt to the control thread. It does not block.
 	Observe func(link.Observation)
 	// ReportEnded reports the end of a non-idempotent request to the control thread.
@@ -87,6 +88,8 @@
 	receivedAt time.Time
 	// body is nil unless the body is buffered in memory.
 	body *body
+	// held is the memory for the responses of targets.
+	held *caller.Reservation
 	// callerSentID is set when the caller sent a request id.
 	callerSentID bool
 	// keyClaim is the claim of the request's idempotency key, or nil.
@@ -118,6 +121,13 @@
 	}
 	req.writeInterim = out.writeInterim
 	out.setBodyDeadline(req.deadline())
+	var reserved bool
+	if req.held, reserved = h.cfg.Responses.NewReservation(responseAllowance); !reserved {
+		h.refuseEarly(r, req.account, http.StatusServiceUnavailable, errResponseMemory.Error()).write(out)
+		complete = true
+		return
+	}
+	defer req.held.Free()
 	h.serve(out, req)
 	complete = true
 }
--- a/traffic/response.go
+++ b/traffic/response.go
@@ -18,6 +18,11 @@
 	// response is forwarded. A shorter body is read to its end, so that the response is
 	// known to be complete before it is forwarded.
 	maxBufferedBytes = 64 << 10
+	// responseAllowance is the memory that is reserved for each request before it is sent: for
+	// the head and the body of an ordinary response, or the buffer that forwards a longer one.
+	responseAllowance = headAllowance + allowedBodyBytes
+	// allowedBodyBytes is the size of a body up to which no further memory is reserved.
+	allowedBodyBytes = copyBufferBytes
 	// maxStoredBytes is the size up to which a response body is stored for repeats of
 	// the request.
 	maxStoredBytes = 4 << 10
@@ -27,6 +32,10 @@
 // response. Such a response cannot be distinguished from a truncated one.
 var errCloseDelimited = errors.New("the answer announces neither its length nor its end")
 
+// errResponseMemory means that the responses that are held leave no memory for another one. The
+// request was not sent.
+var errResponseMemory = errors.New("too many answers are held in memory")
+
 // errResponseTooLong means that a response is longer than its Content-Length.
 var errResponseTooLong = errors.New("the answer is longer than it announced")
 
@@ -45,12 +54,20 @@
 	if !selfDelimiting(a.response) {
 		return nil, false, errCloseDelimited
 	}
-	return bufferResponse(a.response)
+	return bufferResponse(a.response, a.trace.held)
 }
 
 // bufferResponse reads up to maxBufferedBytes of a response body. complete is set if
-// that is the whole body.
-func bufferResponse(resp *http.Response) (buffered []byte, complete bool, err error) {
+// that is the whole body. If the memory for that is not left, it reads nothing, so that the body
+// is forwarded as it arrives.
+func bufferResponse(resp *http.Response, held *caller.Reservation) (buffered []byte, complete bool, err error) {
+	size := int64(maxBufferedBytes)
+	if resp.ContentLength >= 0 {
+		size = min(size, resp.ContentLength)
+	}
+	if size > allowedBodyBytes && !held.Grow(size) {
+		return nil, false, nil
+	}
 	if length := resp.ContentLength; length >= 0 && length < maxBufferedBytes {
 		buffered, err = readWithLength(resp.Body, length)
 	} else {
--- a/traffic/server.go
+++ b/traffic/server.go
@@ -31,5 +31,6 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxRequestHeaderBytes,
+		ConnState:         measureNextHead,
 	}
 }
