pool: a choice of a target reads the suspicions once

Cause: trialCutoff read the suspicions once more after suspectsInUse. When the last unconfirmed suspicion ended in between, a suspect was taken from an empty list.

Evidence: TestChoiceWhileSuspicionsChange panicked within 13 ms on the code before; TestUncertaintyOfALaterSuccess, about another pair of readings, failed as well.

Why this works: all parts of a choice use the same reading.

--- a/pool/cost.go
+++ b/pool/cost.go
@@ -60,19 +60,19 @@
 // retried prefer targets that succeeded recently; retryable ones explore the others.
 // Otherwise a service with few requests for each target would lose one request at
 // the start of almost every burst of failures.
-func (r *Routing) costParamsFor(q Request) costParams {
+func (r *Routing) costParamsFor(q Request, s suspicions) costParams {
 	keepAllInUse := r.keepAllInUse.Load()
 	return costParams{
 		explore:      q.Retryable && len(q.Tried) == 0 || keepAllInUse,
 		keepAllInUse: keepAllInUse,
-		failingShare: max(minFailingShare, float64(r.Suspects())/float64(max(1, len(r.Targets)))),
+		failingShare: max(minFailingShare, float64(s.count())/float64(max(1, len(s)))),
 	}
 }
 
 // uncertaintyCost is the cost of the risk that the target has begun to fail since its
-// last success.
+// last success. That may be after now, if the goroutine that chooses was held up.
 func (p costParams) uncertaintyCost(t *Target, now time.Time) float64 {
-	age := float64(clock.Nanos(now) - t.lastSuccess.Load())
+	age := float64(max(0, clock.Nanos(now)-t.lastSuccess.Load()))
 	return failureCost * p.failingShare * age / (age + float64(uncertaintyHalfTime))
 }
 
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -79,9 +79,10 @@
 // what it has asked not to get, whatever the reason for the choice.
 func (r *Routing) Pick(rng *rand.Rand, q Request) Choice {
 	for {
-		choice := Choice{Target: r.pickTrial(rng, q), Reason: Trial}
+		s := r.readSuspicions()
+		choice := Choice{Target: r.pickTrial(rng, q, s), Reason: Trial}
 		if choice.Target == nil {
-			choice = r.cheapest(rng, q, r.suspectsInUse())
+			choice = r.cheapest(rng, q, s)
 		}
 		t := choice.Target
 		if t == nil {
@@ -96,6 +97,30 @@
 	}
 }
 
+// suspicions is one reading of the suspicions of all targets of a Routing, in their order. The
+// control thread changes them at any time. A choice uses one reading throughout: the decisions that
+// it consists of must agree about who is a suspect.
+type suspicions []*suspicionView
+
+func (r *Routing) readSuspicions() suspicions {
+	s := make(suspicions, len(r.Targets))
+	for i, t := range r.Targets {
+		s[i] = t.suspicionView.Load()
+	}
+	return s
+}
+
+// count returns how many targets are suspected.
+func (s suspicions) count() int {
+	n := 0
+	for _, v := range s {
+		if v.suspect {
+			n++
+		}
+	}
+	return n
+}
+
 // share returns the share of the targets' rate limits that applies to this host.
 func (r *Routing) share() float64 { return math.Float64frombits(r.rateShare.Load()) }
 
@@ -117,14 +142,14 @@
 // the trial. A retry is never a trial: after a failure, a request goes where it is
 // most likely to succeed. Of several suspects that are due, it returns a random one, so
 // that hosts with requests at the same moment send them to different suspects.
-func (r *Routing) pickTrial(rng *rand.Rand, q Request) *Target {
+func (r *Routing) pickTrial(rng *rand.Rand, q Request, s suspicions) *Target {
 	if len(q.Tried) > 0 {
 		return nil
 	}
 	var chosen *Target
 	candidates := 0
-	for _, t := range r.Targets {
-		v := t.suspicionView.Load()
+	for i, t := range r.Targets {
+		v := s[i]
 		if !v.suspect || t.InFlight() > 0 || t.skipped(q.Now) || !r.accepts(t, q.Now) {
 			continue
 		}
@@ -156,10 +181,10 @@
 // suspectsInUse returns how many suspects must take ordinary requests so that the
 // floor's share of the healthy targets stays in use. A result of 0 or less means none.
 // A target that failed a trial request does not count as healthy.
-func (r *Routing) suspectsInUse() int {
-	healthy, suspects := len(r.Targets), 0
-	for _, t := range r.Targets {
-		switch v := t.suspicionView.Load(); {
+func (r *Routing) suspectsInUse(s suspicions) int {
+	healthy, suspects := len(s), 0
+	for _, v := range s {
+		switch {
 		case v.confirmed:
 			healthy--
 		case v.suspect:
@@ -172,18 +197,18 @@
 // cheapest returns the untried target of lowest cost. Of the unconfirmed suspects, the
 // suspectsInUse ones with the earliest trials count as trusted. When no trusted target
 // is left, it returns the suspect of lowest cost.
-func (r *Routing) cheapest(rng *rand.Rand, q Request, suspectsInUse int) Choice {
-	cutoff := r.trialCutoff(suspectsInUse)
-	p := r.costParamsFor(q)
+func (r *Routing) cheapest(rng *rand.Rand, q Request, s suspicions) Choice {
+	cutoff := s.trialCutoff(r.suspectsInUse(s))
+	p := r.costParamsFor(q, s)
 	var best, bestSuspect Choice
 	lowest, lowestSuspect := math.Inf(1), math.Inf(1)
-	for _, t := range r.Targets {
+	for i, t := range r.Targets {
 		if slices.Contains(q.Tried, t) || !r.accepts(t, q.Now) {
 			continue
 		}
 		c, reason := t.cost(q.Now, p)
 		c += costJitter * rng.Float64()
-		v := t.suspicionView.Load()
+		v := s[i]
 		switch {
 		case v.suspect && (v.confirmed || v.riskyTrialAt.After(cutoff)):
 			if c < lowestSuspect {
@@ -201,13 +226,13 @@
 
 // trialCutoff returns the latest riskyTrialAt at which an unconfirmed suspect counts as
 // trusted. It is chosen so that the given number of suspects count as trusted.
-func (r *Routing) trialCutoff(suspectsInUse int) time.Time {
+func (s suspicions) trialCutoff(suspectsInUse int) time.Time {
 	if suspectsInUse <= 0 {
 		return time.Time{}
 	}
 	var due []time.Time
-	for _, t := range r.Targets {
-		if v := t.suspicionView.Load(); v.suspect && !v.confirmed {
+	for _, v := range s {
+		if v.suspect && !v.confirmed {
 			due = append(due, v.riskyTrialAt)
 		}
 	}
@@ -216,15 +241,7 @@
 }
 
 // Suspects returns how many targets are suspected.
-func (r *Routing) Suspects() int {
-	n := 0
-	for _, t := range r.Targets {
-		if t.IsSuspect() {
-			n++
-		}
-	}
-	return n
-}
+func (r *Routing) Suspects() int { return r.readSuspicions().count() }
 
 // FreeSlots returns how many slots of trusted targets that accept requests are free, given the
 // requests in flight that this host knows of.
