fleet: hosts in touch take over reads of the store at a rate, not within 3 s

What callers saw: requests run by the service that their route had left, more than 2 s after the change (CONFIG), at hosts in touch with the store, while the six hosts of the first ranks were cut off from it.

Cause: hosts beyond the first ones wait a random time before they read in place of these, up to 3 s whatever their number. Of 12 hosts, too often none draws a short one; 1.4 s have passed by then.

TestConfigurationIsInForceWhileTheFirstReadersAreCutOff on the code before: 2.23 s with 18 hosts, 6 cut off (bound 2 s); 1.48 to 1.71 s with 102 and 294 hosts.

Why this works: the bound is 10 ms for each of these hosts, at most 3 s, so that one of them takes over in 10 ms on average at any size. A host whose own last read failed waits as before, which bounds what a store gets that is down.

A store that is down gets 33, 111 and 129 reads in the busiest second of 18, 102 and 294 hosts (before 15, 54 and 124).

--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -23,6 +23,8 @@
 	retryBudgetWindow = 10 * time.Second
 	networkDelay      = 500 * time.Microsecond
 	storeDelay        = 4 * time.Millisecond
+	// hangingRead is how long a host waits for a store that does not respond.
+	hangingRead = 1350 * time.Millisecond
 )
 
 var errUnavailable = errors.New("the store is unavailable")
@@ -54,6 +56,8 @@
 	// storeDown makes every call to the store fail, and storeCutOff those of single hosts.
 	storeDown   bool
 	storeCutOff map[string]bool
+	// storeHangs makes the reads that fail do so only after hangingRead.
+	storeHangs bool
 	// storeCalls counts calls to the store; registrations are those that write rows of hosts.
 	storeCalls, registrations int
 	// fetches counts the fetches from peers, targetFetches those of the targets, and
@@ -358,6 +362,8 @@
 	var poll func()
 	poll = func() {
 		switch {
+		case c.storeHangs && (c.storeDown || c.storeCutOff[n.address]) && c.now.Sub(start) < hangingRead:
+			c.schedule(start.Add(hangingRead).Sub(c.now), poll)
 		case c.storeDown || c.storeCutOff[n.address]:
 			c.deliver(n, respondError(errUnavailable))
 		case c.changed[document].After(c.changed[key]) || c.now.Sub(start) >= wait:
--- a/fleet/store_reads.go
+++ b/fleet/store_reads.go
@@ -20,8 +20,12 @@
 	// further down the rank order also wait a random time before they take over, so that the fleet
 	// does not overload a store that is down.
 	maxTakeoverSteps = 5
-	// takeoverJitter is the upper bound of the random wait of the hosts beyond maxTakeoverSteps.
-	takeoverJitter = 3 * time.Second
+	// takeoverSpread is the upper bound of that random wait for each of these hosts: on average, one
+	// of them takes over in this time. A bound that does not depend on their number would make a
+	// small fleet wait for long although the store is up, since few of them draw a short time.
+	// maxTakeoverJitter limits it in a large fleet.
+	takeoverSpread    = 10 * time.Millisecond
+	maxTakeoverJitter = 3 * time.Second
 	// minRetryDelay and maxRetryDelay bound the delay of the first hosts in rank order after a
 	// failed read. The delay doubles with every failure, and is then multiplied by a random factor
 	// between 0.5 and 1.5.
@@ -70,21 +74,28 @@
 		state.takeoverAt = time.Time{}
 		return false
 	}
-	return c.takeoverDue(state, now, rank)
+	return c.takeoverDue(state, now, rank, c.takeoverJitter())
 }
 
 // takeoverDue reports whether this host reads in place of the first ones. Those beyond
-// maxTakeoverSteps wait a random time more.
-func (c *Core) takeoverDue(state *copyState, now time.Time, rank int) bool {
+// maxTakeoverSteps wait a random time more, of up to jitter.
+func (c *Core) takeoverDue(state *copyState, now time.Time, rank int, jitter time.Duration) bool {
 	if rank <= maxTakeoverSteps {
 		return true
 	}
 	if state.takeoverAt.IsZero() {
-		state.takeoverAt = now.Add(time.Duration(c.cfg.Rand.Int64N(int64(takeoverJitter))))
+		state.takeoverAt = now.Add(time.Duration(c.cfg.Rand.Int64N(int64(jitter))))
 	}
 	return !now.Before(state.takeoverAt)
 }
 
+// takeoverJitter returns the upper bound of the random wait of the hosts beyond maxTakeoverSteps
+// that have a copy. At their start, these hosts wait longer: the first ones read for them.
+func (c *Core) takeoverJitter() time.Duration {
+	beyond := max(1, len(c.liveHosts())-maxTakeoverSteps-1)
+	return min(time.Duration(beyond)*takeoverSpread, maxTakeoverJitter)
+}
+
 // firstReadDue reports whether a host that has no copy of a document yet must read it. The first
 // hosts in rank order read one after the other. The others wait a random time more, in which they
 // receive what the first ones have read.
@@ -95,7 +106,7 @@
 	if now.Before(c.joining.rankKnownAt.Add(time.Duration(min(rank, maxTakeoverSteps)) * firstReadStep)) {
 		return false
 	}
-	return c.takeoverDue(state, now, rank)
+	return c.takeoverDue(state, now, rank, maxTakeoverJitter)
 }
 
 // finishRead records the end of a read and reports whether it succeeded.
