cmd/crocushinge-gateway: a reload signal while starting does not end the process

What callers could see: a host that ends while it starts, because its settings change (seen by the review in the source).

Cause: the handler of SIGHUP was installed after the sockets were open.

Why this works: the handler is installed first. What remains are the milliseconds before main.

A test of HTTP/2 on metered connections comes along.

--- a/cmd/crocushinge-gateway/main.go
+++ b/cmd/crocushinge-gateway/main.go
@@ -46,6 +46,9 @@
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
+	// Before anything else: without a handler, the signal of changed settings ends the process.
+	reloadSignals := make(chan os.Signal, 1)
+	signal.Notify(reloadSignals, syscall.SIGHUP)
 	path := cmd.String("settings")
 	settings, err := platform.ReadSettings(path)
 	if err == nil && cmd.IsSet("metrics") {
@@ -76,8 +79,6 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
 	go platform.WatchSettings(ctx, path, reloadSignals, func(s platform.Settings, err error) {
 		if err != nil {
 			g.LogRejectedSettings(err)
--- a/cmd/crocushinge-gateway/memory_test.go
+++ b/cmd/crocushinge-gateway/memory_test.go
@@ -35,6 +35,11 @@
 
 var testPorts = platformtest.Ports{Callers: 8161, Ready: 8167, Directory: 8164, Control: 8166, Internal: 7720}
 
+var testBounds = platformtest.Bounds{
+	Drain: 2 * time.Second, Apply: 2 * time.Second, Grace: 6 * time.Second, DirectoryTTL: time.Second,
+	Floor: 0.7, RetryRatio: 0.2, MinRetries: 64, RetryWindow: 10 * time.Second,
+}
+
 // endlessCase says what targets send in place of a response and what callers send in place of a
 // request. A nil function stands for proper behavior.
 type endlessCase struct {
@@ -107,15 +112,22 @@
 	}},
 }
 
-// TestMemoryBesideEndlessBytes guards against a host that ends, with the requests of all its
-// callers, because targets or callers send bytes without end. It compares what the process uses at
-// its peak with the memory of its machine, and sends an ordinary request afterwards.
-func TestMemoryBesideEndlessBytes(t *testing.T) {
+// buildProgram builds the program and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "crocushinge-gateway")
 	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
 	if err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
+	return program
+}
+
+// TestMemoryBesideEndlessBytes guards against a host that ends, with the requests of all its
+// callers, because targets or callers send bytes without end. It compares what the process uses at
+// its peak with the memory of its machine, and sends an ordinary request afterwards.
+func TestMemoryBesideEndlessBytes(t *testing.T) {
+	program := buildProgram(t)
 	number := 0
 	for name, test := range endlessCases {
 		number++
@@ -152,10 +164,7 @@
 	a := zone.Zone{ID: "a", Region: "r"}
 	h := &memoryHost{respond: respond, Host: platformtest.Host{
 		Name: "h", IP: ip, Zone: a, Zones: []zone.Zone{a}, Seeds: []string{ip}, Store: storeListener.Addr().String(), Ports: testPorts, Bootstrap: true,
-		Bounds: platformtest.Bounds{
-			Drain: 2 * time.Second, Apply: 2 * time.Second, Grace: 6 * time.Second, DirectoryTTL: time.Second,
-			Floor: 0.7, RetryRatio: 0.2, MinRetries: 64, RetryWindow: 10 * time.Second,
-		},
+		Bounds: testBounds,
 	}}
 	for i := range memoryTargets {
 		l := listen(t)
--- a/traffic/head_meter_test.go
+++ b/traffic/head_meter_test.go
@@ -179,3 +179,24 @@
 		})
 	}
 }
+
+// TestHTTP2IsNotMeasuredAsLines guards against frames of HTTP/2 that are taken for a head.
+func TestHTTP2IsNotMeasuredAsLines(t *testing.T) {
+	is := is.New(t)
+	address := startMeteredServer(t, caller.NewMemory(1<<10))
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	defer client.CloseIdleConnections()
+	for range 5 {
+		body := strings.Repeat("\n", 50_000)
+		resp, err := client.Post("http://"+address+"/", "text/plain", strings.NewReader(body))
+		is.NoErr(err)
+		data, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		_ = resp.Body.Close()
+		is.Equal(string(data), body)
+		is.Equal(resp.ProtoMajor, 2)
+		time.Sleep(20 * time.Millisecond) // the connection is idle
+	}
+}
