--- a/traffic/caller_conn.go
+++ b/traffic/caller_conn.go
@@ -209,7 +209,7 @@
 	if !ok {
 		return c.Conn.Close()
 	}
-	_ = c.Conn.SetDeadline(past) // if it fails, the connection is broken, and the reads below fail
+	_ = c.SetDeadline(past) // if it fails, the connection is broken, and the reads below fail
 	c.listener.beginLinger(c)
 	go c.linger(sender)
 	return nil
