--- a/traffic/gateway_attempt.go
+++ b/traffic/gateway_attempt.go
@@ -34,9 +34,7 @@
 	outcome   link.Outcome
 	err       error
 	response  *http.Response
-	// proven is set when the response is proven to be the target's response to this request.
-	proven bool
-	trace  *connTrace
+	trace     *connTrace
 	// buffered is the start of the response body, or all of it when complete is
 	// set.
 	buffered []byte
@@ -67,8 +65,7 @@
 	}
 	a.response = resp
 	err = g.proofError(req, resp, trace)
-	a.proven = err == nil
-	trace.settle(a.proven)
+	trace.settle(err == nil)
 	if err != nil {
 		_ = resp.Body.Close()
 		g.finishAttempt(a, link.Broken, err)
