--- a/traffic/gateway_harness_test.go
+++ b/traffic/gateway_harness_test.go
@@ -101,7 +101,9 @@
 	s := &fleet.Snapshot{LiveHosts: 1, RetryBudgetShare: 1, Ready: true, Leaving: g.leaving.Load(), Renewing: g.renewing.Load()}
 	if !g.noConfiguration.Load() {
 		s.Configuration = discovery.NewConfiguration(7, g.routes, map[string]discovery.ServiceSettings{"orders": {}}, g.limits)
+		g.mu.Lock() // in a host, the control thread alone uses the service
 		s.Services = map[string]*pool.Routing{"orders": g.service.Routing(0.7)}
+		g.mu.Unlock()
 	}
 	return s
 }
