--- a/review/stand3/stand3.go
+++ b/review/stand3/stand3.go
@@ -132,9 +132,9 @@
 // metricsPort is the port of deploy/system.toml.
 const metricsPort = 9464
 
-// Bounds are those of the sites' sheets.
+// Bounds are those of grown/secante-gw-grown.toml.
 var Bounds = platformtest.Bounds{
-	Drain: 2 * time.Second, Apply: 2 * time.Second, Grace: 6 * time.Second, DirectoryTTL: 5 * time.Second,
+	Drain: 2500 * time.Millisecond, Apply: 2500 * time.Millisecond, Grace: 6 * time.Second, DirectoryTTL: 5 * time.Second,
 	Floor: 0.7, RetryRatio: 0.2, MinRetries: 64, RetryWindow: 10 * time.Second,
 }
 
