--- a/review/11/main.go
+++ b/review/11/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Five machines of the smallest size serve 1,600 clients, two of which upload large documents. Four
+// Five machines of the smallest size serve 1,330 clients, three of which upload large documents. Four
 // machines are lost, so that all clients come to the fifth. The platform kills a process whose memory
 // exceeds the machine's.
 package main
@@ -29,17 +29,18 @@
 	machineCount = 5
 	memoryMB     = 184      // the smallest machine of the sheets
 	bodyLimit    = 67108864 // max_body_bytes of the configurations
-	clients      = 1600
-	instances    = 200
+	clients      = 1330
+	instances    = 195
 	slots        = 4
-	work         = 850 * time.Millisecond
-	pause        = 1 * time.Second // between two requests of a client
+	work         = 290 * time.Millisecond
+	pause        = 900 * time.Millisecond // between two requests of a client, on average
+	uploadPause  = 200 * time.Millisecond
 	lossAt       = 12 * time.Second
-	end          = 45 * time.Second
+	end          = 75 * time.Second
 )
 
-// uploads are the sizes of the documents of the two uploading clients, in bytes.
-var uploadSizes = []int{33 << 20, 9 << 20}
+// uploadSizes are the sizes of the documents of the uploading clients, in bytes.
+var uploadSizes = []int{33 << 20, 8500 << 10, 4250 << 10}
 
 // machine is one machine with its front, and whether it is up.
 type machine struct {
@@ -173,7 +174,7 @@
 	}
 	for _, size := range uploadSizes {
 		large := bytes.Repeat([]byte("7790001,12,blotting sheet\n"), size/26)
-		all.Go(func() { client(large, pause) })
+		all.Go(func() { client(large, uploadPause) })
 	}
 	time.Sleep(lossAt)
 	if r.Trouble && killed.Load() == 0 {
