fleet: a host follows the store within a bound after an outage

Cause: the way back to the store was a sum that nothing bounded: a long poll in flight that is never answered (1.3 s), then a delay that doubles to 1 to 3 s. Hosts beyond the third rank waited 2 to 6 s, and those beyond the sixth drew up to 3 s more after every failure.

The lines store-lost and store-back now tell the outage's length, the failed reads and when the last of them began.

Change: after a failed read a host probes the store by reads that don't wait for a change, one at a time, the documents in turn. The time between the beginnings of two probes is bounded by rank and follows from stable_ms (StoreReturnWithin). A successful probe starts the other read at once.

TestDelayAfterAFailedReadFollowsThePresentRank and TestRetryRateIsBoundedWhileStoreIsDown state the same by the new intervals; the limit of the latter is lower than before.

--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -24,8 +24,8 @@
 	retryBudgetWindow = 10 * time.Second
 	networkDelay      = 500 * time.Microsecond
 	storeDelay        = 4 * time.Millisecond
-	// hangingRead is how long a host waits for a store that does not respond.
-	hangingRead = 1350 * time.Millisecond
+	// storeReturnBound is how soon after an outage every host must follow the store again.
+	storeReturnBound = 3 * time.Second
 )
 
 var errUnavailable = errors.New("the store is unavailable")
@@ -57,8 +57,11 @@
 	// storeDown makes every call to the store fail, and storeCutOff those of single hosts.
 	storeDown   bool
 	storeCutOff map[string]bool
-	// storeHangs makes the reads that fail do so only after hangingRead.
+	// storeHangs makes calls that fail do so without a response, also if the store comes back
+	// meanwhile.
 	storeHangs bool
+	// storeFails, if set, decides which reads of a document fail besides, by the number of the call.
+	storeFails func(document string, call int) bool
 	// storeCalls counts calls to the store; registrations are those that write rows of hosts.
 	storeCalls, registrations int
 	// fetches counts the fetches from peers, targetFetches those of the targets, and
@@ -163,7 +166,7 @@
 		},
 		Zones:  c.zones,
 		Seeds:  []string{"10.0.0.0:7000", "10.1.0.0:7000", "10.2.0.0:7000"},
-		Timing: TimingFor(2*time.Second, 2*time.Second),
+		Timing: TimingFor(2*time.Second, 2*time.Second, storeReturnBound),
 		Floor:  0.7,
 
 		RetryBudgetWindow: retryBudgetWindow,
@@ -354,29 +357,39 @@
 
 func (c *cluster) callStore(n *node, respond func() Event, respondError func(error) Event) {
 	c.storeCalls++
+	hanging := c.storeHangs && c.storeLost(n)
 	c.schedule(storeDelay, func() {
-		if c.storeDown || c.storeCutOff[n.address] {
+		switch {
+		case hanging:
+			c.schedule(StoreResponseTimeout-storeDelay, func() { c.deliver(n, respondError(errUnavailable)) })
+		case c.storeLost(n):
 			c.deliver(n, respondError(errUnavailable))
-			return
+		default:
+			c.deliver(n, respond())
 		}
-		c.deliver(n, respond())
 	})
 }
 
+// storeLost reports whether a host's calls to the store fail.
+func (c *cluster) storeLost(n *node) bool { return c.storeDown || c.storeCutOff[n.address] }
+
 // longPollStore responds when the document has changed since the host's last read, or after the
 // wait.
 func (c *cluster) longPollStore(
 	n *node, document string, wait time.Duration, respond func() Event, respondError func(error) Event,
 ) {
 	c.storeCalls++
-	start := c.now
+	start, call := c.now, c.storeCalls
 	key := document + n.address
+	hanging := false
 	var poll func()
 	poll = func() {
+		failing := c.storeLost(n) || c.storeFails != nil && c.storeFails(document, call)
+		hanging = hanging || failing && c.storeHangs
 		switch {
-		case c.storeHangs && (c.storeDown || c.storeCutOff[n.address]) && c.now.Sub(start) < hangingRead:
-			c.schedule(start.Add(hangingRead).Sub(c.now), poll)
-		case c.storeDown || c.storeCutOff[n.address]:
+		case hanging:
+			c.schedule(start.Add(wait+StoreResponseTimeout).Sub(c.now), func() { c.deliver(n, respondError(errUnavailable)) })
+		case failing:
 			c.deliver(n, respondError(errUnavailable))
 		case c.changed[document].After(c.changed[key]) || c.now.Sub(start) >= wait:
 			c.changed[key] = c.now
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -13,19 +13,29 @@
 	"github.com/crocushinge/crocushinge/zone"
 )
 
-// Timing holds how long reads of the store wait for a change. It follows from the time bounds
-// that the fleet guarantees.
+// Timing holds the timing of reads of the store. It follows from the time bounds that the fleet
+// guarantees.
 type Timing struct {
 	// TargetsPollTimeout and ConfigurationPollTimeout limit one long poll of the store.
 	TargetsPollTimeout, ConfigurationPollTimeout time.Duration
+	// StoreReturn is how soon after an outage of the store, or of this host's path to it, this host
+	// follows the store again.
+	StoreReturn time.Duration
 }
 
-// TimingFor returns the timing for a fleet that guarantees two bounds: a leaving target gets no
-// more requests after drain, and a new configuration is in force on every host after apply. A read
-// waits for at most a third of its bound, which leaves time to replace one or two lost store
-// readers.
-func TimingFor(drain, apply time.Duration) Timing {
-	return Timing{TargetsPollTimeout: drain / 3, ConfigurationPollTimeout: apply / 3}
+// DefaultStoreReturn is how soon a host follows the store again if its settings do not say.
+const DefaultStoreReturn = 3 * time.Second
+
+// TimingFor returns the timing for a fleet that guarantees three bounds: a leaving target gets no
+// more requests after drain, a new configuration is in force on every host after apply, and both
+// bounds hold again storeReturn after an outage of the store. A read waits for at most a third of its
+// bound, which leaves time to replace one or two lost store readers. A storeReturn of 0 stands for
+// DefaultStoreReturn.
+func TimingFor(drain, apply, storeReturn time.Duration) Timing {
+	if storeReturn <= 0 {
+		storeReturn = DefaultStoreReturn
+	}
+	return Timing{TargetsPollTimeout: drain / 3, ConfigurationPollTimeout: apply / 3, StoreReturn: storeReturn}
 }
 
 // Config holds the settings of a Core.
@@ -81,7 +91,7 @@
 
 	// history is the latest history of the store that this host knows of.
 	history     history.ID
-	storeRetry  storeRetry
+	probes      probeSchedule
 	targetsCopy copyState
 	registry    discovery.Registry
 	configCopy  copyState
--- a/fleet/document_copy.go
+++ b/fleet/document_copy.go
@@ -22,8 +22,18 @@
 	// has the newest.
 	wantedSince time.Time
 
-	reading  bool
-	failures int
+	// reading is set while a read of the store is in flight, and readBegan is when the last one
+	// began. probe is set if that one is a probe.
+	reading, probe bool
+	readBegan      time.Time
+	// readAt is when this host last read the document from the store.
+	readAt time.Time
+	// unavailable is set after a failed read, until a read succeeds. failures is the number of
+	// failed reads in a row; the first of them failed at lostAt, the last one began at
+	// failedReadBegan.
+	unavailable             bool
+	failures                int
+	lostAt, failedReadBegan time.Time
 	// takeoverAt is when this host reads in place of the first ones, if it still is not one of
 	// them by then; zero while it hears of reads.
 	takeoverAt time.Time
--- a/fleet/documents.go
+++ b/fleet/documents.go
@@ -12,6 +12,7 @@
 	if !c.finishRead(now, &c.targetsCopy, ev.Err) {
 		return
 	}
+	defer c.readAfterProbe(now, &c.targetsCopy)
 	reason := fmt.Sprintf("read from the store, last confirmed %s ago", c.targetsCopy.age(now).Round(time.Millisecond))
 	before := c.registry.Known()
 	c.learnHistory(now, ev.Targets.History, "from the store")
@@ -51,6 +52,7 @@
 	if !c.finishRead(now, &c.configCopy, ev.Err) {
 		return
 	}
+	defer c.readAfterProbe(now, &c.configCopy)
 	c.learnHistory(now, ev.Reading.History, "from the store")
 	if ev.Document != nil {
 		reason := fmt.Sprintf("read from the store, last confirmed %s ago", c.configCopy.age(now).Round(time.Millisecond))
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -276,9 +276,14 @@
 	before := c.storeCalls
 	c.run(10 * time.Second)
 	calls := c.storeCalls - before
-	// The first frequentRetryHosts hosts retry each document about once a second. Each other host
-	// retries each document about every four seconds.
-	is.True(calls < 10*2*frequentRetryHosts+2*2*10*48/4)
+	// Each host tries both documents at most, and then begins one probe in each interval of its rank.
+	limit := 0
+	for rank := range 48 {
+		interval := time.Duration(minProbeSpread * float64(TimingFor(drainBound, applyBound, storeReturnBound).probeInterval(rank)))
+		limit += 2 + int(10*time.Second/interval)
+	}
+	is.True(calls <= limit)
+	is.True(limit < 10*2*3+2*2*10*48/4) // three hosts once a second, the others every four seconds, both documents
 	c.storeDown = false
 	c.configure(3)
 	c.run(5 * time.Second)
@@ -918,11 +923,17 @@
 	}
 }
 
+// TestDelayAfterAFailedReadFollowsThePresentRank covers a host that finds itself the first one: it
+// does not wait out the longer interval of its earlier rank.
 func TestDelayAfterAFailedReadFollowsThePresentRank(t *testing.T) {
 	is := is.New(t)
-	retry := storeRetry{failedAt: epoch, failures: 1, factor: 1}
-	is.Equal(retry.due(frequentRetryHosts), epoch.Add(otherRetryDelay))
-	is.Equal(retry.due(0), epoch.Add(minRetryDelay)) // the same host, once it is the first one
+	c := newSettledCluster(t, 31)
+	n := c.hosts[c.rankOrder()[hostCount-1]].core
+	n.probes = probeSchedule{began: c.now, factor: 1}
+	timing := n.cfg.Timing
+	is.True(!n.probeDue(c.now.Add(timing.probeInterval(0)), hostCount-1))
+	is.True(n.probeDue(c.now.Add(timing.probeInterval(0)), 0)) // the same host, once it is the first one
+	is.True(n.probeDue(c.now.Add(timing.probeInterval(hostCount-1)), hostCount-1))
 }
 
 // TestConfigurationIsFetchedWhileNoPeerHasTheWantedTargets lets a host hear of newer targets from a
--- a/fleet/pause.go
+++ b/fleet/pause.go
@@ -36,6 +36,7 @@
 		}
 	}
 	c.forgetAdmitted(now)
+	c.probes = probeSchedule{} // the store may have come back meanwhile
 	if !c.ready() {
 		return
 	}
--- a/fleet/store_reads.go
+++ b/fleet/store_reads.go
@@ -1,9 +1,8 @@
 package fleet
 
 import (
+	"slices"
 	"time"
-
-	"github.com/crocushinge/crocushinge/timeline"
 )
 
 // Timing of reads of the store.
@@ -23,35 +22,53 @@
 	// takeoverSpread is the upper bound of that random wait for each of these hosts: on average, one
 	// of them takes over in this time. A bound that does not depend on their number would make a
 	// small fleet wait for long although the store is up, since few of them draw a short time.
-	// maxTakeoverJitter limits it in a large fleet.
-	takeoverSpread    = 10 * time.Millisecond
-	maxTakeoverJitter = 3 * time.Second
-	// minRetryDelay and maxRetryDelay bound the delay of the first hosts in rank order after a
-	// failed read. The delay doubles with every failure, and is then multiplied by a random factor
-	// between 0.5 and 1.5.
-	minRetryDelay = 300 * time.Millisecond
-	maxRetryDelay = 2 * time.Second
-	// frequentRetryHosts is how many hosts retry that often. The other hosts receive what these
-	// hosts read. They retry after about otherRetryDelay, in case only the first hosts cannot reach
-	// the store.
-	frequentRetryHosts = 3
-	otherRetryDelay    = 4 * time.Second
+	// maxTakeoverJitter limits it in a large fleet, and maxFirstReadJitter for the first read after a
+	// start.
+	takeoverSpread     = 10 * time.Millisecond
+	maxTakeoverJitter  = 2 * time.Second
+	maxFirstReadJitter = 3 * time.Second
 )
 
-// readStore starts the reads of the store that are due.
+// readStore starts the reads of the store that are due. Of two documents that are due, the one
+// that was read longer ago comes first.
 func (c *Core) readStore(now time.Time) {
 	if !c.joining.peersRead && now.Before(c.joining.joinDeadline) {
 		return // the rank order of the hosts is not known yet
 	}
 	rank := c.rank()
-	if c.readDue(&c.targetsCopy, now, rank, c.cfg.Timing.TargetsPollTimeout) {
-		c.targetsCopy.reading = true
-		c.emit(ReadTargets{Known: c.history, Wait: c.cfg.Timing.TargetsPollTimeout})
+	documents := []*copyState{&c.targetsCopy, &c.configCopy}
+	if c.configCopy.readBegan.Before(c.targetsCopy.readBegan) {
+		slices.Reverse(documents)
+	}
+	for _, state := range documents {
+		if c.readDue(state, now, rank) {
+			c.startRead(state, now, rank)
+		}
+	}
+}
+
+// startRead reads a document. Only a host that reads regularly, and whose last read succeeded, lets
+// the store wait for a change: a store that does not answer at all is noticed sooner without.
+func (c *Core) startRead(state *copyState, now time.Time, rank int) {
+	state.reading, state.readBegan = true, now
+	state.probe = state.unavailable || rank > 0
+	var wait time.Duration
+	if !state.probe && !state.confirmedAt.IsZero() {
+		wait = c.pollTimeout(state)
+	}
+	if state == &c.targetsCopy {
+		c.emit(ReadTargets{Known: c.history, Wait: wait})
+	} else {
+		c.emit(ReadConfiguration{Known: c.history, Wait: wait})
 	}
-	if c.readDue(&c.configCopy, now, rank, c.cfg.Timing.ConfigurationPollTimeout) {
-		c.configCopy.reading = true
-		c.emit(ReadConfiguration{Known: c.history, Wait: c.cfg.Timing.ConfigurationPollTimeout})
+}
+
+// pollTimeout returns how long the store may wait for a change of a document.
+func (c *Core) pollTimeout(state *copyState) time.Duration {
+	if state == &c.targetsCopy {
+		return c.cfg.Timing.TargetsPollTimeout
 	}
+	return c.cfg.Timing.ConfigurationPollTimeout
 }
 
 // readDue reports whether this host must read a document. The first host in rank order always has a
@@ -59,22 +76,23 @@
 // only when the results of the first host do not reach them. All delays follow from the present
 // rank: a host that has become the first one, for instance because it hears nothing any more, does
 // not wait out those of a host that others read for.
-func (c *Core) readDue(state *copyState, now time.Time, rank int, wait time.Duration) bool {
-	if state.reading || now.Before(c.storeRetry.due(rank)) {
+func (c *Core) readDue(state *copyState, now time.Time, rank int) bool {
+	if state.reading || state.unavailable && !c.probeDue(now, rank) {
 		return false
 	}
 	if rank == 0 {
 		return true
 	}
 	if state.confirmedAt.IsZero() {
-		return c.firstReadDue(state, now, rank)
+		return state.unavailable || c.firstReadDue(state, now, rank)
 	}
-	limit := wait + takeoverGrace + time.Duration(min(rank-1, maxTakeoverSteps))*takeoverStep
+	limit := c.pollTimeout(state) + takeoverGrace + time.Duration(min(rank-1, maxTakeoverSteps))*takeoverStep
 	if state.age(now) < limit {
 		state.takeoverAt = time.Time{}
 		return false
 	}
-	return c.takeoverDue(state, now, rank, c.takeoverJitter())
+	// The probes of hosts whose reads have failed are spread already.
+	return state.unavailable || !c.probing() && c.takeoverDue(state, now, rank, c.takeoverJitter())
 }
 
 // takeoverDue reports whether this host reads in place of the first ones. Those beyond
@@ -106,54 +124,5 @@
 	if now.Before(c.joining.rankKnownAt.Add(time.Duration(min(rank, maxTakeoverSteps)) * firstReadStep)) {
 		return false
 	}
-	return c.takeoverDue(state, now, rank, maxTakeoverJitter)
-}
-
-// finishRead records the end of a read and reports whether it succeeded.
-func (c *Core) finishRead(now time.Time, state *copyState, err error) bool {
-	state.reading = false
-	state.takeoverAt = time.Time{}
-	if err == nil {
-		if state.failures > 0 {
-			c.record(now, timeline.Event{Kind: timeline.StoreBack, Service: c.documentName(state)})
-		}
-		state.failures = 0
-		c.storeRetry = storeRetry{}
-		return true
-	}
-	if state.failures == 0 {
-		c.record(now, timeline.Event{Kind: timeline.StoreLost, Service: c.documentName(state), Reason: err.Error()})
-	}
-	state.failures++
-	c.storeRetry = storeRetry{failedAt: now, failures: state.failures, factor: 0.5 + c.cfg.Rand.Float64()}
-	return false
-}
-
-// storeRetry is the delay of reads after a failed one. A failure for one document delays the reads
-// of both: they come from the same store.
-type storeRetry struct {
-	// failedAt is when the last read failed; zero if it succeeded.
-	failedAt time.Time
-	// failures is the number of failed reads in a row, and factor the random factor of the delay.
-	failures int
-	factor   float64
-}
-
-// due returns when a host of the given rank may read again.
-func (r storeRetry) due(rank int) time.Time {
-	if r.failedAt.IsZero() {
-		return time.Time{}
-	}
-	delay := min(minRetryDelay<<min(r.failures-1, 8), maxRetryDelay)
-	if rank >= frequentRetryHosts {
-		delay = otherRetryDelay
-	}
-	return r.failedAt.Add(time.Duration(r.factor * float64(delay)))
-}
-
-func (c *Core) documentName(state *copyState) string {
-	if state == &c.targetsCopy {
-		return "targets"
-	}
-	return "configuration"
+	return c.takeoverDue(state, now, rank, maxFirstReadJitter)
 }
--- a/gateway/effects.go
+++ b/gateway/effects.go
@@ -19,12 +19,14 @@
 
 // Timeouts of calls to the metadata store and to peers.
 const (
-	// firstReadTimeout bounds the first attempt to read the store, because an open
-	// connection may have been cut without notice. A store that is fifty times slower
-	// than usual still responds within this time.
-	firstReadTimeout = 450 * time.Millisecond
-	// secondReadTimeout bounds the second attempt, which uses a new connection.
-	secondReadTimeout = 900 * time.Millisecond
+	// storeReadTimeout bounds a read of a document besides the time for which the store may wait. The
+	// store ends it sooner if it falls silent: a large table takes long over a slow link.
+	storeReadTimeout = 5 * time.Second
+	// rowsFirstTimeout bounds the first attempt to read the rows of the hosts, because an open
+	// connection may have been cut without notice, and rowsSecondTimeout the second one, which uses a
+	// new connection.
+	rowsFirstTimeout  = fleet.StoreResponseTimeout
+	rowsSecondTimeout = 2 * fleet.StoreResponseTimeout
 	// storeWriteTimeout bounds the write of this host's row.
 	storeWriteTimeout = 2 * time.Second
 	// fetchTimeout bounds a fetch from a peer.
@@ -64,17 +66,17 @@
 	}
 }
 
-// retryOnTimeout calls f with firstReadTimeout. If that timeout expires, it calls f
-// once more with secondReadTimeout.
+// retryOnTimeout calls f with rowsFirstTimeout. If that timeout expires, it calls f
+// once more with rowsSecondTimeout.
 func retryOnTimeout[T any](ctx context.Context, f func(context.Context) (T, error)) (T, error) {
-	firstCtx, cancel := context.WithTimeout(ctx, firstReadTimeout)
+	firstCtx, cancel := context.WithTimeout(ctx, rowsFirstTimeout)
 	v, err := f(firstCtx)
 	timedOut := firstCtx.Err() != nil
 	cancel()
 	if err == nil || !timedOut {
 		return v, err
 	}
-	secondCtx, cancel := context.WithTimeout(ctx, secondReadTimeout)
+	secondCtx, cancel := context.WithTimeout(ctx, rowsSecondTimeout)
 	defer cancel()
 	return f(secondCtx)
 }
@@ -82,7 +84,7 @@
 func (g *Gateway) readTargets(e fleet.ReadTargets) {
 	g.counters.storeCalls.Add(1)
 	g.runEffect(func(ctx context.Context) fleet.Event {
-		ctx, cancel := context.WithTimeout(ctx, e.Wait+firstReadTimeout)
+		ctx, cancel := context.WithTimeout(ctx, e.Wait+storeReadTimeout)
 		defer cancel()
 		began := time.Now()
 		targets, err := g.store.Targets(ctx, e.Known, e.Wait)
@@ -94,7 +96,7 @@
 func (g *Gateway) readConfiguration(e fleet.ReadConfiguration) {
 	g.counters.storeCalls.Add(1)
 	g.runEffect(func(ctx context.Context) fleet.Event {
-		ctx, cancel := context.WithTimeout(ctx, e.Wait+firstReadTimeout)
+		ctx, cancel := context.WithTimeout(ctx, e.Wait+storeReadTimeout)
 		defer cancel()
 		began := time.Now()
 		document, read, err := g.store.Configuration(ctx, g.control.snapshot.Load().Configuration, e.Known, e.Wait)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,7 +99,7 @@
 		},
 		Zones:     zone.NewMap(s.Zones, nil),
 		Seeds:     s.Seeds,
-		Timing:    fleet.TimingFor(s.DrainWithin, s.ApplyWithin),
+		Timing:    s.timing(),
 		Floor:     s.Floor,
 		Bootstrap: s.Bootstrap,
 
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -14,7 +14,7 @@
 	old := *g.settings.Load()
 	changed := old
 	changed.Seeds, changed.Floor = s.Seeds, s.Floor
-	changed.DrainWithin, changed.ApplyWithin = s.DrainWithin, s.ApplyWithin
+	changed.DrainWithin, changed.ApplyWithin, changed.StoreReturnWithin = s.DrainWithin, s.ApplyWithin, s.StoreReturnWithin
 	changed.GracePeriod, changed.DirectoryLimit, changed.DirectoryTTL = s.GracePeriod, s.DirectoryLimit, s.DirectoryTTL
 	// The metrics address comes from the command line, and Bootstrap only matters at
 	// the start, so neither counts as a change.
@@ -24,7 +24,7 @@
 	changed.Zones = old.Zones
 	g.settings.Store(&changed)
 	g.control.Send(g.ctx, fleet.SettingsChanged{
-		Timing: fleet.TimingFor(changed.DrainWithin, changed.ApplyWithin),
+		Timing: changed.timing(),
 		Floor:  changed.Floor,
 		Seeds:  changed.Seeds,
 	})
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/crocushinge/crocushinge/fleet"
 	"github.com/crocushinge/crocushinge/quota"
 	"github.com/crocushinge/crocushinge/traffic"
 	"github.com/crocushinge/crocushinge/zone"
@@ -37,6 +38,9 @@
 	// DrainWithin is the maximum time until a leaving target gets no more requests, and
 	// ApplyWithin the maximum time until a new configuration is in force.
 	DrainWithin, ApplyWithin time.Duration
+	// StoreReturnWithin is the maximum time after an outage of the metadata store until both hold
+	// again; 0 for fleet.DefaultStoreReturn.
+	StoreReturnWithin time.Duration
 	// GracePeriod is the time between the request to stop and the forced end of the
 	// process.
 	GracePeriod time.Duration
@@ -54,3 +58,8 @@
 	QueueRequests bool
 	Headers       traffic.GatewayHeaders
 }
+
+// timing returns the timing of reads of the store.
+func (s *Settings) timing() fleet.Timing {
+	return fleet.TimingFor(s.DrainWithin, s.ApplyWithin, s.StoreReturnWithin)
+}
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -11,7 +11,8 @@
 	"github.com/crocushinge/crocushinge/zone"
 )
 
-// Store reads and writes the metadata store. Its methods are safe for concurrent use.
+// Store reads and writes the metadata store. Its methods are safe for concurrent use. Targets and
+// Configuration fail if the store sends nothing for fleet.StoreResponseTimeout longer than it may wait.
 type Store interface {
 	// Targets returns the registered targets. It waits up to the given time for a change
 	// since the last call returned. It fails if the store answers from an earlier history than
