discovery: a cut of this host is not taken for an outage of the store

Cause: a gap of over 2.5 s between two readings counted as an outage of the store, and missing entries stayed in use for 2.2 s from the first reading after it. A host that was paused, cut off from all, or restarted with an old copy kept a target that is gone just as long.

An outage needs a read that failed in the gap and no reading of any host in it. Hosts tell each other when the store was last known not to serve one of them, since when it was read without a gap, and when the grace ends (Stamp, only during an outage and shortly after it). The grace ends before stable_ms from the beginning of the last failed read, which is right after an outage and after a cut. The copy of a host that knows of the outage is taken as it is; targets that a host keeps itself are dropped at the end of the grace without a further reading.

TestRowsLostInAnOutageHaveAGracePeriod and TestGracePeriodBeginsWithAReadByAPeer took the gap for the outage; they now record the failed read, with the same times.

--- a/discovery/changes.go
+++ b/discovery/changes.go
@@ -32,6 +32,15 @@
 	return c.History.Comparable(version.History) && c.Since <= version.Revision
 }
 
+// OlderThan reports whether the changes lead to an earlier version than the given one. Targets that are
+// kept without a row are dropped at a later time of the same revision.
+func (c *Changes) OlderThan(version *Targets) bool {
+	if !c.History.Comparable(version.History) {
+		return c.History.Before(version.History)
+	}
+	return c.Revision < version.Revision || c.Revision == version.Revision && c.At < version.At
+}
+
 // Apply returns the targets with the changes applied. It fails if the result is not the
 // version that the changes stand for, for instance because a part of them is missing.
 func (t *Targets) Apply(c *Changes) (*Targets, error) {
@@ -91,13 +100,17 @@
 		return nil, false
 	}
 	c := &Changes{Since: revision, Reading: r.known.Reading, Digest: r.known.Digest}
+	unchanged := make(map[string]bool, len(r.known.List))
 	for _, t := range r.known.List {
 		if t.Revision > revision {
 			c.Updated = append(c.Updated, t)
+		} else {
+			unchanged[t.ID] = true
 		}
 	}
 	for _, gone := range r.removals.list {
-		if gone.revision > revision {
+		// A target that was kept without a row is dropped at the revision at which it was kept.
+		if gone.revision >= revision && !unchanged[gone.id] {
 			c.Removed = append(c.Removed, gone.id)
 		}
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -104,6 +104,7 @@
 	grace := ReRegistrationGrace.Milliseconds()
 	var r Registry
 	r.Merge(NewTargets(history.Reading{Revision: 1, At: 1000}, []Target{row("a", 1), leaving}))
+	r.NoteUnavailable(recovered - 700)
 	r.Merge(NewTargets(history.Reading{Revision: 2, At: recovered}, nil))
 	is.Equal(bornByID(&r), map[string]int64{"a": 1}) // the leaving one has no grace period
 	r.Merge(NewTargets(history.Reading{Revision: 2, At: recovered + grace - 1}, nil))
@@ -119,6 +120,7 @@
 	var r Registry
 	r.Merge(NewTargets(history.Reading{Revision: 1, At: 1000}, []Target{row("a", 1)}))
 	recovered := 1000 + 10*time.Second.Milliseconds()
+	r.NoteUnavailable(recovered - 700)
 	r.Confirm(history.Reading{At: recovered})
 	r.Merge(NewTargets(history.Reading{Revision: 2, At: recovered + 100}, nil))
 	is.Equal(len(bornByID(&r)), 1)
--- a/discovery/restore_test.go
+++ b/discovery/restore_test.go
@@ -103,7 +103,7 @@
 	r.Merge(NewTargets(at(0, 21, 1100), []Target{registered("a", 10, false), registered("b", 21, false)}))
 	is.True(r.Merge(NewTargets(at(2, 15, 1200), []Target{registered("a", 10, false)})))
 	is.Equal(ids(r.Known(), ready), []string{"a", "b"}) // b is kept for the grace period
-	is.True(time.Duration(r.graceUntil)*time.Millisecond == 1200*time.Millisecond+ReRegistrationGrace)
+	is.True(time.Duration(r.Coverage().GraceUntil)*time.Millisecond == 1200*time.Millisecond+ReRegistrationGrace)
 }
 
 // TestTargetThatCameBackBeforeARestoreStaysInUse covers a target whose row had lapsed and was
--- a/fleet/cluster_test.go
+++ b/fleet/cluster_test.go
@@ -89,10 +89,13 @@
 
 // node is one host of the cluster.
 type node struct {
-	core     *Core
-	config   Config
-	address  string
-	down     bool
+	core    *Core
+	config  Config
+	address string
+	down    bool
+	// paused is set while the host does not run, and arrived holds what it receives meanwhile.
+	paused   bool
+	arrived  []Event
 	snapshot *Snapshot
 	events   []timeline.Event
 	wake     time.Time
@@ -217,6 +220,10 @@
 	if n.down || c.hosts[n.address] != n {
 		return
 	}
+	if n.paused {
+		n.arrived = append(n.arrived, ev)
+		return
+	}
 	for _, e := range slices.Clone(n.core.Handle(c.now, ev)) {
 		c.perform(n, e)
 	}
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -149,6 +149,7 @@
 		lastTick:       now,
 		snapshotStale:  true,
 	}
+	c.registry.InTouchAfter = cfg.Timing.StoreReturn
 	c.self = &peerState{Peer: cfg.Self, hash: c.hash, alive: true, reported: true}
 	c.joining.begin(c, now)
 	c.repair.restart(now)
@@ -199,6 +200,7 @@
 		c.handleFetched(now, ev)
 	case SettingsChanged:
 		c.cfg.Timing, c.cfg.Floor, c.cfg.Seeds = ev.Timing, ev.Floor, ev.Seeds
+		c.registry.InTouchAfter = ev.Timing.StoreReturn
 		c.snapshotStale = true
 	case ShutdownRequested:
 		c.handleShutdown(now)
@@ -235,6 +237,7 @@
 	c.shareQuotas(now, gap)
 	c.openRetryBudget(now)
 	c.readStore(now)
+	c.dropKeptTargets(now)
 	c.reviewStoreOffer(now)
 	c.pushChanges(now)
 	c.renewDocuments(now)
--- a/fleet/document_copy.go
+++ b/fleet/document_copy.go
@@ -12,6 +12,9 @@
 	history  history.ID
 	revision uint64
 	digest   uint32
+	// unchangedSince is the first reading of the targets with these contents. Other hosts may have them
+	// from this reading, since a confirmation leaves the revision of a copy as it is.
+	unchangedSince history.Reading
 	// confirmedAt is the latest time at which the store confirmed this version as its newest.
 	// storeTimeMs is the same time by the store's clock, in milliseconds. Stamps of peers are
 	// compared by the store's clock, since an age does not include the time that a report spends in
@@ -46,6 +49,15 @@
 	return Stamp{History: s.history, Revision: s.revision, Digest: s.digest, Confirmed: s.storeTimeMs, Age: now.Sub(s.confirmedAt)}
 }
 
+// storeTime returns the store's clock at a time by this host's clock, in milliseconds. It is 0 if the
+// store was never read.
+func (s *copyState) storeTime(at time.Time) int64 {
+	if s.storeTimeMs == 0 {
+		return 0
+	}
+	return s.storeTimeMs + at.Sub(s.confirmedAt).Milliseconds()
+}
+
 // age returns the time since the store confirmed the copy.
 func (s *copyState) age(now time.Time) time.Duration {
 	if s.confirmedAt.IsZero() {
@@ -74,9 +86,12 @@
 func (c *Core) mergeStamps(now time.Time, r Report) {
 	c.learnHistory(now, r.Targets.History, "from a peer")
 	c.learnHistory(now, r.Configuration.History, "from a peer")
+	if s := r.Targets; s.History.Comparable(c.targetsCopy.history) {
+		c.registry.NoteUnavailable(s.Coverage.UnavailableAt)
+	}
 	if s := r.Targets; s.Revision > 0 && c.targetsCopy.confirmed().ConfirmedBefore(s.reading()) {
 		if s.Digest == c.targetsCopy.digest && c.targetsCopy.revision > 0 {
-			c.registry.Confirm(s.reading())
+			c.registry.ConfirmCopy(s.reading(), s.Coverage)
 			c.targetsCopy.advance(s)
 			c.targetsCopy.confirm(now.Add(-s.Age), s.reading())
 			c.targetsCopy.wantedSince = time.Time{} // what was wanted has been overtaken
--- a/fleet/documents.go
+++ b/fleet/documents.go
@@ -14,31 +14,69 @@
 	}
 	defer c.readAfterProbe(now, &c.targetsCopy)
 	reason := fmt.Sprintf("read from the store, last confirmed %s ago", c.targetsCopy.age(now).Round(time.Millisecond))
-	before := c.registry.Known()
+	before, digest := c.targetsCopy.unchangedSince, c.targetsCopy.digest
 	c.learnHistory(now, ev.Targets.History, "from the store")
-	c.mergeTargets(now, ev.Targets, now, reason)
-	if before != nil && before.Digest != c.targetsCopy.digest {
-		c.push.begin(before.Reading)
+	c.mergeTargets(now, ev.Targets, Stamp{}, reason)
+	if before.Revision > 0 && digest != c.targetsCopy.digest {
+		c.push.begin(before)
 		c.pushChanges(now)
 	}
 }
 
-// mergeTargets merges targets that the store confirmed at the given time. The reason goes into
-// the timeline.
-func (c *Core) mergeTargets(now time.Time, read *discovery.Targets, confirmed time.Time, reason string) {
-	if !c.registry.Merge(read) {
+// targetsStamp returns the stamp of this host's copy of the targets, with its coverage.
+func (c *Core) targetsStamp(now time.Time) Stamp {
+	stamp := c.targetsCopy.stamp(now)
+	stamp.Coverage = c.registry.Coverage()
+	return stamp
+}
+
+// reportedTargetsStamp returns the stamp of this host's copy of the targets for its reports. It has the
+// coverage only while reads fail and in a grace period, so that all hosts learn of an outage and agree
+// on the end of the grace period.
+func (c *Core) reportedTargetsStamp(now time.Time) Stamp {
+	stamp := c.targetsStamp(now)
+	if !c.targetsCopy.unavailable && c.targetsCopy.storeTime(now) >= stamp.Coverage.GraceUntil {
+		stamp.Coverage = discovery.Coverage{}
+	}
+	return stamp
+}
+
+// mergeTargets merges targets that this host has just read, or a peer's copy of them with its stamp. The
+// reason goes into the timeline.
+func (c *Core) mergeTargets(now time.Time, read *discovery.Targets, stamp Stamp, reason string) {
+	if !c.registry.MergeCopy(read, stamp.Coverage) {
 		return
 	}
 	known := c.registry.Known()
 	unchanged := c.targetsCopy.digest == known.Digest && c.targetsCopy.revision > 0
 	c.targetsCopy.advance(Stamp{History: known.History, Revision: known.Revision})
-	c.targetsCopy.digest = known.Digest
 	c.targetsCopy.wantedSince = time.Time{}
 	c.fetching.wholeTargets = false
-	c.targetsCopy.confirm(confirmed, known.Reading)
-	if unchanged {
+	c.targetsCopy.confirm(now.Add(-stamp.Age), known.Reading)
+	if !unchanged {
+		c.useKnownTargets(now, reason)
+	}
+}
+
+// dropKeptTargets takes the targets out of use that were kept without a row, at the end of the grace
+// period. The first host in rank order tells the others.
+func (c *Core) dropKeptTargets(now time.Time) {
+	before := c.targetsCopy.unchangedSince
+	if !c.registry.EndGrace(c.targetsCopy.storeTime(now)) {
 		return
 	}
+	c.useKnownTargets(now, "the grace period after an outage has ended")
+	if c.rank() == 0 {
+		c.push.begin(before)
+		c.pushChanges(now)
+	}
+}
+
+// useKnownTargets puts changed contents of the known targets in force.
+func (c *Core) useKnownTargets(now time.Time, reason string) {
+	known := c.registry.Known()
+	c.targetsCopy.digest = known.Digest
+	c.targetsCopy.unchangedSince = known.Reading
 	c.record(now, timeline.Event{
 		Kind:     timeline.TargetsInForce,
 		Revision: known.Revision,
--- a/fleet/fetch.go
+++ b/fleet/fetch.go
@@ -111,10 +111,17 @@
 func (c *Core) canProvide(p *peerState, targets, config bool) bool {
 	justFailed := p.hash == c.fetching.source && len(c.liveCache) > 2 && !c.fetching.retryAt.IsZero()
 	return p != c.self && !justFailed &&
-		(!targets || c.targetsCopy.confirmed().ConfirmedBefore(p.lastReport.Targets.reading())) &&
+		(!targets || c.hasOtherTargets(p)) &&
 		(!config || p.lastReport.Configuration.newerConfiguration(c.configurationInForce()))
 }
 
+// hasOtherTargets reports whether a peer's copy of the targets is newer than this host's and has other
+// contents: a peer that has not received the wanted version either may have been confirmed later.
+func (c *Core) hasOtherTargets(p *peerState) bool {
+	s := p.lastReport.Targets
+	return c.targetsCopy.confirmed().ConfirmedBefore(s.reading()) && s.Digest != c.targetsCopy.digest
+}
+
 // randomPeer returns one of the other live hosts, or nil if there is none.
 func (c *Core) randomPeer() *peerState {
 	others := slices.DeleteFunc(slices.Clone(c.liveHosts()), func(p *peerState) bool { return p == c.self })
@@ -239,7 +246,7 @@
 	targets, err := c.fetchedTargets(ev)
 	c.fetching.wholeTargets = err != nil
 	if targets != nil {
-		c.mergeTargets(now, targets, now.Add(-ev.TargetsStamp.Age), "fetched from a peer")
+		c.mergeTargets(now, targets, ev.TargetsStamp, "fetched from a peer")
 	}
 	if ev.Document != nil {
 		c.putInForce(now, ev.Document, c.fetchReason(now))
@@ -285,7 +292,7 @@
 	out := Fetched{
 		Peers:         c.Peers(),
 		Targets:       c.registry.Known(),
-		TargetsStamp:  c.targetsCopy.stamp(now),
+		TargetsStamp:  c.targetsStamp(now),
 		Document:      c.document,
 		DocumentStamp: c.configCopy.stamp(now),
 		Notices:       c.notices(),
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -101,6 +101,9 @@
 	// the store, and Age is the time since.
 	Confirmed int64
 	Age       time.Duration
+	// Coverage tells of a copy of the targets when the store was read. Reports have it only during
+	// an outage of the store and shortly after it.
+	Coverage discovery.Coverage
 }
 
 // reading returns the reading of the store that last confirmed the copy.
--- a/fleet/push.go
+++ b/fleet/push.go
@@ -26,6 +26,10 @@
 	// there are none.
 	since history.Reading
 	next  time.Time
+	// forwarded and forwardedDigest identify the changes that this host has last received and
+	// forwarded.
+	forwarded       history.Reading
+	forwardedDigest uint32
 }
 
 // begin notes that the targets have changed since a reading.
@@ -35,17 +39,22 @@
 	}
 }
 
+// hasForwarded reports whether changes, or later ones, have been forwarded.
+func (p *targetsPush) hasForwarded(changes *discovery.Changes) bool {
+	return changes.ConfirmedBefore(p.forwarded) || changes.Reading == p.forwarded && changes.Digest == p.forwardedDigest
+}
+
 // pushChanges sends the changes that are due.
 func (c *Core) pushChanges(now time.Time) {
 	if c.push.since.Revision == 0 || now.Before(c.push.next) {
 		return
 	}
 	changes, ok := c.registry.ChangesSince(c.push.since.History, c.push.since.Revision)
-	c.push = targetsPush{next: now.Add(pushInterval)}
+	c.push.since, c.push.next = history.Reading{}, now.Add(pushInterval)
 	if !ok || len(changes.Updated)+len(changes.Removed) > maxPushedTargets || changesBytes(changes) > maxDatagramBytes {
 		return
 	}
-	stamp := c.targetsCopy.stamp(now)
+	stamp := c.targetsStamp(now)
 	changes.Reading = stamp.reading()
 	d := Datagram{From: c.hash, Hop: ToRelay, Changes: changes, ChangesStamp: stamp}
 	if c.relayOf(c.cfg.Self.Zone, now) == c.self {
@@ -74,13 +83,13 @@
 // they apply to, or they do not lead to the announced one, it fetches the targets later.
 func (c *Core) receiveChanges(now time.Time, d Datagram) {
 	known := c.registry.Known()
-	if known == nil || d.Changes.History.Before(known.History) ||
-		d.Changes.History.Comparable(known.History) && d.Changes.Revision <= known.Revision {
-		return // applied and forwarded before, or from before a restore of the store
+	if known == nil || d.Changes.OlderThan(known) || c.push.hasForwarded(d.Changes) {
+		return
 	}
-	if d.Changes.AppliesTo(known.Reading) {
+	c.push.forwarded, c.push.forwardedDigest = d.Changes.Reading, d.Changes.Digest
+	if d.Changes.Digest != known.Digest && d.Changes.AppliesTo(known.Reading) {
 		if targets, err := known.Apply(d.Changes); err == nil {
-			c.mergeTargets(now, targets, now.Add(-d.ChangesStamp.Age), "pushed by a peer")
+			c.mergeTargets(now, targets, d.ChangesStamp, "pushed by a peer")
 		}
 	}
 	c.forwardChanges(now, Datagram{From: c.hash, Hop: d.Hop, Changes: d.Changes, ChangesStamp: d.ChangesStamp})
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -105,7 +105,7 @@
 		Notices:       c.pending.notices,
 		Unserved:      c.pending.unserved,
 		Admitted:      c.cfg.Quotas.Counts(),
-		Targets:       c.targetsCopy.stamp(now),
+		Targets:       c.reportedTargetsStamp(now),
 		Configuration: c.configCopy.stamp(now),
 	}
 	c.pending.endings, c.pending.notices, c.pending.unserved = nil, nil, nil
--- a/fleet/store_probe.go
+++ b/fleet/store_probe.go
@@ -98,6 +98,9 @@
 	if !other.reading && now.Sub(other.readAt) > c.pollTimeout(other) {
 		other.unavailable = true
 	}
+	if c.targetsCopy.unavailable {
+		c.registry.NoteUnavailable(c.targetsCopy.storeTime(state.readBegan))
+	}
 	c.probes = probeSchedule{began: state.readBegan, factor: minProbeSpread + (1-minProbeSpread)*c.cfg.Rand.Float64()}
 }
 
--- a/fleet/store_probe_test.go
+++ b/fleet/store_probe_test.go
@@ -42,13 +42,18 @@
 	return c
 }
 
-// pauseHost stops a host without its state being lost, and resumeHost lets it go on.
-func (c *cluster) pauseHost(address string) { c.hosts[address].down = true }
+// pauseHost stops a host without its state being lost, and resumeHost lets it go on with what has
+// arrived meanwhile.
+func (c *cluster) pauseHost(address string) { c.hosts[address].paused = true }
 
 func (c *cluster) resumeHost(address string) {
 	n := c.hosts[address]
-	n.down, n.wake = false, time.Time{}
+	arrived := n.arrived
+	n.paused, n.arrived, n.wake = false, nil, time.Time{}
 	c.deliver(n, Tick{})
+	for _, ev := range arrived {
+		c.deliver(n, ev)
+	}
 }
 
 // returnTime lets the store come back, configures a version soon after, and returns how long after the
--- a/wire/share/share.go
+++ b/wire/share/share.go
@@ -208,12 +208,18 @@
 	if s.Revision == 0 {
 		return nil
 	}
-	return &sharev1.Stamp{History: uint64(s.History), Revision: s.Revision, Digest: s.Digest, AgeMs: toMillis(s.Age), ConfirmedMs: s.Confirmed}
+	return &sharev1.Stamp{
+		History: uint64(s.History), Revision: s.Revision, Digest: s.Digest, AgeMs: toMillis(s.Age), ConfirmedMs: s.Confirmed,
+		ReadSinceMs: s.Coverage.Since, GraceUntilMs: s.Coverage.GraceUntil, UnavailableMs: s.Coverage.UnavailableAt,
+	}
 }
 
 // StampFromProto decodes the version and age of a document.
 func StampFromProto(s *sharev1.Stamp) fleet.Stamp {
-	return fleet.Stamp{History: history.ID(s.GetHistory()), Revision: s.GetRevision(), Digest: s.GetDigest(), Age: fromMillis(s.GetAgeMs()), Confirmed: s.GetConfirmedMs()}
+	return fleet.Stamp{
+		History: history.ID(s.GetHistory()), Revision: s.GetRevision(), Digest: s.GetDigest(), Age: fromMillis(s.GetAgeMs()), Confirmed: s.GetConfirmedMs(),
+		Coverage: discovery.Coverage{Since: s.GetReadSinceMs(), GraceUntil: s.GetGraceUntilMs(), UnavailableAt: s.GetUnavailableMs()},
+	}
 }
 
 // PeerToProto encodes the description of a host.
--- a/wire/share/share_test.go
+++ b/wire/share/share_test.go
@@ -82,7 +82,10 @@
 	is := is.New(t)
 	list := []discovery.Target{{ID: "t", Born: 4, Service: "s", Address: "10.0.0.1:80", Zone: "a", Slots: 4, Leaving: true, Warming: true, Revision: 8}}
 	targets := discovery.NewTargets(history.Reading{History: 3, Revision: 9, At: 77}, list)
-	stamp := fleet.Stamp{History: 3, Revision: 9, Digest: targets.Digest, Confirmed: 77}
+	stamp := fleet.Stamp{
+		History: 3, Revision: 9, Digest: targets.Digest, Confirmed: 77,
+		Coverage: discovery.Coverage{Since: 12, GraceUntil: 2212, UnavailableAt: 11},
+	}
 	got, changes, gotStamp := TargetsFromProto(TargetsToProto(targets, nil, stamp))
 	is.Equal(got, targets)
 	is.True(changes == nil)
