traffic: heads are measured by the framing of messages

Cause: the meter of heads began anew when the server called the connection idle. By then the server's buffer may hold any part of the next message, so that the rest of a body was measured as a head, and the beginning of a head that lay in the buffer wasn't measured.

A connection hands the server bytes of one message at a time and keeps the rest, so that a refusal comes after the responses to the requests before it. Nothing is read after a refusal: a second 431 followed the first. Trailers are bounded like heads.

--- a/traffic/caller_conn.go
+++ b/traffic/caller_conn.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -64,7 +65,7 @@
 	if c.tcp != nil && l.sendBuffer > 0 {
 		_ = c.tcp.SetWriteBuffer(l.sendBuffer) // fails only if the connection is broken
 	}
-	c.beginHead()
+	c.beginMessage()
 	return c, nil
 }
 
@@ -120,6 +121,9 @@
 	refused atomic.Bool
 	// reading is held during a read.
 	reading sync.Mutex
+	// next holds what has been read behind the end of a message. The server gets it when it reads the
+	// next message, so that it never has bytes that belong to two of them. reading guards it.
+	next []byte
 	// mu guards the fields below.
 	mu sync.Mutex
 	// closing is set by Close.
@@ -130,52 +134,99 @@
 	// extends is set when the deadline for writes allows callerIOTimeout, as for responses.
 	extends bool
 	watch   closeWatch
-	// head measures the head that is being read. What comes after a head, up to the next call of
-	// beginHead, is not measured.
-	head headMeter
+	// framing finds the head of each message and measures it. It is not used if the listener measures
+	// no heads.
+	framing requestFraming
+	// served is the memory of the head of the request that is being served, if a part of the next
+	// message has been read; nil otherwise.
+	served *caller.Reservation
 }
 
-// beginHead makes the connection measure the next head. The server calls it when a connection is
-// idle after a response. Up to one buffer of the server may have been read before that.
-func (c *callerConn) beginHead() {
+// beginMessage begins to measure the next message. The memory of the head before it is held until its
+// request has been served.
+func (c *callerConn) beginMessage() {
 	if c.listener.heads == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.head.http2 {
-		return
-	}
-	c.head.held.Free()
+	c.served.Free()
+	c.served = c.framing.meter.held
 	held, _ := c.listener.heads.NewReservation(0) // nothing is reserved yet
-	c.head = headMeter{held: held}
+	c.framing = newRequestFraming(held)
+}
+
+// endRequest frees the memory of the head of a request that has been served. The server calls it when the
+// connection is idle after a response.
+func (c *callerConn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.served.Free()
+	c.served = nil
+}
+
+// freeHeads frees the memory of all heads. The caller holds mu.
+func (c *callerConn) freeHeads() {
+	c.served.Free()
+	c.framing.meter.held.Free()
 }
 
-// Read implements net.Conn. A caller whose head is too large gets a response at once. The server's
-// own response to what it has read of the head is not written any more.
+// Read implements net.Conn. It returns bytes of one message only. A caller whose head is too large gets a
+// response when the server reads that head, which is after the responses to the requests before it. The
+// server's own response to what it has read of the head is not written any more.
 func (c *callerConn) Read(p []byte) (int, error) {
 	c.reading.Lock()
 	defer c.reading.Unlock()
 	c.stopWatch()
-	if c.isClosing() {
+	if c.isClosing() || c.refused.Load() {
 		return 0, net.ErrClosed
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.readMessage(p)
 	if n == 1 && len(p) == 1 {
 		c.startWatch() // the server looks for the close in this way, and has found a further request
 	}
-	if n == 0 || c.listener.heads == nil {
-		return n, err
+	return n, err
+}
+
+// readMessage reads bytes of one message.
+func (c *callerConn) readMessage(p []byte) (int, error) {
+	if c.listener.heads == nil {
+		return c.Conn.Read(p)
+	}
+	var n int
+	if len(c.next) > 0 {
+		n = copy(p, c.next)
+		c.next = c.next[n:]
+	} else {
+		var err error
+		if n, err = c.Conn.Read(p); n == 0 {
+			return 0, err // an error beside bytes comes again at the next read
+		}
 	}
 	c.mu.Lock()
-	headErr := c.head.scan(p[:n])
+	used, ended, err := c.framing.scan(p[:n])
 	c.mu.Unlock()
-	if headErr == nil {
-		return n, err
+	if err != nil {
+		return 0, c.endReading(err)
+	}
+	if used < n {
+		c.next = append(bytes.Clone(p[used:n]), c.next...)
+	}
+	if ended {
+		c.beginMessage()
+	}
+	return used, nil
+}
+
+// endReading answers a head that cannot be read. Behind a body it answers nothing: the request has been
+// begun, and its response says what became of it.
+func (c *callerConn) endReading(reason error) error {
+	if errors.Is(reason, errTrailerLines) {
+		return reason
 	}
-	c.refuseHead(headErr)
+	c.refuseHead(reason)
 	c.refused.Store(true)
-	return 0, headErr
+	return reason
 }
 
 // Write implements net.Conn.
@@ -254,7 +305,7 @@
 		return
 	}
 	c.closing = true
-	c.head.held.Free()
+	c.freeHeads()
 	if c.tcp != nil {
 		_ = c.tcp.SetLinger(0)
 	}
@@ -320,7 +371,7 @@
 		return nil
 	}
 	c.closing = true
-	c.head.held.Free()
+	c.freeHeads()
 	sender, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok {
 		return c.Conn.Close()
@@ -380,9 +431,9 @@
 	return c
 }
 
-// measureNextHead is called by a server when the state of a connection changes.
-func measureNextHead(conn net.Conn, state http.ConnState) {
+// connStateChanged is called by a server when the state of a connection changes.
+func connStateChanged(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
-		c.beginHead()
+		c.endRequest()
 	}
 }
--- a/traffic/server.go
+++ b/traffic/server.go
@@ -31,7 +31,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxRequestHeaderBytes,
-		ConnState:         measureNextHead,
+		ConnState:         connStateChanged,
 		ConnContext:       withCallerConn,
 	}
 }
