traffic: an answer whose connection was reset is not whole

Cause: the kernel reports a reset to one call. If that is the write of the upload, the reader finds the end of the data, which the transport takes for the end of the body.

Change: at the end of a connection to a target the state of the socket is asked, which differs after a close and after a reset. A write that has failed counts as well.

--- a/traffic/conn.go
+++ b/traffic/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -61,6 +62,8 @@
 	closed bool
 	// writes counts the calls of Write, or is writesBlocked.
 	writes atomic.Int64
+	// writeFailed is set once a write has failed.
+	writeFailed atomic.Bool
 	// outOfStep is set once a response did not belong to its request. All further writes fail.
 	outOfStep atomic.Bool
 	// exchange records the I/O of the request that uses the connection. If the
@@ -173,12 +176,20 @@
 	if e := c.exchange.Load(); e != nil {
 		e.sent.Store(true)
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
+	return n, err
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. The end of a connection that was reset is an error, so that it does not count
+// as the end of a response.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) && (c.writeFailed.Load() || wasReset(c.Conn)) {
+		return n, errConnectionReset
+	}
 	if e := c.exchange.Load(); e != nil && n > 0 && e.sent.Load() {
 		e.received.Store(true)
 		if headErr := e.head.scan(p[:n]); headErr != nil {
