traffic: a broken response to a caller of HTTP/1.0 ends with a reset

What callers saw: a response without a length that broke at its target after 64 KiB ended with a plain close, which is the end of a complete response for a caller of HTTP/1.0.

Cause: a response that can't be completed was ended by closing the connection, which shows only where the body has chunks or a length.

Change: abortResponse resets the connection of such a caller, on both interfaces.

Evidence: TestBrokenResponseToHTTP10IsNotWhole fails on the code before (the read ends without an error) and passes now, on both kinds of routes.

--- a/traffic/entry_set.go
+++ b/traffic/entry_set.go
@@ -47,6 +47,6 @@
 		return false
 	}
 	defer resp.Body.Close()
-	writePeerResponse(w, resp)
+	writePeerResponse(w, resp, req.inbound)
 	return true
 }
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -29,7 +29,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	writePeerResponse(w, resp)
+	writePeerResponse(w, resp, req.inbound)
 }
 
 // homeHost returns the home host of the request's id. It returns false if the
@@ -87,7 +87,7 @@
 // writePeerResponse forwards the response of another host. If the response breaks
 // off, it aborts the connection to the caller, so that the caller does not take it
 // for a complete one.
-func writePeerResponse(w http.ResponseWriter, resp *http.Response) {
+func writePeerResponse(w http.ResponseWriter, resp *http.Response, inbound *http.Request) {
 	if _, ok := caller.ParseResult(resp.Header.Get(HeaderResult)); !ok {
 		newRefusal(http.StatusBadGateway, caller.Unknown, "the home host gave no result").write(w)
 		return
@@ -95,6 +95,6 @@
 	copyHeaders(w.Header(), resp.Header)
 	w.WriteHeader(resp.StatusCode)
 	if err := copyBody(w, resp.Body); err != nil {
-		panic(http.ErrAbortHandler)
+		abortResponse(inbound)
 	}
 }
--- a/traffic/idempotent.go
+++ b/traffic/idempotent.go
@@ -55,7 +55,7 @@
 			failureResponse(result, err).write(w)
 			return
 		}
-		resp.write(w)
+		resp.write(w, req.inbound)
 		return
 	}
 }
@@ -118,7 +118,7 @@
 
 // write forwards the response. If the response breaks off, it aborts the connection
 // to the caller, so that the caller does not take it for a complete one.
-func (r *bufferedResponse) write(w http.ResponseWriter) {
+func (r *bufferedResponse) write(w http.ResponseWriter, inbound *http.Request) {
 	a := r.attempt
 	a.writeHeader(w, caller.Completed)
 	if r.complete {
@@ -128,7 +128,7 @@
 	}
 	if err := a.stream(w, r.buffered); err != nil {
 		a.fail()
-		panic(http.ErrAbortHandler)
+		abortResponse(inbound)
 	}
 	a.close()
 }
--- a/traffic/nonidempotent.go
+++ b/traffic/nonidempotent.go
@@ -150,7 +150,7 @@
 	if err := a.stream(w, buffered); err != nil {
 		a.fail()
 		h.recordOutcome(req, record, a, caller.Outcome{Result: caller.Unknown}, err)
-		panic(http.ErrAbortHandler)
+		abortResponse(req.inbound)
 	}
 	h.recordOutcome(req, record, a, outcome, nil)
 	a.close()
--- a/traffic/reset_test.go
+++ b/traffic/reset_test.go
@@ -129,3 +129,31 @@
 		}
 	}
 }
+
+// TestBrokenResponseToHTTP10IsNotWhole guards against callers of HTTP/1.0 that take a part of a response for
+// all of it: for them, the end of the connection is the end of a response without a length.
+func TestBrokenResponseToHTTP10IsNotWhole(t *testing.T) {
+	for _, breaks := range []bool{false, true} {
+		for _, path := range []string{"/read/x", "/write/x"} {
+			is := is.New(t)
+			g := newTestGateway(t)
+			const length = 3 * maxBufferedBytes
+			g.addRawTarget("only", func(id string) string {
+				text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n", length, strings.Repeat("x", length))
+				if !breaks {
+					text += "0\r\n\r\n"
+				}
+				return prove(text, id)
+			}, true)
+			g.start()
+			conn, err := net.Dial("tcp", g.server.Listener.Addr().String())
+			is.NoErr(err)
+			_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: shop.example\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n", path)
+			is.NoErr(err)
+			data, err := io.ReadAll(conn)
+			is.Equal(err != nil, breaks) // reset
+			is.True(breaks || strings.Count(string(data), "x") >= length)
+			_ = conn.Close()
+		}
+	}
+}
--- a/traffic/response.go
+++ b/traffic/response.go
@@ -198,6 +198,16 @@
 // copyBufferBytes is the size of the buffer of copyBody.
 const copyBufferBytes = 16 << 10
 
+// abortResponse ends a response to r that cannot be completed, so that the caller does not take what it has
+// got for the whole. A caller of HTTP/1.0 knows the end of a response without a length only by the end
+// of the connection, which is therefore reset.
+func abortResponse(r *http.Request) {
+	if conn := callerConnOf(r.Context()); conn != nil && !r.ProtoAtLeast(1, 1) {
+		conn.abort()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // writeStored writes the stored response of an earlier request.
 func writeStored(w http.ResponseWriter, stored *caller.Response) {
 	for _, f := range stored.Fields {
--- a/traffic/slow_peer.go
+++ b/traffic/slow_peer.go
@@ -129,7 +129,7 @@
 		g.cfg.Log(d)
 		req.out.abort()
 	}
-	panic(http.ErrAbortHandler)
+	abortResponse(req.inbound)
 }
 
 // upload is the body of a request on its way to a target.
