cmd: the signal of a planned stop is handled from the start

Cause: the handler was set after the settings were read and the listeners open.

Change: both programs set it first; a stop that comes while a process starts is carried out once it has started.

Evidence: TestStopSignalWhileStartingIsAPlannedStop, which sends the signal while the process waits for its settings, fails on the code before ("signal: terminated") and passes now. crocushinged has no such test.

--- a/cmd/crocushinge-gateway/main.go
+++ b/cmd/crocushinge-gateway/main.go
@@ -46,9 +46,12 @@
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
-	// Before anything else: without a handler, the signal of changed settings ends the process.
+	// Before anything else: without a handler, the signals of changed settings and of a planned stop end
+	// the process.
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
+	stopCtx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	path := cmd.String("settings")
 	settings, err := platform.ReadSettings(path)
 	if err == nil && cmd.IsSet("metrics") {
@@ -80,8 +83,6 @@
 	// Settings are watched until the end of the process: the grace period may change while it stops.
 	watchCtx, stopWatch := context.WithCancel(ctx)
 	defer stopWatch()
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	go platform.WatchSettings(watchCtx, path, reloadSignals, func(s platform.Settings, err error) {
 		if err != nil {
 			g.LogRejectedSettings(err)
@@ -89,5 +90,5 @@
 		}
 		g.Reload(s.Gateway)
 	})
-	return g.Run(ctx)
+	return g.Run(stopCtx)
 }
--- a/cmd/crocushinged/main.go
+++ b/cmd/crocushinged/main.go
@@ -42,6 +42,9 @@
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
+	// Before anything else: without a handler, the signal of a planned stop ends the process.
+	ctx, stop := withShutdownSignals(ctx)
+	defer stop()
 	settings, err := daemon.ReadSettings(cmd.String("settings"))
 	if err != nil {
 		return cli.Exit(err, exitSettings)
@@ -63,8 +66,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := withShutdownSignals(ctx)
-	defer stop()
 	if cmd.Bool("sample") {
 		for _, address := range sample.Addresses {
 			go func() {
