traffic: the end of an upload frees the body of a request with its response

What was seen: TestLongResponseHoldsNoBufferOnceSent red in 6 of 2,000 runs: a body of 200 KiB held until a slow caller had read the response. The bodies of others may be refused for it.

Cause: whether a body is still being sent was looked at once, as the head of the response came. A head that overtakes the end of the upload found it not ended.

Change: the upload releases the body at its end if the final response is there by then.

Evidence: TestBodyIsFreedOnceItsUploadEnds plays both orders; the earlier code holds the body in the first.

--- a/traffic/slow_peer.go
+++ b/traffic/slow_peer.go
@@ -4,7 +4,7 @@
 	"context"
 	"io"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -138,8 +138,11 @@
 	transfer *caller.Transfer
 	// lastRead is the number of bytes that the transport is writing.
 	lastRead int
-	// ended is set once the transport has written the whole body or has given up.
-	ended atomic.Bool
+	// mu guards data, ended and release. ended is set once the transport has written the whole body or
+	// has given up; release is called then.
+	mu      sync.Mutex
+	ended   bool
+	release func()
 }
 
 // beginUpload makes an outbound request with the body send it as a transfer, unless it is short:
@@ -157,16 +160,24 @@
 // Read implements io.Reader. Between two reads the transport writes to the target.
 func (u *upload) Read(p []byte) (int, error) {
 	u.transfer.EndWrite(u.lastRead)
-	if len(u.data) == 0 {
+	n := u.take(p[:min(len(p), bodyChunkBytes)])
+	if u.lastRead = n; n == 0 {
 		u.end()
 		return 0, io.EOF
 	}
-	n := copy(p[:min(len(p), bodyChunkBytes)], u.data)
-	u.data, u.lastRead = u.data[n:], n
 	u.transfer.BeginWrite()
 	return n, nil
 }
 
+// take copies the next bytes of the body.
+func (u *upload) take(p []byte) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n := copy(p, u.data)
+	u.data = u.data[n:]
+	return n
+}
+
 // Close implements io.Closer. The transport calls it when it has written the body or has given up.
 func (u *upload) Close() error {
 	u.end()
@@ -174,24 +185,46 @@
 }
 
 func (u *upload) end() {
-	if !u.ended.Swap(true) {
-		u.transfer.End()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ended {
+		return
+	}
+	u.ended, u.data = true, nil
+	u.transfer.End()
+	if u.release != nil {
+		u.release()
+	}
+}
+
+// whenEnded calls release once the upload has ended, at once if it has. It must not block.
+func (u *upload) whenEnded(release func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ended {
+		release()
+		return
 	}
+	u.release = release
 }
 
 // wasSlow reports whether the upload was aborted because of the target's pace.
 func (u *upload) wasSlow() bool { return u != nil && u.transfer.Aborted() != caller.NotAborted }
 
-// freeBodyOf releases the memory for the body of a request that has its final response, if no
-// attempt sends it any more. A slow caller would otherwise hold it.
+// freeBodyOf releases the memory for the body of a request that has its final response, once no
+// attempt sends it any more. A slow caller would otherwise hold it. The head of a response may come
+// before the transport has read the end of the body.
 func (d *dispatcher) freeBodyOf(a *gatewayAttempt) {
-	sent := a.complete || a.upload != nil && a.upload.ended.Load()
-	if d.gateway.slowPeers == nil || d.inFlight > 0 || !sent {
+	if d.gateway.slowPeers == nil || d.inFlight > 0 || !a.complete && a.upload == nil {
+		return
+	}
+	held := d.request.body.held
+	d.request.body.data, a.response.Request = nil, nil // the second refers to the body, too
+	if a.complete {
+		held.Free()
 		return
 	}
-	d.request.body.free()
-	d.request.body.data = nil
-	a.response.Request, a.upload = nil, nil // they refer to the body
+	a.upload.whenEnded(held.Free)
 }
 
 // readyResult returns a whole response that arrived before the deadline passed, or nil.
--- a/traffic/slow_peer_test.go
+++ b/traffic/slow_peer_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -203,6 +204,32 @@
 	_ = conn.Close()
 }
 
+// TestBodyIsFreedOnceItsUploadEnds guards against a body that stays in memory until a slow caller has read
+// the response, because the head of the response came before the end of the upload.
+func TestBodyIsFreedOnceItsUploadEnds(t *testing.T) {
+	for _, headFirst := range []bool{true, false} {
+		is := is.New(t)
+		bodies := caller.NewMemory(1 << 20)
+		g := &Gateway{slowPeers: newSlowPeers(caller.NewMemory(1<<20), bodies)}
+		b, err := readBody(httptest.NewRequest(http.MethodPut, "/", strings.NewReader(strings.Repeat("b", 200<<10))), 1<<20, bodies)
+		is.NoErr(err)
+		out := &http.Request{}
+		u := g.slowPeers.beginUpload(out, b, func(error) {})
+		d := &dispatcher{gateway: g, request: &gatewayRequest{body: b}}
+		a := &gatewayAttempt{response: &http.Response{Request: out}, upload: u}
+		if headFirst {
+			d.freeBodyOf(a)
+			is.True(bodies.Used() > 0)
+		}
+		_, err = io.Copy(io.Discard, out.Body)
+		is.NoErr(err)
+		if !headFirst {
+			d.freeBodyOf(a)
+		}
+		is.Equal(bodies.Used(), int64(0))
+	}
+}
+
 // TestTargetThatReadsSlowlyIsCutForOthers guards against requests that are refused because the
 // bodies of others wait for a target that does not read them.
 func TestTargetThatReadsSlowlyIsCutForOthers(t *testing.T) {
