fleet: a zone whose hosts are all excluded as relays is sent to all the same

What was seen: after a pause of 1.2 to 2.5 s of one host in a fleet with one or two hosts a zone, the zones lost each other's hosts every 1.2 s from then on, and changes arrived up to 3 s late.

Cause: a relay that is not heard from is excluded. Two relays that each send to the second host of the other's zone hear nothing from each other and exclude each other for good.

TestHostsStayKnownAfterAPause fails on the code before.

Change: if all live hosts of a zone are excluded, the first one is used.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -237,8 +237,20 @@
 	return relayTimeout
 }
 
-// relayOf returns the relay of a zone: the first host in rank order that has not timed out. It
-// returns nil if there is none.
+// firstOf returns the first live host of a zone in rank order, or nil if there is none.
+func (c *Core) firstOf(z zone.ID) *peerState {
+	for _, p := range c.liveHosts() {
+		if p.Zone == z {
+			return p
+		}
+	}
+	return nil
+}
+
+// relayOf returns the relay of a zone: the first host in rank order that has not timed out. If all of
+// them have, it returns the first one: two relays that each send to another host of the other's zone
+// would hear nothing from each other, and exclude each other for good. It returns nil if no host of the
+// zone is alive.
 func (c *Core) relayOf(z zone.ID, now time.Time) *peerState {
 	var first *peerState
 	for _, p := range c.liveHosts() {
@@ -247,7 +259,10 @@
 			break
 		}
 	}
-	if first == nil || first == c.self {
+	if first == nil {
+		return c.firstOf(z)
+	}
+	if first == c.self {
 		return first
 	}
 	chosen := c.relays[z]
