fleet, discovery: more room at the end of the grace period

The grace ends 2.8 s at the latest after the last read that failed began, which leaves 0.2 s for a tick and for the time that an answer of the store takes to be processed.

Change: the grace ends 0.35 s before the bound, and the first host in rank order begins a probe each 0.55 s in place of 0.7 s, so that the grace still lasts 2 s from the store's return (TestGraceEndsBeforeAHostThatWasCutOffIsInTouch).

--- a/discovery/outages.go
+++ b/discovery/outages.go
@@ -14,8 +14,8 @@
 	// expires. The gap is longer than it takes to replace failed store readers.
 	OutageGap = 2500 * time.Millisecond
 	// graceMargin is how long before the end of InTouchAfter the grace period ends at the latest. The
-	// store is read once more in it, and the other hosts are told.
-	graceMargin = 200 * time.Millisecond
+	// targets are dropped at a tick in it, and the other hosts are told.
+	graceMargin = 350 * time.Millisecond
 )
 
 // Coverage tells of a copy of the targets when the store was read. Times are by the store's clock, in
--- a/fleet/store_probe.go
+++ b/fleet/store_probe.go
@@ -24,7 +24,7 @@
 // rank. The first hosts probe more often: the others usually learn from them that the store is back.
 // All others must follow the store in time as well: they may be the only ones that reach it.
 func (t Timing) probeInterval(rank int) time.Duration {
-	first := max(t.StoreReturn/4-tickInterval, 2*tickInterval)
+	first := max(t.StoreReturn/5-tickInterval, 2*tickInterval)
 	return min(first+time.Duration(rank)*t.StoreReturn/12, t.StoreReturn*4/5)
 }
 
