--- a/fleet/store_probe.go
+++ b/fleet/store_probe.go
@@ -15,11 +15,6 @@
 // lost the store at the same moment from probing it at the same moments.
 const minProbeSpread = 0.9
 
-// A document is unavailable after a failed read of it. It is then read by probes: reads that do not
-// wait for a change. One probe is in flight at a time, and the unavailable documents take turns.
-// probeInterval bounds the time between the beginnings of two probes, so that neither a response that
-// never comes nor the number of failures delays the notice that the store is back.
-
 // probeInterval returns the longest time between the beginnings of two probes by a host of the given
 // rank. The first hosts probe more often: the others usually learn from them that the store is back.
 // All others must follow the store in time as well: they may be the only ones that reach it.
@@ -28,7 +23,11 @@
 	return min(first+time.Duration(rank)*t.StoreReturn/12, t.StoreReturn*4/5)
 }
 
-// probeSchedule decides when the next probe of the store begins.
+// probeSchedule decides when the next probe of the store begins. A document is unavailable after a failed
+// read of it, and is then read by probes: reads that do not wait for a change. One probe is in flight at
+// a time, and the unavailable documents take turns. The time between the beginnings of two probes is
+// bounded, so that neither a response that never comes nor the number of failures delays the notice
+// that the store is back.
 type probeSchedule struct {
 	// began is when the last failed read began; zero if the next probe is due at once.
 	began time.Time
