--- a/traffic/caller_conn.go
+++ b/traffic/caller_conn.go
@@ -137,8 +137,8 @@
 	// framing finds the head of each message and measures it. It is not used if the listener measures
 	// no heads.
 	framing requestFraming
-	// served is the memory of the head of the request that is being served, if a part of the next
-	// message has been read; nil otherwise.
+	// served is the memory of the head of the request that is being served, once its message has been
+	// read to its end; nil otherwise.
 	served *caller.Reservation
 }
 
